--- /dev/null
+++ b/cmd/chestnutd/main.go
@@ -0,0 +1,4 @@
+// Command chestnutd runs one entry host.
+package main
+
+func main() {}
--- /dev/null
+++ b/table/types.go
@@ -0,0 +1,81 @@
+// Package table holds the two tables that operators edit, routes and pools:
+// their types, their INI form, and the checks that a new version must pass.
+// The types are plain data; nothing here runs.
+package table
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Class is the kind of traffic a route carries.
+type Class string
+
+// The classes a route may name.
+const (
+	Lookup Class = "lookup"
+	Order  Class = "order"
+	Batch  Class = "batch"
+)
+
+// Target is one upstream address and the failure domain it stands in.
+type Target struct {
+	Addr          netip.AddrPort `json:"addr"`
+	FailureDomain string         `json:"failure_domain"`
+}
+
+// Pool names a group of targets.
+type Pool struct {
+	Name string `json:"name"`
+	// Targets are the upstreams; empty when Service is set.
+	Targets []Target `json:"targets,omitempty"`
+	// Service names the host-list service that the targets come from.
+	Service string `json:"service,omitempty"`
+	// Drain lists targets that the operator takes out of service.
+	Drain []netip.AddrPort `json:"drain,omitempty"`
+	// ProbeBudget is the number of probes a second to one target, all entry
+	// hosts together.
+	ProbeBudget float64 `json:"probe_budget"`
+	// LoadPath is the path of the load report, "" when there is none.
+	LoadPath string `json:"load_path,omitempty"`
+	// HealthPath is the path of the health endpoint, "" when there is none.
+	HealthPath string `json:"health_path,omitempty"`
+	// Slots is the number of requests that a target serves at once.
+	Slots int `json:"slots"`
+	// Connections is the number of connections a target accepts, shared by
+	// all entry hosts.
+	Connections int `json:"connections"`
+	// Policy names the selection policy; "" selects the default.
+	Policy string `json:"policy,omitempty"`
+}
+
+// Route says which requests go to which pool.
+type Route struct {
+	Name       string `json:"name"`
+	PathPrefix string `json:"path_prefix"`
+	// Methods are upper-case HTTP methods; empty matches all.
+	Methods []string `json:"methods,omitempty"`
+	// Callers are values of the X-Caller header; empty matches all.
+	Callers []string `json:"callers,omitempty"`
+	// Host matches the Host header without port; "" matches all.
+	Host       string        `json:"host,omitempty"`
+	Pool       string        `json:"pool"`
+	Class      Class         `json:"class"`
+	Idempotent bool          `json:"idempotent"`
+	Timeout    time.Duration `json:"timeout"`
+	// Retries is the highest number of further attempts; 0 on
+	// non-idempotent routes.
+	Retries int `json:"retries"`
+	// HedgeAfter is the wait before a second copy of a lookup is sent; 0
+	// switches hedging off.
+	HedgeAfter time.Duration `json:"hedge_after,omitempty"`
+}
+
+// Tables is one version of both tables. A Tables value is immutable once
+// published and is swapped as one piece.
+type Tables struct {
+	// Version grows by one with every accepted change; 0 is the empty start.
+	Version uint64           `json:"version"`
+	Pools   map[string]Pool  `json:"pools"`
+	Routes  map[string]Route `json:"routes"`
+}
