balance, load: four baseline policies, drains, parsing of load reports

Cause: the forwarding path needs a balancer to wire against; the baselines stay as the measure of every later policy.

Change: Balancer keeps one shard per pool under its own lock with its own seeded random numbers. random, round_robin, least_outstanding and p2c (local counts) stand behind one Policy interface.

Checked: with the drain lookup taken out of pool.leaving, three specs of "Drain" failed.

--- /dev/null
+++ b/balance/attempt.go
@@ -0,0 +1,27 @@
+package balance
+
+import (
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/chestnutfield/chestnutfield/ports"
+)
+
+// attempt is one dispatch to one target; it implements ports.Attempt.
+type attempt struct {
+	pool   *pool
+	target *target
+	sent   time.Time
+	ended  atomic.Bool
+}
+
+// Target returns the address to send to.
+func (a *attempt) Target() netip.AddrPort { return a.target.addr }
+
+// Done ends the attempt; only the first call counts.
+func (a *attempt) Done(now time.Time, d ports.Feedback) {
+	if a.ended.CompareAndSwap(false, true) {
+		a.pool.done(now, a, d)
+	}
+}
--- /dev/null
+++ b/balance/balancer_test.go
@@ -0,0 +1,148 @@
+package balance_test
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
+
+	"github.com/chestnutfield/chestnutfield/balance"
+	"github.com/chestnutfield/chestnutfield/ports"
+	"github.com/chestnutfield/chestnutfield/table"
+)
+
+var start = time.Date(2026, 12, 3, 12, 0, 0, 0, time.UTC)
+
+func addr(i int) netip.AddrPort {
+	return netip.MustParseAddrPort(fmt.Sprintf("127.0.0.1:%d", 9000+i))
+}
+
+func targets(n int) []table.Target {
+	return lo.Times(n, func(i int) table.Target {
+		return table.Target{Addr: addr(i), FailureDomain: string(rune('a' + i%3))}
+	})
+}
+
+func newBalancer(o balance.Options, spec balance.PoolSpec) *balance.Balancer {
+	o.Host, o.FailureDomain, o.Seed = "entry-1", "a", 7
+	b, err := balance.New(o)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(b.Update(start, map[string]balance.PoolSpec{"p": spec})).To(Succeed())
+	return b
+}
+
+func pick(b *balance.Balancer, now time.Time, exclude ...netip.AddrPort) ports.Attempt {
+	a, ok := b.Pick(ports.PickQuery{Pool: "p", Class: table.Lookup, Now: now, Exclude: exclude})
+	Expect(ok).To(BeTrue())
+	return a
+}
+
+// countPicks sends n requests one after the other and counts them by target.
+func countPicks(b *balance.Balancer, now time.Time, n int, f ports.Feedback) map[netip.AddrPort]int {
+	counts := map[netip.AddrPort]int{}
+	for range n {
+		a := pick(b, now)
+		counts[a.Target()]++
+		a.Done(now, f)
+	}
+	return counts
+}
+
+func succeeded(latency time.Duration) ports.Feedback {
+	return ports.Feedback{Result: ports.Result{Verdict: ports.Succeeded, Latency: latency}}
+}
+
+var _ = Describe("Balancer", func() {
+	for _, name := range balance.PolicyNames() {
+		It(name+" uses every target and honours exclusion", func() {
+			b := newBalancer(balance.Options{}, balance.PoolSpec{Targets: targets(4), Policy: name})
+			Expect(countPicks(b, start, 400, succeeded(time.Millisecond))).To(HaveLen(4))
+			for range 50 {
+				Expect(pick(b, start, addr(0), addr(1), addr(2)).Target()).To(Equal(addr(3)))
+			}
+			_, ok := b.Pick(ports.PickQuery{Pool: "p", Now: start, Exclude: []netip.AddrPort{addr(0), addr(1), addr(2), addr(3)}})
+			Expect(ok).To(BeFalse())
+		})
+	}
+
+	It("round robin takes turns", func() {
+		b := newBalancer(balance.Options{}, balance.PoolSpec{Targets: targets(5), Policy: balance.RoundRobin})
+		for _, n := range countPicks(b, start, 50, succeeded(0)) {
+			Expect(n).To(Equal(10))
+		}
+	})
+
+	It("least outstanding fills evenly", func() {
+		b := newBalancer(balance.Options{}, balance.PoolSpec{Targets: targets(5), Policy: balance.LeastOutstanding})
+		for range 10 {
+			pick(b, start)
+		}
+		for _, s := range b.States(start, "p") {
+			Expect(s.InFlight).To(Equal(2))
+		}
+	})
+
+	It("refuses an unknown policy and changes nothing", func() {
+		b := newBalancer(balance.Options{}, balance.PoolSpec{Targets: targets(2)})
+		err := b.Update(start, map[string]balance.PoolSpec{"q": {Policy: "nearest"}})
+		Expect(err).To(MatchError(ContainSubstring("pool q: policy \"nearest\": expected one of")))
+		Expect(b.Pools()).To(Equal([]string{"p"}))
+	})
+
+	It("keeps the state of targets that stay and counts an end once", func() {
+		b := newBalancer(balance.Options{}, balance.PoolSpec{Targets: targets(1)})
+		a := pick(b, start)
+		Expect(b.Update(start, map[string]balance.PoolSpec{"p": {Targets: targets(3)}})).To(Succeed())
+		Expect(b.States(start, "p")[0].InFlight).To(Equal(1))
+		a.Done(start, succeeded(0))
+		a.Done(start, succeeded(0))
+		Expect(b.States(start, "p")[0].InFlight).To(Equal(0))
+	})
+
+	It("has no target for an unknown pool", func() {
+		b := newBalancer(balance.Options{}, balance.PoolSpec{})
+		_, ok := b.Pick(ports.PickQuery{Pool: "q", Now: start})
+		Expect(ok).To(BeFalse())
+	})
+})
+
+var _ = Describe("Drain", func() {
+	It("gives a target nothing after its answer said draining, and tells peers once", func() {
+		var told []netip.AddrPort
+		b := newBalancer(balance.Options{
+			OnDrain: func(_ time.Time, t netip.AddrPort) { told = append(told, t) },
+		}, balance.PoolSpec{Targets: targets(3)})
+		a := pick(b, start)
+		for range 2 {
+			a.Done(start, ports.Feedback{Result: ports.Result{Verdict: ports.Succeeded}, Draining: true})
+		}
+		Expect(told).To(Equal([]netip.AddrPort{a.Target()}))
+		Expect(countPicks(b, start, 100, succeeded(0))).NotTo(HaveKey(a.Target()))
+	})
+
+	It("takes the news of a peer, an operator or the host list", func() {
+		b := newBalancer(balance.Options{}, balance.PoolSpec{Targets: targets(3), Drain: []netip.AddrPort{addr(0)}})
+		Expect(b.Leaving(start, addr(1))).To(BeTrue())
+		Expect(b.Leaving(start, addr(1))).To(BeFalse())
+		Expect(countPicks(b, start, 100, succeeded(0))).To(Equal(map[netip.AddrPort]int{addr(2): 100}))
+		b.Leaving(start, addr(2))
+		_, ok := b.Pick(ports.PickQuery{Pool: "p", Now: start})
+		Expect(ok).To(BeFalse(), "a pool whose targets all leave has none")
+	})
+
+	It("lifts a mark by a probe only after the hold, and by age without probes", func() {
+		b := newBalancer(balance.Options{}, balance.PoolSpec{Targets: targets(1)})
+		state := func(at time.Duration) string { return b.States(start.Add(at), "p")[0].State }
+		b.ProbeAnswered(start, addr(0), true)
+		b.ProbeAnswered(start.Add(29*time.Second), addr(0), false)
+		Expect(state(29 * time.Second)).To(Equal("leaving"), "a health endpoint lags")
+		b.ProbeAnswered(start.Add(30*time.Second), addr(0), false)
+		Expect(state(30 * time.Second)).To(Equal("ready"))
+		b.Leaving(start, addr(0))
+		Expect(state(10 * time.Minute)).To(Equal("leaving"))
+		Expect(state(10*time.Minute + 1)).To(Equal("ready"))
+	})
+})
--- /dev/null
+++ b/balance/metrics.go
@@ -0,0 +1,37 @@
+package balance
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+type metrics struct {
+	noTarget *prometheus.CounterVec
+	drains   prometheus.Counter
+	ended    *prometheus.CounterVec
+}
+
+func newMetrics(reg prometheus.Registerer) (*metrics, error) {
+	m := &metrics{
+		noTarget: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chestnut_balance_no_target_total",
+			Help: "Requests for which the pool had no target that may take new work.",
+		}, []string{"pool"}),
+		drains: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "chestnut_balance_drains_learned_total",
+			Help: "Leaving targets that this host learned of from an answer first.",
+		}),
+		ended: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chestnut_balance_attempts_total",
+			Help: "Attempts by pool and verdict.",
+		}, []string{"pool", "verdict"}),
+	}
+	if reg == nil {
+		return m, nil
+	}
+	for _, c := range []prometheus.Collector{m.noTarget, m.drains, m.ended} {
+		if err := reg.Register(c); err != nil {
+			return nil, err
+		}
+	}
+	return m, nil
+}
--- /dev/null
+++ b/balance/suite_test.go
@@ -0,0 +1,13 @@
+package balance_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestBalance(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "balance")
+}
--- /dev/null
+++ b/load/parse.go
@@ -0,0 +1,176 @@
+package load
+
+import (
+	"encoding/json"
+	"math"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// MaxReportBytes is the length above which a report is refused unread.
+const MaxReportBytes = 4096
+
+// MaxCount is the highest in-flight or queued number that is believed; a
+// target accepts far fewer connections.
+const MaxCount = 10_000
+
+// maxUtilization is the highest utilization that is believed. ORCA lets an
+// application report more than 1 when it is overloaded.
+const maxUtilization = 100
+
+// The names of the metrics that are used.
+const (
+	metricInFlight    = "in_flight"
+	metricQueued      = "queued"
+	metricUtilization = "application_utilization"
+	namedPrefix       = "named_metrics."
+	textPrefix        = "TEXT "
+	jsonPrefix        = "JSON "
+)
+
+// Absent marks a count that a report does not hold.
+const Absent = -1
+
+// The ways in which a report is refused. Callers test with errors.Is.
+var (
+	// ErrOversize: the report is longer than MaxReportBytes.
+	ErrOversize = errors.New("load report too long")
+	// ErrSyntax: the report is in neither form.
+	ErrSyntax = errors.New("load report malformed")
+	// ErrAbsurd: a metric that is used is negative, not finite or too large.
+	ErrAbsurd = errors.New("load report holds an absurd value")
+)
+
+// Report is one load report of a target.
+type Report struct {
+	// InFlight is the number of requests at the target, queued ones
+	// included, Absent when not reported.
+	InFlight int
+	// Queued is the number of requests that wait for a slot, Absent when not
+	// reported.
+	Queued int
+	// Utilization is the busy share of the slots, negative when not reported.
+	Utilization float64
+}
+
+// Empty reports whether none of the metrics that are used is present.
+func (r Report) Empty() bool {
+	return r.InFlight == Absent && r.Queued == Absent && r.Utilization < 0
+}
+
+// Count returns the best in-flight number that the report supports for a
+// target with the given number of slots; ok is false when there is none.
+func (r Report) Count(slots int) (n int, ok bool) {
+	switch {
+	case r.InFlight != Absent:
+		return max(r.InFlight, r.Queued), true
+	case r.Utilization >= 0:
+		return int(math.Round(r.Utilization * float64(slots))), true
+	case r.Queued > 0:
+		return slots + r.Queued, true
+	default:
+		return 0, false
+	}
+}
+
+// Parse reads a report in the text form ("TEXT name=value, ..." or without
+// the prefix) or the JSON form ("JSON {...}" or a bare object). Unknown
+// metrics are skipped. The error matches ErrOversize, ErrSyntax or ErrAbsurd.
+func Parse(s string) (Report, error) {
+	if len(s) > MaxReportBytes {
+		return Report{}, errors.Wrapf(ErrOversize, "%d bytes, at most %d", len(s), MaxReportBytes)
+	}
+	s = strings.TrimSpace(s)
+	switch {
+	case strings.HasPrefix(s, jsonPrefix):
+		return parseJSON(s[len(jsonPrefix):])
+	case strings.HasPrefix(s, "{"):
+		return parseJSON(s)
+	default:
+		return parseText(strings.TrimPrefix(s, textPrefix))
+	}
+}
+
+func emptyReport() Report {
+	return Report{InFlight: Absent, Queued: Absent, Utilization: Absent}
+}
+
+func parseText(s string) (Report, error) {
+	r := emptyReport()
+	for pair := range strings.SplitSeq(s, ",") {
+		name, value, found := strings.Cut(strings.TrimSpace(pair), "=")
+		if !found {
+			return Report{}, errors.Wrap(ErrSyntax, "expected name=value, ...")
+		}
+		name = strings.TrimSpace(name)
+		if !used(name) {
+			continue
+		}
+		f, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+		if err != nil {
+			return Report{}, errors.Wrapf(ErrSyntax, "%s is no number", name)
+		}
+		if err := r.set(strings.TrimPrefix(name, namedPrefix), f); err != nil {
+			return Report{}, err
+		}
+	}
+	return r, nil
+}
+
+func used(name string) bool {
+	switch name {
+	case metricUtilization, namedPrefix + metricInFlight, namedPrefix + metricQueued:
+		return true
+	default:
+		return false
+	}
+}
+
+func (r *Report) set(metric string, f float64) error {
+	limit := float64(MaxCount)
+	if metric == metricUtilization {
+		limit = maxUtilization
+	}
+	if math.IsNaN(f) || f < 0 || f > limit {
+		return errors.Wrapf(ErrAbsurd, "%s is %g, expected 0 to %g", metric, f, limit)
+	}
+	switch metric {
+	case metricUtilization:
+		r.Utilization = f
+	case metricInFlight:
+		r.InFlight = int(math.Round(f))
+	case metricQueued:
+		r.Queued = int(math.Round(f))
+	}
+	return nil
+}
+
+type jsonReport struct {
+	Utilization *float64           `json:"application_utilization"`
+	Named       map[string]float64 `json:"named_metrics"`
+}
+
+func parseJSON(s string) (Report, error) {
+	var j jsonReport
+	if err := json.Unmarshal([]byte(s), &j); err != nil {
+		return Report{}, errors.Wrap(ErrSyntax, err.Error())
+	}
+	r := emptyReport()
+	if j.Utilization != nil {
+		if err := r.set(metricUtilization, *j.Utilization); err != nil {
+			return Report{}, err
+		}
+	}
+	for _, name := range []string{metricInFlight, metricQueued} {
+		f, ok := j.Named[name]
+		if !ok {
+			continue
+		}
+		if err := r.set(name, f); err != nil {
+			return Report{}, err
+		}
+	}
+	return r, nil
+}
