retry: budget per pool, allowance that shrinks on the way

Cause: nine levels that each retry would multiply a fault at the bottom.

Allowance carries deadline and retries: a host that keeps retries leaves none below it, and headers can only ask for less.

Checked: nine levels with 2 retries each, 100 calls whose bottom fails, top budget not binding: at most 3 attempts a call. With headers lost the budgets alone keep 1,000 calls under 1.1^9 each.

--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -138,7 +138,7 @@
 		state := func(at time.Duration) string { return b.States(start.Add(at), "p")[0].State }
 		b.ProbeAnswered(start, addr(0), true)
 		b.ProbeAnswered(start.Add(29*time.Second), addr(0), false)
-		Expect(state(29 * time.Second)).To(Equal("leaving"), "a health endpoint lags")
+		Expect(state(29*time.Second)).To(Equal("leaving"), "a health endpoint lags")
 		b.ProbeAnswered(start.Add(30*time.Second), addr(0), false)
 		Expect(state(30 * time.Second)).To(Equal("ready"))
 		b.Leaving(start, addr(0))
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,133 @@
+package retry_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/chestnutfield/chestnutfield/retry"
+)
+
+const levels = 9
+
+var start = time.Date(2026, 12, 3, 12, 0, 0, 0, time.UTC)
+
+type hosts int
+
+func (h hosts) Hosts() []string { return make([]string, h) }
+func (h hosts) ShareCount() int { return int(h) }
+
+func budget(o retry.Options) *retry.Budget {
+	b, err := retry.New(o)
+	Expect(err).NotTo(HaveOccurred())
+	return b
+}
+
+// chain is a call through nine levels whose bottom always fails.
+type chain struct {
+	budgets []*retry.Budget
+	// forward is false when upstreams lose the headers.
+	forward bool
+	bottom  int
+}
+
+func (c *chain) call(now time.Time, level int, deadlineMs, retries string) {
+	if level == levels {
+		c.bottom++
+		return
+	}
+	a := retry.Receive(now, retry.Route{Timeout: 2 * time.Second, Retries: 2}, deadlineMs, retries)
+	next, _ := a.SendRetries(retries)
+	if !c.forward {
+		next = ""
+	}
+	c.budgets[level].Deposit("p", now)
+	for attempt := 0; attempt == 0 || attempt <= a.Retries && c.budgets[level].Withdraw("p", now); attempt++ {
+		c.call(now, level+1, a.SendDeadline(now), next)
+	}
+}
+
+func newChain(forward bool) *chain {
+	c := &chain{forward: forward}
+	for range levels {
+		c.budgets = append(c.budgets, budget(retry.Options{Membership: hosts(18)}))
+	}
+	return c
+}
+
+var _ = Describe("A fault at the bottom of nine levels", func() {
+	It("is repeated by one level alone", func() {
+		c := newChain(true)
+		c.budgets[0] = budget(retry.Options{Ratio: 10}) // a budget that never binds
+		for i := range 100 {
+			c.call(start.Add(time.Duration(i)*time.Millisecond), 0, "", "")
+		}
+		Expect(c.bottom).To(BeNumerically("<=", 100*3))
+	})
+
+	It("is held by the budgets when the headers are lost", func() {
+		c := newChain(false)
+		const calls = 1000
+		for i := range calls {
+			c.call(start.Add(time.Duration(i)*time.Millisecond), 0, "", "")
+		}
+		Expect(float64(c.bottom)).To(BeNumerically("<=", calls*math.Pow(1+retry.DefaultRatio, levels)+2*levels*10))
+	})
+})
+
+var _ = Describe("Allowance", func() {
+	DescribeTable("can only shrink", func(deadlineMs, retries string, wantTime time.Duration, wantRetries int) {
+		a := retry.Receive(start, retry.Route{Timeout: time.Second, Retries: 2}, deadlineMs, retries)
+		Expect(a.Remaining(start)).To(Equal(wantTime))
+		Expect(a.Retries).To(Equal(wantRetries))
+	},
+		Entry("nothing asked", "", "", time.Second, 2),
+		Entry("less", "300", "0", 300*time.Millisecond, 0),
+		Entry("more", "5000", "9", time.Second, 2),
+		Entry("none", "0", "1", time.Duration(0), 1),
+		Entry("garbage", "-5", "many", time.Second, 2),
+		Entry("overflow", "18446744073709551615", "18446744073709551615", time.Second, 2),
+	)
+
+	It("passes on what it doesn't keep", func() {
+		keeps := retry.Allowance{Retries: 1}
+		value, send := keeps.SendRetries("")
+		Expect([]any{value, send}).To(Equal([]any{"0", true}))
+		none := retry.Allowance{Deadline: start.Add(time.Millisecond)}
+		value, send = none.SendRetries("0")
+		Expect([]any{value, send}).To(Equal([]any{"0", true}))
+		_, send = none.SendRetries("")
+		Expect(send).To(BeFalse())
+		Expect(none.SendDeadline(start.Add(time.Second))).To(Equal("0"))
+	})
+})
+
+// TestBudgetBound: whatever the order of events, a host's further attempts
+// stay within ratio, floor share and burst share.
+func TestBudgetBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 40).Draw(t, "hosts")
+		b, err := retry.New(retry.Options{Membership: hosts(n)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		now, first, further := start, 0, 0
+		for range rapid.IntRange(1, 200).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "first") {
+				b.Deposit("p", now)
+				first++
+			} else if b.Withdraw("p", now) {
+				further++
+			}
+		}
+		bound := retry.DefaultRatio*float64(first) + retry.DefaultFloor/float64(n)*now.Sub(start).Seconds() + 1
+		if float64(further) > bound+1e-6 {
+			t.Fatalf("%d further attempts, bound %g", further, bound)
+		}
+	})
+}
