limit: admission by class and caller with adaptive limits

Cause: with two slots a target, one class or caller can hold all of a pool, and a host's equal share (1.3 slots of 24 over 18 hosts) is too small to use what others leave idle.

Change: per pool a fair queue (classes 8:8:1, callers of a class equally), an AIMD limit between half a share and one and a half pools, a second and more cautious limit for batch with a floor of a tenth of a share, limits below 1 kept by pauses. A request that can't meet its deadline is refused on arrival, or as soon as it is known, with a time to come back. Gradient stands beside AIMD to be weighed.

--- /dev/null
+++ b/limit/admission_test.go
@@ -0,0 +1,81 @@
+package limit
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/chestnutfield/chestnutfield/outcome"
+	"github.com/chestnutfield/chestnutfield/ports"
+	"github.com/chestnutfield/chestnutfield/table"
+)
+
+var _ = Describe("Admission", func() {
+	var (
+		clock *clockwork.FakeClock
+		a     *Admission
+		held  []ports.Permit
+	)
+
+	admit := func(ctx context.Context, timeout time.Duration) (ports.Permit, *ports.Refusal) {
+		return a.Admit(ctx, ports.AdmitQuery{Pool: "p", Class: table.Lookup, Caller: "c", Deadline: clock.Now().Add(timeout)})
+	}
+
+	BeforeEach(func() {
+		clock = clockwork.NewFakeClockAt(start)
+		var err error
+		a, err = New(Options{Clock: clock, NewLimiter: fixed, Registerer: prometheus.NewRegistry()})
+		Expect(err).NotTo(HaveOccurred())
+		a.Update(map[string]Capacity{"p": {Targets: 1, Slots: 2}})
+		held = nil
+		for st, _ := a.Status("p"); len(held) < int(st.Limit); {
+			p, refusal := admit(context.Background(), time.Second)
+			Expect(refusal).To(BeNil())
+			held = append(held, p)
+		}
+	})
+
+	type result struct {
+		permit  ports.Permit
+		refusal *ports.Refusal
+	}
+
+	// waiting starts a request that has to wait.
+	waiting := func(ctx context.Context) chan result {
+		done := make(chan result, 1)
+		go func() {
+			p, r := admit(ctx, time.Second)
+			done <- result{p, r}
+		}()
+		Expect(clock.BlockUntilContext(context.Background(), 1)).To(Succeed())
+		return done
+	}
+
+	It("passes a released permit on, once", func() {
+		done := waiting(context.Background())
+		held[0].Release(clock.Now(), ran(time.Millisecond))
+		held[0].Release(clock.Now(), ran(time.Millisecond))
+		Expect((<-done).permit).NotTo(BeNil())
+		st, _ := a.Status("p")
+		Expect(st.InFlight).To(Equal(len(held)))
+	})
+
+	It("lets a caller go that goes away, and keeps its place for nobody", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		done := waiting(ctx)
+		cancel()
+		Expect((<-done).refusal.Reason).To(Equal(outcome.CallerGone))
+		st, _ := a.Status("p")
+		Expect(st.Queued).To(Equal(0))
+	})
+
+	It("refuses when the deadline can't be met any more, by its own timer", func() {
+		done := waiting(context.Background())
+		clock.Advance(time.Second - initialLatency + time.Millisecond)
+		Expect((<-done).refusal.Reason).To(Equal(outcome.QueueFull))
+	})
+})
--- /dev/null
+++ b/limit/aimd.go
@@ -0,0 +1,63 @@
+package limit
+
+import (
+	"time"
+
+	"github.com/chestnutfield/chestnutfield/ports"
+)
+
+const (
+	// cutOnRefusal is the factor of a shed or timed-out request.
+	cutOnRefusal = 0.9
+	// cutOnInflation is the factor when latency is inflated.
+	cutOnInflation = 0.95
+)
+
+// AIMD raises the limit by one for every full round of requests and cuts it
+// by a factor, at most once per latency, when an end speaks of congestion.
+type AIMD struct {
+	limit, lowest, highest float64
+	// tolerance is the inflation of latency above which the limit is cut.
+	tolerance float64
+	lastCut   time.Time
+}
+
+var _ Limiter = (*AIMD)(nil)
+
+// NewAIMD returns a limiter that starts at limit.
+func NewAIMD(limit, tolerance float64) *AIMD {
+	return &AIMD{limit: limit, lowest: limit, highest: limit, tolerance: tolerance}
+}
+
+// Limit returns the limit.
+func (a *AIMD) Limit() float64 { return a.limit }
+
+// Bound sets the lowest and highest limit.
+func (a *AIMD) Bound(lowest, highest float64) {
+	a.lowest, a.highest = lowest, max(lowest, highest)
+	a.limit = min(max(a.limit, a.lowest), a.highest)
+}
+
+// Observe adapts the limit. Failures say nothing about congestion.
+func (a *AIMD) Observe(s Signal) {
+	switch s.Verdict {
+	case ports.Shed, ports.TimedOut:
+		a.cut(s, cutOnRefusal)
+	case ports.Succeeded:
+		if s.Inflation > a.tolerance {
+			a.cut(s, cutOnInflation)
+			return
+		}
+		if float64(s.InFlight)*2 >= a.limit {
+			a.limit = min(a.limit+1/max(a.limit, 1), a.highest)
+		}
+	}
+}
+
+func (a *AIMD) cut(s Signal, factor float64) {
+	if s.Now.Sub(a.lastCut) < s.Latency {
+		return
+	}
+	a.lastCut = s.Now
+	a.limit = max(a.limit*factor, a.lowest)
+}
--- /dev/null
+++ b/limit/gradient.go
@@ -0,0 +1,54 @@
+package limit
+
+import (
+	"math"
+
+	"github.com/chestnutfield/chestnutfield/ports"
+)
+
+const (
+	gradientTolerance = 1.5
+	gradientSmoothing = 0.2
+	gradientFloor     = 0.5
+)
+
+// Gradient moves the limit to its product with the ratio of uncongested to
+// smoothed latency, plus a queue of the square root of the limit.
+type Gradient struct {
+	limit, lowest, highest float64
+}
+
+var _ Limiter = (*Gradient)(nil)
+
+// NewGradient returns a limiter that starts at limit.
+func NewGradient(limit float64) *Gradient {
+	return &Gradient{limit: limit, lowest: limit, highest: limit}
+}
+
+// Limit returns the limit.
+func (g *Gradient) Limit() float64 { return g.limit }
+
+// Bound sets the lowest and highest limit.
+func (g *Gradient) Bound(lowest, highest float64) {
+	g.lowest, g.highest = lowest, max(lowest, highest)
+	g.limit = min(max(g.limit, g.lowest), g.highest)
+}
+
+// Observe adapts the limit. Failures say nothing about congestion.
+func (g *Gradient) Observe(s Signal) {
+	target := g.limit
+	switch s.Verdict {
+	case ports.Shed, ports.TimedOut:
+		target *= gradientFloor
+	case ports.Succeeded:
+		if s.Inflation <= 0 || float64(s.InFlight)*2 < g.limit {
+			return
+		}
+		ratio := min(max(gradientTolerance/s.Inflation, gradientFloor), 1)
+		target = g.limit*ratio + math.Sqrt(g.limit)
+	default:
+		return
+	}
+	next := g.limit + gradientSmoothing*(target-g.limit)
+	g.limit = min(max(next, g.lowest), g.highest)
+}
