Forward requests: attempt state machine, router, upstream client, proxy server

Cause: callers' requests need a way through an entry host whose outcome is always true.

attempt/ is the life of one request as a pure machine; it alone says not-run, unknown or ran and whether another attempt is allowed. router/ compiles the tables into an immutable matcher. upstream/ speaks HTTP/1.1 on fasthttp's codec over connections of its own, without retries. proxy/ is a fiber application on fasthttp that drives the machine and consumes package ports only.

Protections taken out to see their tests fail (attempt/property_test.go, 5,000 checks): idempotence in mayTryAgain, one-shot bodies in mayTryAgain and hedge, idempotence in hedge, a held not-run answer beside an attempt that may have run, Sent as the moment from which it may have run. The property also found a real fault while it was written: retries after failed connects had no bound on idempotent routes with retries; MaxSafeRetries bounds them now.

Conclusion: lookups, orders, keyed orders, retries, hedges, cancellation and deadlines work end to end against raw TCP upstreams in proxy/*_test.go, race detector clean.

--- /dev/null
+++ b/proxy/metrics.go
@@ -0,0 +1,119 @@
+package proxy
+
+import (
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/chestnutfield/chestnutfield/outcome"
+	"github.com/chestnutfield/chestnutfield/ports"
+)
+
+const (
+	otherCallers   = "other"
+	answeredReason = "answered"
+)
+
+// metrics are the counters and histograms of the forwarding path.
+type metrics struct {
+	requests *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	added    *prometheus.HistogramVec
+
+	maxCallers int
+	mu         sync.RWMutex
+	callers    map[string]struct{}
+}
+
+var latencyBuckets = prometheus.ExponentialBuckets(0.0005, 2, 16)
+var addedBuckets = prometheus.ExponentialBuckets(0.00005, 2, 14)
+
+func newMetrics(reg prometheus.Registerer, maxCallers int) (*metrics, error) {
+	m := &metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chestnut_requests_total",
+			Help: "Requests that matched a route, by how they ended.",
+		}, []string{"route", "pool", "class", "outcome", "reason"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chestnut_refusals_total",
+			Help: "Requests refused before a route was known.",
+		}, []string{"reason"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chestnut_attempts_total",
+			Help: "Attempts at targets, by pool and verdict.",
+		}, []string{"pool", "verdict"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "chestnut_request_seconds",
+			Help:    "Time from a request's header to the end of its answer.",
+			Buckets: latencyBuckets,
+		}, []string{"caller", "class"}),
+		added: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "chestnut_added_seconds",
+			Help:    "The part of chestnut_request_seconds not spent waiting for upstreams or for admission.",
+			Buckets: addedBuckets,
+		}, []string{"class"}),
+		maxCallers: maxCallers,
+		callers:    make(map[string]struct{}),
+	}
+	if reg == nil {
+		return m, nil
+	}
+	for _, c := range []prometheus.Collector{m.requests, m.refusals, m.attempts, m.latency, m.added} {
+		if err := reg.Register(c); err != nil {
+			return nil, errors.Wrap(err, "proxy metrics")
+		}
+	}
+	return m, nil
+}
+
+func (m *metrics) refused(p *problem) { m.refusals.WithLabelValues(p.reason.String()).Inc() }
+
+// ended counts a request that matched a route.
+func (m *metrics) ended(c *call, o outcome.Outcome, reason outcome.Reason, total time.Duration) {
+	why := answeredReason
+	if reason != 0 {
+		why = reason.String()
+	}
+	route, class := c.match.Route, string(c.match.Route.Class)
+	m.requests.WithLabelValues(route.Name, route.Pool, class, o.String(), why).Inc()
+	m.latency.WithLabelValues(m.callerLabel(c.in.caller), class).Observe(total.Seconds())
+	if c.waited > 0 && !c.streamed {
+		m.added.WithLabelValues(class).Observe(max(0, total-c.waited).Seconds())
+	}
+}
+
+var verdictNames = map[ports.Verdict]string{
+	ports.Succeeded: "succeeded", ports.Failed: "failed", ports.Shed: "shed",
+	ports.TimedOut: "timed-out", ports.Abandoned: "abandoned",
+}
+
+// attempted counts an attempt.
+func (m *metrics) attempted(pool string, v ports.Verdict) {
+	m.attempts.WithLabelValues(pool, verdictNames[v]).Inc()
+}
+
+// callerLabel gives the first callers a label of their own and the rest one
+// in common, so that callers can't grow the metrics without bound.
+func (m *metrics) callerLabel(caller string) string {
+	m.mu.RLock()
+	_, known := m.callers[caller]
+	full := len(m.callers) >= m.maxCallers
+	m.mu.RUnlock()
+	if known {
+		return caller
+	}
+	if full {
+		return otherCallers
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.callers) >= m.maxCallers {
+		return otherCallers
+	}
+	m.callers[caller] = struct{}{}
+	return caller
+}
--- /dev/null
+++ b/proxy/options.go
@@ -0,0 +1,142 @@
+package proxy
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/chestnutfield/chestnutfield/ports"
+	"github.com/chestnutfield/chestnutfield/upstream"
+)
+
+// Options wires a Server. Tables and Balancer are required.
+type Options struct {
+	Tables   ports.Tables
+	Balancer ports.Balancer
+	// Admission is asked before dispatch; nil admits every request.
+	Admission ports.Admission
+	// Retries bounds further attempts; nil allows none but those that follow
+	// attempts which certainly did not run.
+	Retries ports.RetryBudget
+	// Ledger keeps orders at most once; nil refuses every keyed order.
+	Ledger ports.Ledger
+	// Membership gives the divisor of shared limits; nil stands for one host.
+	Membership ports.Membership
+	// Clock is the clock of decisions; nil selects the real one.
+	Clock clockwork.Clock
+	// Registerer takes the metrics; nil registers none.
+	Registerer prometheus.Registerer
+	// Logger writes changes of state; nil writes none.
+	Logger   *zap.Logger
+	Limits   Limits
+	Upstream upstream.Options
+}
+
+// Limits bounds what a caller can ask of the host. Zero values select the
+// defaults.
+type Limits struct {
+	// HeaderBytes bounds the header of a request (431 beyond).
+	HeaderBytes int
+	// HeaderTimeout bounds the arrival of a header, from its first byte.
+	HeaderTimeout time.Duration
+	// IdleTimeout is how long a kept connection waits for a request.
+	IdleTimeout time.Duration
+	// WriteStall is how long a caller may take no byte of its answer.
+	WriteStall time.Duration
+	// HeldBodyBytes bounds the request body that is held before dispatch.
+	// Larger ones are streamed and sent to one target only.
+	HeldBodyBytes int
+	// KeyedBodyBytes bounds the body of an order with an Idempotency-Key
+	// (413 beyond).
+	KeyedBodyBytes int
+	// HeldAnswerBytes bounds the answer body that is held before it is
+	// given. Larger ones are streamed.
+	HeldAnswerBytes int
+	// RecordBytes bounds the answer that is recorded with an order key.
+	RecordBytes int
+	// PlainAnswerBytes bounds an answer of unannounced length to an HTTP/1.0
+	// caller (502 beyond).
+	PlainAnswerBytes int
+	// Timeout is for routes that name none.
+	Timeout time.Duration
+	// SettleTimeout bounds the recording of an order's end.
+	SettleTimeout time.Duration
+	// LastRequests is how long kept connections stay open after a stop
+	// begins, so that a request on its way is still answered.
+	LastRequests time.Duration
+	// CallerLabels bounds the callers that have metrics of their own.
+	CallerLabels int
+}
+
+// DefaultLimits returns the limits that zero values select.
+func DefaultLimits() Limits {
+	return Limits{
+		HeaderBytes:      16 << 10,
+		HeaderTimeout:    10 * time.Second,
+		IdleTimeout:      75 * time.Second,
+		WriteStall:       30 * time.Second,
+		HeldBodyBytes:    64 << 10,
+		KeyedBodyBytes:   1 << 20,
+		HeldAnswerBytes:  64 << 10,
+		RecordBytes:      16 << 10,
+		PlainAnswerBytes: 8 << 20,
+		Timeout:          30 * time.Second,
+		SettleTimeout:    2 * time.Second,
+		LastRequests:     250 * time.Millisecond,
+		CallerLabels:     64,
+	}
+}
+
+// withDefaults fills every zero limit.
+func (l Limits) withDefaults() Limits {
+	d := DefaultLimits()
+	orInt(&l.HeaderBytes, d.HeaderBytes)
+	orTime(&l.HeaderTimeout, d.HeaderTimeout)
+	orTime(&l.IdleTimeout, d.IdleTimeout)
+	orTime(&l.WriteStall, d.WriteStall)
+	orInt(&l.HeldBodyBytes, d.HeldBodyBytes)
+	orInt(&l.KeyedBodyBytes, d.KeyedBodyBytes)
+	orInt(&l.HeldAnswerBytes, d.HeldAnswerBytes)
+	orInt(&l.RecordBytes, d.RecordBytes)
+	orInt(&l.PlainAnswerBytes, d.PlainAnswerBytes)
+	orTime(&l.Timeout, d.Timeout)
+	orTime(&l.SettleTimeout, d.SettleTimeout)
+	orTime(&l.LastRequests, d.LastRequests)
+	orInt(&l.CallerLabels, d.CallerLabels)
+	return l
+}
+
+func orInt(v *int, def int) {
+	if *v <= 0 {
+		*v = def
+	}
+}
+
+func orTime(v *time.Duration, def time.Duration) {
+	if *v <= 0 {
+		*v = def
+	}
+}
+
+func (o Options) withDefaults() (Options, error) {
+	if o.Tables == nil {
+		return o, errors.New("proxy options: Tables is required")
+	}
+	if o.Balancer == nil {
+		return o, errors.New("proxy options: Balancer is required")
+	}
+	if o.Clock == nil {
+		o.Clock = clockwork.NewRealClock()
+	}
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
+	if o.Upstream.Clock == nil {
+		o.Upstream.Clock = o.Clock
+	}
+	o.Limits = o.Limits.withDefaults()
+	return o, nil
+}
--- /dev/null
+++ b/proxy/outcome_test.go
@@ -0,0 +1,240 @@
+package proxy
+
+import (
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnutfield/chestnutfield/outcome"
+	"github.com/chestnutfield/chestnutfield/ports"
+	"github.com/chestnutfield/chestnutfield/table"
+)
+
+// lose reads a request and closes the connection.
+func lose(u *rawConn) { u.request() }
+
+// silent reads a request and never answers.
+func silent(u *rawConn) {
+	u.request()
+	u.waitClosed()
+}
+
+// closedAddr is an address that refuses connections.
+func closedUpstream() *rawUpstream {
+	up := newUpstream(lose)
+	up.ln.Close()
+	return up
+}
+
+const (
+	keyedOrder = "POST /orders/a HTTP/1.1\r\nHost: h\r\nX-Caller: c1\r\nIdempotency-Key: k1\r\nContent-Length: 5\r\n\r\nhello"
+	shedAnswer = "HTTP/1.1 503 Busy\r\nChestnut-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
+func expectOwn(resp *http.Response, status int, o outcome.Outcome) {
+	GinkgoHelper()
+	Expect(resp.StatusCode).To(Equal(status))
+	Expect(resp.Header.Get("Chestnut-Outcome")).To(Equal(o.String()))
+	Expect(resp.Header.Get("Proxy-Status")).To(HavePrefix("chestnutfield; error="))
+	if status == 503 {
+		Expect(resp.Header.Get("Retry-After")).To(MatchRegexp(`^[1-9]\d*$`))
+	}
+}
+
+var _ = Describe("outcomes", func() {
+	It("answers 404 not-run without a route", func() {
+		resp, _ := newBed(nil).ask("GET /none HTTP/1.1\r\nHost: h\r\n\r\n")
+		expectOwn(resp, 404, outcome.NotRun)
+	})
+
+	It("answers 503 not-run without a target", func() {
+		resp, _ := newBed(nil).ask(postOrder)
+		expectOwn(resp, 503, outcome.NotRun)
+	})
+
+	It("answers 503 not-run when no connection opens", func() {
+		b := newBed([]*rawUpstream{closedUpstream()})
+		resp, _ := b.ask(postOrder)
+		expectOwn(resp, 503, outcome.NotRun)
+		Expect(b.balancer.feedback()[0].ConnectFailed).To(BeTrue())
+	})
+
+	It("never sends an order again that may have run", func() {
+		first, second := newUpstream(lose), newUpstream(always(okAnswer))
+		resp, _ := newBed([]*rawUpstream{first, second}).ask(postOrder)
+		expectOwn(resp, 502, outcome.Unknown)
+		Expect(second.read()).To(BeEmpty())
+	})
+
+	It("sends an order elsewhere when it certainly did not run", func() {
+		second := newUpstream(always(okAnswer))
+		b := newBed([]*rawUpstream{closedUpstream(), newUpstream(always(shedAnswer)), second})
+		resp, _ := b.ask(postOrder)
+		Expect(resp.StatusCode).To(Equal(200))
+		Expect(second.read()).To(ContainSubstring("Chestnut-Retries: 0\r\n"))
+		Expect(b.balancer.feedback()).To(HaveLen(3))
+		Expect(b.balancer.feedback()[1].Verdict).To(Or(Equal(ports.Shed), Equal(ports.Succeeded)))
+	})
+
+	It("sends a lookup again", func() {
+		first, second := newUpstream(lose), newUpstream(always(okAnswer))
+		resp, _ := newBed([]*rawUpstream{first, second}).ask(getSpec)
+		Expect(resp.StatusCode).To(Equal(200))
+	})
+
+	DescribeTable("does not send a lookup again",
+		func(raw string, change func(b *bed)) {
+			second := newUpstream(always(okAnswer))
+			b := newBed([]*rawUpstream{newUpstream(lose), second})
+			change(b)
+			resp, _ := b.ask(raw)
+			expectOwn(resp, 502, outcome.Unknown)
+			Expect(second.read()).To(BeEmpty())
+		},
+		Entry("when the budget is spent", getSpec, func(b *bed) { b.budget.left.Store(0) }),
+		Entry("when the caller withdrew retries",
+			"GET /specs/a HTTP/1.1\r\nHost: h\r\nChestnut-Retries: 0\r\n\r\n", func(*bed) {}),
+	)
+
+	It("passes on a 5xx when nothing better is had", func() {
+		up := newUpstream(always("HTTP/1.1 500 Oops\r\nContent-Length: 2\r\n\r\nno"))
+		resp, body := newBed([]*rawUpstream{up}).ask(getSpec)
+		Expect(resp.Status).To(Equal("500 Oops"))
+		Expect(body).To(Equal("no"))
+		Expect(resp.Header).NotTo(HaveKey("Chestnut-Outcome"))
+	})
+
+	It("answers 504 unknown when the upstream is silent, and closes its connection", func() {
+		closed := make(chan struct{})
+		up := newUpstream(func(u *rawConn) {
+			silent(u)
+			close(closed)
+		})
+		b := newBed([]*rawUpstream{up}, withRoute("order", func(r *table.Route) { r.Timeout = 50 * time.Millisecond }))
+		resp, _ := b.ask(postOrder)
+		expectOwn(resp, 504, outcome.Unknown)
+		Eventually(closed, "10s").Should(BeClosed())
+	})
+
+	It("lets a caller shorten the deadline only", func() {
+		up := newUpstream(silent)
+		b := newBed([]*rawUpstream{up})
+		resp, _ := b.ask("GET /specs/a HTTP/1.1\r\nHost: h\r\nChestnut-Deadline-Ms: 40\r\n\r\n")
+		Expect(resp.StatusCode).To(Equal(504))
+		Expect(up.read()).To(MatchRegexp(`Chestnut-Deadline-Ms: ([1-3]?\d|40)\r\n`))
+	})
+
+	It("cancels the upstream request when the caller goes away", func() {
+		arrived, closed := make(chan struct{}), make(chan struct{})
+		up := newUpstream(func(u *rawConn) {
+			u.request()
+			close(arrived)
+			u.waitClosed()
+			close(closed)
+		})
+		b := newBed([]*rawUpstream{up})
+		c := b.dial()
+		c.send(postOrder)
+		Eventually(arrived, "10s").Should(BeClosed())
+		c.Close()
+		Eventually(closed, "10s").Should(BeClosed())
+		Eventually(b.balancer.inFlight, "10s").Should(BeZero())
+		Expect(b.balancer.feedback()[0].Verdict).To(Equal(ports.Abandoned))
+	})
+
+	It("hedges a lookup and cancels the loser", func() {
+		closed := make(chan struct{})
+		slow := newUpstream(func(u *rawConn) {
+			silent(u)
+			close(closed)
+		})
+		b := newBed([]*rawUpstream{slow, newUpstream(always(okAnswer))},
+			withRoute("lookup", func(r *table.Route) { r.HedgeAfter = time.Millisecond }))
+		_, body := b.ask(getSpec)
+		Expect(body).To(Equal("done"))
+		Eventually(closed, "10s").Should(BeClosed())
+		Eventually(b.balancer.inFlight, "10s").Should(BeZero())
+	})
+
+	It("keeps to its share of a target's connections", func() {
+		release := make(chan struct{})
+		up := newUpstream(func(u *rawConn) {
+			u.request()
+			<-release
+			u.send(okAnswer)
+		})
+		b := newBed([]*rawUpstream{up}, func(_ *Options, t *table.Tables) {
+			p := t.Pools["catalogue"]
+			p.Connections = 1
+			t.Pools["catalogue"] = p
+		})
+		first := b.dial()
+		first.send(postOrder)
+		Eventually(up.read, "10s").ShouldNot(BeEmpty())
+		resp, _ := b.ask(postOrder)
+		expectOwn(resp, 503, outcome.NotRun)
+		close(release)
+		_, body, err := first.answer("POST")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal("done"))
+	})
+})
+
+var _ = Describe("orders with a key", func() {
+	It("settles what ran, with its answer", func() {
+		b := newBed([]*rawUpstream{newUpstream(always(okAnswer))})
+		b.ask(keyedOrder)
+		Expect(b.ledger.settled).To(Equal([]outcome.Outcome{outcome.Ran}))
+		Expect(string(b.ledger.answers[0].Body)).To(Equal("done"))
+		Expect(b.ledger.answers[0].Header).To(ContainElement([2]string{"X-Spec", "Bend"}))
+		Expect(b.ledger.keys[0]).To(HaveField("Caller", "c1"))
+	})
+
+	It("settles unknown and not-run ends", func() {
+		b := newBed([]*rawUpstream{newUpstream(lose)})
+		b.ask(keyedOrder)
+		b.balancer.targets = nil
+		b.ask(keyedOrder)
+		Expect(b.ledger.settled).To(Equal([]outcome.Outcome{outcome.Unknown, outcome.NotRun}))
+	})
+
+	DescribeTable("is refused by the ledger",
+		func(claim ports.Claim, status int, o outcome.Outcome) {
+			up := newUpstream(always(okAnswer))
+			b := newBed([]*rawUpstream{up})
+			b.ledger.claim = claim
+			resp, _ := b.ask(keyedOrder)
+			expectOwn(resp, status, o)
+			Expect(up.read()).To(BeEmpty())
+		},
+		Entry("in flight", ports.Claim{State: ports.ClaimInFlight, Outcome: outcome.Unknown}, 409, outcome.Unknown),
+		Entry("other body", ports.Claim{State: ports.ClaimConflict}, 422, outcome.NotRun),
+		Entry("no ledger", ports.Claim{State: ports.ClaimUnavailable}, 503, outcome.NotRun),
+		Entry("answer not kept", ports.Claim{State: ports.ClaimDone}, 409, outcome.Ran),
+	)
+
+	It("replays the recorded answer", func() {
+		b := newBed(nil)
+		b.ledger.claim = ports.Claim{State: ports.ClaimDone, Answer: &ports.RecordedAnswer{
+			Status: 201, Header: [][2]string{{"Location", "/orders/7"}}, Body: []byte("kept"),
+		}}
+		resp, body := b.ask(keyedOrder)
+		Expect(resp.StatusCode).To(Equal(201))
+		Expect(resp.Header.Get("Location")).To(Equal("/orders/7"))
+		Expect(body).To(Equal("kept"))
+	})
+
+	It("is refused without a ledger", func() {
+		b := newBed(nil, func(o *Options, _ *table.Tables) { o.Ledger = nil })
+		resp, _ := b.ask(keyedOrder)
+		expectOwn(resp, 503, outcome.NotRun)
+	})
+
+	It("is refused when its body is too large to keep", func() {
+		b := newBed(nil, withLimits(func(l *Limits) { l.KeyedBodyBytes = 4 }))
+		resp, _ := b.ask(keyedOrder)
+		expectOwn(resp, 413, outcome.NotRun)
+	})
+})
--- /dev/null
+++ b/proxy/problem.go
@@ -0,0 +1,107 @@
+package proxy
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/chestnutfield/chestnutfield/outcome"
+)
+
+// problem is an answer that the host makes itself.
+type problem struct {
+	status  int
+	reason  outcome.Reason
+	outcome outcome.Outcome
+	// detail goes into Proxy-Status and the body.
+	detail string
+	// retryAfter is rounded up to whole seconds; zero selects minRetryAfter
+	// on a 503.
+	retryAfter time.Duration
+	// closes is true when the caller's connection ends with the answer.
+	closes bool
+}
+
+const minRetryAfter = time.Second
+
+// status codes of the reasons.
+var reasonStatus = map[outcome.Reason]int{
+	outcome.NoRoute:           fasthttp.StatusNotFound,
+	outcome.NoTarget:          fasthttp.StatusServiceUnavailable,
+	outcome.LimitReached:      fasthttp.StatusServiceUnavailable,
+	outcome.QueueFull:         fasthttp.StatusServiceUnavailable,
+	outcome.DeadlinePassed:    fasthttp.StatusServiceUnavailable,
+	outcome.LedgerUnavailable: fasthttp.StatusServiceUnavailable,
+	outcome.Stopping:          fasthttp.StatusServiceUnavailable,
+	outcome.KeyInFlight:       fasthttp.StatusConflict,
+	outcome.KeyReused:         fasthttp.StatusUnprocessableEntity,
+	outcome.UpstreamLost:      fasthttp.StatusBadGateway,
+	outcome.UpstreamTimeout:   fasthttp.StatusGatewayTimeout,
+	outcome.BadRequest:        fasthttp.StatusBadRequest,
+	outcome.TooLarge:          fasthttp.StatusRequestEntityTooLarge,
+	outcome.CallerGone:        fasthttp.StatusBadGateway,
+}
+
+// proxyErrors are the error types of RFC 9209, section 2.3.
+var proxyErrors = map[outcome.Reason]string{
+	outcome.NoRoute:           "destination_not_found",
+	outcome.NoTarget:          "destination_unavailable",
+	outcome.LimitReached:      "connection_limit_reached",
+	outcome.QueueFull:         "connection_limit_reached",
+	outcome.DeadlinePassed:    "connection_timeout",
+	outcome.LedgerUnavailable: "proxy_internal_error",
+	outcome.Stopping:          "proxy_internal_response",
+	outcome.KeyInFlight:       "http_request_denied",
+	outcome.KeyReused:         "http_request_denied",
+	outcome.UpstreamLost:      "connection_terminated",
+	outcome.UpstreamTimeout:   "http_response_timeout",
+	outcome.BadRequest:        "http_request_error",
+	outcome.TooLarge:          "http_request_error",
+	outcome.CallerGone:        "connection_terminated",
+}
+
+func newProblem(reason outcome.Reason, o outcome.Outcome, detail string) *problem {
+	return &problem{status: reasonStatus[reason], reason: reason, outcome: o, detail: detail}
+}
+
+func malformed(detail string) *problem {
+	p := newProblem(outcome.BadRequest, outcome.NotRun, detail)
+	p.closes = true
+	return p
+}
+
+func tooLarge(status int, detail string) *problem {
+	p := newProblem(outcome.TooLarge, outcome.NotRun, detail)
+	p.status, p.closes = status, true
+	return p
+}
+
+func upgradeRefused() *problem {
+	p := malformed("Upgrade and CONNECT are not supported")
+	p.status = fasthttp.StatusNotImplemented
+	return p
+}
+
+// answerProblem writes an answer of the host's own.
+func answerProblem(ctx *fasthttp.RequestCtx, p *problem) {
+	resp := &ctx.Response
+	resp.Reset()
+	resp.SetStatusCode(p.status)
+	resp.Header.SetContentType("text/plain; charset=utf-8")
+	resp.Header.Set("Proxy-Status", `chestnutfield; error=`+proxyErrors[p.reason]+`; details="`+p.detail+`"`)
+	resp.Header.Set(headerOutcome, p.outcome.String())
+	if p.status == fasthttp.StatusServiceUnavailable {
+		resp.Header.Set("Retry-After", retryAfterSeconds(p.retryAfter))
+	}
+	resp.SetBodyString(p.reason.String() + ": " + p.detail + "\n")
+	if p.closes {
+		resp.SetConnectionClose()
+	}
+}
+
+// retryAfterSeconds rounds up to whole seconds.
+func retryAfterSeconds(d time.Duration) string {
+	d = max(d, minRetryAfter)
+	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
+}
--- /dev/null
+++ b/proxy/server.go
@@ -0,0 +1,267 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/chestnutfield/chestnutfield/outcome"
+	"github.com/chestnutfield/chestnutfield/router"
+	"github.com/chestnutfield/chestnutfield/upstream"
+)
+
+// Server is the callers' side of one entry host.
+type Server struct {
+	opts     Options
+	limits   Limits
+	router   *router.Holder
+	upstream *upstream.Client
+	metrics  *metrics
+	watcher  *watcher
+	http     *fasthttp.Server
+
+	stopping atomic.Bool
+	mu       sync.Mutex
+	listener net.Listener
+	// attempts counts attempts that run on goroutines of their own.
+	attempts sync.WaitGroup
+}
+
+// New returns a server that is ready to Serve.
+func New(opts Options) (*Server, error) {
+	opts, err := opts.withDefaults()
+	if err != nil {
+		return nil, err
+	}
+	m, err := newMetrics(opts.Registerer, opts.Limits.CallerLabels)
+	if err != nil {
+		return nil, err
+	}
+	w, err := newWatcher()
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{
+		opts:     opts,
+		limits:   opts.Limits,
+		router:   router.NewHolder(opts.Tables),
+		upstream: upstream.New(opts.Upstream),
+		metrics:  m,
+		watcher:  w,
+	}
+	s.http = s.newHTTP()
+	return s, nil
+}
+
+// newHTTP is the HTTP server under the fiber application.
+func (s *Server) newHTTP() *fasthttp.Server {
+	app := fiber.New(fiber.Config{DisablePreParseMultipartForm: true, StreamRequestBody: true})
+	app.Use(func(c fiber.Ctx) error {
+		s.handle(c.RequestCtx())
+		return nil
+	})
+	inner := app.Handler()
+	return &fasthttp.Server{
+		Handler: func(ctx *fasthttp.RequestCtx) {
+			if knownMethod(ctx.Method()) {
+				inner(ctx)
+				return
+			}
+			s.handle(ctx)
+		},
+		ErrorHandler:                 s.refuseMalformed,
+		ConnState:                    connState,
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
+		NoDefaultServerHeader:        true,
+		NoDefaultDate:                true,
+		NoDefaultContentType:         true,
+		CloseOnShutdown:              true,
+		ReadBufferSize:               s.limits.HeaderBytes,
+		ReadTimeout:                  s.limits.HeaderTimeout,
+		IdleTimeout:                  s.limits.IdleTimeout,
+		MaxRequestBodySize:           prefetchBytes,
+		Logger:                       quietLogger{},
+	}
+}
+
+// prefetchBytes is the part of a body of known length that the HTTP server
+// reads before it calls the handler. The rest is read by the call, under its
+// own deadline.
+const prefetchBytes = 1
+
+// quietLogger drops the HTTP server's lines; counters tell what they would.
+type quietLogger struct{}
+
+// Printf drops a line.
+func (quietLogger) Printf(string, ...any) {}
+
+// knownMethod says that fiber routes the method; it answers others itself.
+func knownMethod(method []byte) bool {
+	switch string(method) {
+	case fiber.MethodGet, fiber.MethodHead, fiber.MethodPost, fiber.MethodPut, fiber.MethodDelete,
+		fiber.MethodConnect, fiber.MethodOptions, fiber.MethodTrace, fiber.MethodPatch:
+		return true
+	}
+	return false
+}
+
+func connState(c net.Conn, state fasthttp.ConnState) {
+	if cc, ok := c.(*callerConn); ok && state == fasthttp.StateIdle {
+		cc.expectRequest()
+	}
+}
+
+// Serve takes callers from the listener until Shutdown, and returns nil then.
+func (s *Server) Serve(ln net.Listener) error {
+	s.mu.Lock()
+	if s.listener != nil || s.stopping.Load() {
+		s.mu.Unlock()
+		return errors.New("proxy: Serve was called before")
+	}
+	s.listener = ln
+	s.mu.Unlock()
+	err := s.http.Serve(&callerListener{Listener: ln, server: s})
+	if s.stopping.Load() {
+		return nil
+	}
+	return errors.Wrap(err, "proxy: serve")
+}
+
+// callerListener wraps accepted connections.
+type callerListener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept returns the next caller's connection.
+func (l *callerListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &callerConn{Conn: nc, server: l.server}
+	l.server.watcher.add(c)
+	return c, nil
+}
+
+func (s *Server) forget(c *callerConn) { s.watcher.remove(c) }
+
+// Shutdown is a planned stop. It refuses new connections at once, answers
+// what is in flight and what still arrives on kept connections for a moment
+// with Connection: close, and returns when the last answer is written. When
+// the context ends first, the connections left are closed and its error is
+// returned.
+func (s *Server) Shutdown(ctx context.Context) error {
+	if !s.stopping.CompareAndSwap(false, true) {
+		return errors.New("proxy: Shutdown was called before")
+	}
+	s.opts.Logger.Info("stopping: no new connections")
+	s.mu.Lock()
+	ln := s.listener
+	s.mu.Unlock()
+	if ln != nil {
+		ln.Close()
+	}
+	err := s.drain(ctx)
+	for _, c := range s.watcher.all() {
+		c.hangup()
+		c.Close()
+	}
+	s.watcher.stop()
+	s.upstream.CloseIdle(true)
+	s.opts.Logger.Info("stopped", zap.Error(err))
+	return err
+}
+
+func (s *Server) drain(ctx context.Context) error {
+	select {
+	case <-s.opts.Clock.After(s.limits.LastRequests):
+	case <-ctx.Done():
+		return errors.WithStack(ctx.Err())
+	}
+	if err := s.http.ShutdownWithContext(ctx); err != nil && ctx.Err() != nil {
+		return errors.WithStack(ctx.Err())
+	}
+	done := make(chan struct{})
+	go func() {
+		s.attempts.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return errors.WithStack(ctx.Err())
+	}
+}
+
+// refuseMalformed answers what the HTTP server could not parse.
+func (s *Server) refuseMalformed(ctx *fasthttp.RequestCtx, err error) {
+	p := malformed("request could not be parsed")
+	var small *fasthttp.ErrSmallBuffer
+	var netErr net.Error
+	switch {
+	case errors.As(err, &small):
+		p = tooLarge(fasthttp.StatusRequestHeaderFieldsTooLarge, "request header is too large")
+	case errors.As(err, &netErr) && netErr.Timeout():
+		p.status, p.detail = fasthttp.StatusRequestTimeout, "request header did not arrive in time"
+	}
+	s.refuse(ctx, p)
+}
+
+// refuse answers a request that never became a call.
+func (s *Server) refuse(ctx *fasthttp.RequestCtx, p *problem) {
+	if c, ok := ctx.Conn().(*callerConn); ok && p.closes {
+		c.lingering.Store(true)
+	}
+	s.metrics.refused(p)
+	answerProblem(ctx, p)
+}
+
+// handle serves one request.
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	conn, ok := ctx.Conn().(*callerConn)
+	if !ok {
+		panic("proxy: connection did not come from the listener")
+	}
+	if conn.bareLF {
+		s.refuse(ctx, malformed("request line does not end in CRLF"))
+		return
+	}
+	in, p := parseInbound(&ctx.Request.Header)
+	if p != nil {
+		s.refuse(ctx, p)
+		return
+	}
+	m, p := s.route(in)
+	if p != nil {
+		s.refuse(ctx, p)
+		return
+	}
+	s.serve(newCall(s, ctx, conn, in, m))
+}
+
+// route finds the route. A path that an upstream may read in another way must
+// lead to the same route either way.
+func (s *Server) route(in *inbound) (router.Match, *problem) {
+	r := s.router.Router()
+	q := in.query()
+	m, ok := r.Match(q)
+	if normal := normalPath(in.path); normal != in.path {
+		q.Path = normal
+		if n, okNormal := r.Match(q); okNormal != ok || n.Route != m.Route {
+			return router.Match{}, malformed("path is ambiguous")
+		}
+	}
+	if !ok {
+		return router.Match{}, newProblem(outcome.NoRoute, outcome.NotRun, "no route matches")
+	}
+	return m, nil
+}
--- /dev/null
+++ b/proxy/watch_other.go
@@ -0,0 +1,43 @@
+//go:build !linux
+
+package proxy
+
+import "sync"
+
+// watcher keeps the open connections. Without the kernel's report of a closed
+// peer a caller that went away is noticed when its answer is written.
+type watcher struct {
+	mu    sync.Mutex
+	conns map[uint64]*callerConn
+	next  uint64
+}
+
+func newWatcher() (*watcher, error) {
+	return &watcher{conns: make(map[uint64]*callerConn)}, nil
+}
+
+func (w *watcher) add(c *callerConn) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.next++
+	c.id = w.next
+	w.conns[c.id] = c
+}
+
+func (w *watcher) remove(c *callerConn) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.conns, c.id)
+}
+
+func (w *watcher) all() []*callerConn {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	conns := make([]*callerConn, 0, len(w.conns))
+	for _, c := range w.conns {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+func (w *watcher) stop() {}
--- /dev/null
+++ b/router/router_test.go
@@ -0,0 +1,87 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnutfield/chestnutfield/table"
+)
+
+func TestRouter(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "router")
+}
+
+func tables(routes ...table.Route) *table.Tables {
+	t := &table.Tables{Version: 1, Pools: map[string]table.Pool{"p": {Name: "p"}}, Routes: map[string]table.Route{}}
+	for _, r := range routes {
+		r.Pool = "p"
+		t.Routes[r.Name] = r
+	}
+	return t
+}
+
+var _ = Describe("matching", func() {
+	r := Compile(tables(
+		table.Route{Name: "root", PathPrefix: "/"},
+		table.Route{Name: "specs", PathPrefix: "/specs/", Callers: []string{"*"}},
+		table.Route{Name: "specs-get", PathPrefix: "/specs/", Methods: []string{"GET"}},
+		table.Route{Name: "specs-caller", PathPrefix: "/specs/", Callers: []string{"fab"}},
+		table.Route{Name: "specs-host", PathPrefix: "/specs/", Host: "bend.example"},
+		table.Route{Name: "deep", PathPrefix: "/specs/bend/", Methods: []string{"POST"}},
+	))
+	DescribeTable("the longest prefix wins, then the more specific route",
+		func(q Request, want string) {
+			m, ok := r.Match(q)
+			Expect(ok).To(BeTrue())
+			Expect(m.Route.Name).To(Equal(want))
+			Expect(m.Pool.Name).To(Equal("p"))
+		},
+		Entry("prefix", Request{Method: "PUT", Path: "/specs/a"}, "specs"),
+		Entry("method", Request{Method: "GET", Path: "/specs/a"}, "specs-get"),
+		Entry("method before caller and host",
+			Request{Method: "GET", Path: "/specs/a", Caller: "fab", Host: "bend.example"}, "specs-get"),
+		Entry("caller before host", Request{Method: "PUT", Path: "/specs/a", Caller: "fab", Host: "bend.example"}, "specs-caller"),
+		Entry("host, in any case", Request{Method: "PUT", Path: "/specs/a", Host: "Bend.Example"}, "specs-host"),
+		Entry("a longer prefix that does not match gives way", Request{Method: "GET", Path: "/specs/bend/1"}, "specs-get"),
+		Entry("longer prefix", Request{Method: "POST", Path: "/specs/bend/1"}, "deep"),
+		Entry("root", Request{Method: "GET", Path: "/spec"}, "root"),
+	)
+
+	It("finds nothing in empty tables", func() {
+		_, ok := Compile(tables()).Match(Request{Method: "GET", Path: "/"})
+		Expect(ok).To(BeFalse())
+	})
+
+	It("follows the version in force as one piece", func() {
+		current := &current{t: tables(table.Route{Name: "one", PathPrefix: "/"})}
+		h := NewHolder(current)
+		before := h.Router()
+		Expect(h.Router()).To(BeIdenticalTo(before))
+		current.t = tables(table.Route{Name: "two", PathPrefix: "/"})
+		m, _ := h.Router().Match(Request{Path: "/"})
+		Expect(m.Route.Name).To(Equal("two"))
+		m, _ = before.Match(Request{Path: "/"})
+		Expect(m.Route.Name).To(Equal("one"))
+	})
+})
+
+type current struct{ t *table.Tables }
+
+func (c *current) Current() *table.Tables { return c.t }
+
+func BenchmarkMatch(b *testing.B) {
+	var routes []table.Route
+	for i := range 300 {
+		routes = append(routes, table.Route{Name: fmt.Sprint(i), PathPrefix: fmt.Sprintf("/service-%d/%s/", i%88, "abcdef"[:i%6])})
+	}
+	r := Compile(tables(routes...))
+	q := Request{Method: "GET", Path: "/service-3/abc/item/42"}
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Match(q)
+	}
+}
--- /dev/null
+++ b/upstream/conn.go
@@ -0,0 +1,63 @@
+package upstream
+
+import (
+	"bufio"
+	"net"
+	"syscall"
+	"time"
+)
+
+const writeBufferBytes = 4 << 10
+
+// conn is one connection to a target. It belongs to one exchange at a time or
+// lies idle in its target.
+type conn struct {
+	nc        net.Conn
+	sys       syscall.RawConn
+	br        *bufio.Reader
+	bw        *bufio.Writer
+	target    *target
+	idleSince time.Time
+	reused    bool
+	// raw holds the header of the last answer.
+	raw []byte
+	// peekBuf and peeked serve live, so that a peek allocates nothing.
+	peekBuf [1]byte
+	peeked  peekResult
+	peekFn  func(fd uintptr)
+}
+
+func newConn(nc net.Conn, t *target, headerBytes int) *conn {
+	cn := &conn{
+		nc:     nc,
+		br:     bufio.NewReaderSize(nc, headerBytes),
+		bw:     bufio.NewWriterSize(nc, writeBufferBytes),
+		target: t,
+	}
+	if sc, ok := nc.(syscall.Conn); ok {
+		if sys, err := sc.SyscallConn(); err == nil {
+			cn.sys = sys
+		}
+	}
+	cn.peekFn = func(fd uintptr) { cn.peeked = peek(fd, cn.peekBuf[:]) }
+	return cn
+}
+
+// live says that a kept connection is open and that nothing has arrived on
+// it. Any byte or the end of the stream makes it unfit for another request.
+func (cn *conn) live() bool {
+	if cn.sys == nil || cn.br.Buffered() > 0 {
+		return false
+	}
+	cn.peeked = peekFailed
+	if err := cn.sys.Control(cn.peekFn); err != nil {
+		return false
+	}
+	return cn.peeked == peekEmpty
+}
+
+// discard closes the connection and gives its place back.
+func (cn *conn) discard() {
+	cn.nc.Close()
+	cn.target.forget()
+}
--- /dev/null
+++ b/upstream/peek_other.go
@@ -0,0 +1,6 @@
+//go:build !unix
+
+package upstream
+
+// peek is not available; every request opens a connection.
+func peek(uintptr, []byte) peekResult { return peekFailed }
