--- a/attempt/machine.go
+++ b/attempt/machine.go
@@ -244,8 +244,8 @@
 
 // hedge starts a second copy of an idempotent request while the first waits.
 func (m *Machine) hedge(ev Event) Action {
-	inFlight := m.phase == dispatched && len(m.tries) == 1 && m.tries[0] == sent
-	if !inFlight || !m.cfg.Idempotent || m.cfg.OneShot || m.cfg.NoRetries || !ev.At.Before(m.cfg.Deadline) {
+	waits := m.phase == dispatched && len(m.tries) == 1 && m.anyLive()
+	if !waits || !m.cfg.Idempotent || m.cfg.OneShot || m.cfg.NoRetries || !ev.At.Before(m.cfg.Deadline) {
 		return Action{Kind: Wait}
 	}
 	m.tries = append(m.tries, picking)
--- a/attempt/machine_test.go
+++ b/attempt/machine_test.go
@@ -72,6 +72,12 @@
 		Expect(act.Kind).To(Equal(Finish))
 	})
 
+	It("hedges a lookup whose first attempt still connects", func() {
+		m := New(Config{Idempotent: true, Deadline: end})
+		feed(m, Admitted, Picked)
+		Expect(feed(m, HedgeDue)).To(Equal(Action{Kind: Pick, Attempt: 2, Budgeted: true}))
+	})
+
 	It("hedges a lookup and takes the first answer", func() {
 		m := New(Config{Idempotent: true, Deadline: end})
 		feed(m, Admitted, Picked, Sent)
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -69,7 +69,7 @@
 	inner := app.Handler()
 	return &fasthttp.Server{
 		Handler: func(ctx *fasthttp.RequestCtx) {
-			if knownMethod(ctx.Method()) {
+			if fiberRoutes(ctx) {
 				inner(ctx)
 				return
 			}
@@ -102,11 +102,14 @@
 // Printf drops a line.
 func (quietLogger) Printf(string, ...any) {}
 
-// knownMethod says that fiber routes the method; it answers others itself.
-func knownMethod(method []byte) bool {
-	switch string(method) {
+// fiberRoutes says that fiber routes the request; it answers others itself.
+func fiberRoutes(ctx *fasthttp.RequestCtx) bool {
+	if target := ctx.RequestURI(); len(target) == 0 || target[0] != '/' {
+		return false
+	}
+	switch string(ctx.Method()) {
 	case fiber.MethodGet, fiber.MethodHead, fiber.MethodPost, fiber.MethodPut, fiber.MethodDelete,
-		fiber.MethodConnect, fiber.MethodOptions, fiber.MethodTrace, fiber.MethodPatch:
+		fiber.MethodOptions, fiber.MethodTrace, fiber.MethodPatch:
 		return true
 	}
 	return false
