settings: strict INI settings of one entry host

Cause: a host needs checked settings before anything else runs. Change: package settings with a table of fields, defaults, TLS files and the rule that admin and peer addresses off loopback need a token or client certificates. Unknown, missing and repeated sections and keys are refused. Conclusion: 16 cases pass; with the call of checkKnown taken out 5 of the 16 fail (unknown key, unknown section, section twice, key twice, key outside).

--- /dev/null
+++ b/settings/fields.go
@@ -0,0 +1,135 @@
+package settings
+
+import (
+	"net/netip"
+	"net/url"
+	"regexp"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// field is one key of the file.
+type field struct {
+	section  string
+	key      string
+	required bool
+	expected string
+	set      func(s *Settings, text string) error
+}
+
+var errValue = errors.New("value out of range")
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
+var fields = []field{
+	{"host", "name", true, "a name of 1 to 63 letters, digits, dots, dashes", name(func(s *Settings) *string { return &s.Host.Name })},
+	{"host", "failure_domain", true, "a name of 1 to 63 letters, digits, dots, dashes", name(func(s *Settings) *string { return &s.Host.FailureDomain })},
+	{"listen", "callers", true, "IP:PORT", addr(func(s *Settings) *netip.AddrPort { return &s.Listen.Callers })},
+	{"listen", "admin", true, "IP:PORT", addr(func(s *Settings) *netip.AddrPort { return &s.Listen.Admin })},
+	{"listen", "peers", true, "IP:PORT", addr(func(s *Settings) *netip.AddrPort { return &s.Listen.Peers })},
+	{"platform", "table", true, "http://IP:PORT or https://IP:PORT", baseURL(func(s *Settings) *string { return &s.Platform.Table })},
+	{"platform", "objects", true, "http://IP:PORT or https://IP:PORT", baseURL(func(s *Settings) *string { return &s.Platform.Objects })},
+	{"platform", "hosts", false, "http://IP:PORT or https://IP:PORT", baseURL(func(s *Settings) *string { return &s.Platform.Hosts })},
+	{"admin", "token", false, "a token of any printable characters", text(func(s *Settings) *string { return &s.Admin.Token })},
+	{"admin", "tls_cert", false, "a PEM file", text(func(s *Settings) *string { return &s.Admin.Cert })},
+	{"admin", "tls_key", false, "a PEM file", text(func(s *Settings) *string { return &s.Admin.Key })},
+	{"admin", "tls_ca", false, "a PEM file", text(func(s *Settings) *string { return &s.Admin.CA })},
+	{"peers", "token", false, "a token of any printable characters", text(func(s *Settings) *string { return &s.Peers.Token })},
+	{"peers", "tls_cert", false, "a PEM file", text(func(s *Settings) *string { return &s.Peers.Cert })},
+	{"peers", "tls_key", false, "a PEM file", text(func(s *Settings) *string { return &s.Peers.Key })},
+	{"peers", "tls_ca", false, "a PEM file", text(func(s *Settings) *string { return &s.Peers.CA })},
+	{"limits", "drain_timeout", false, "a duration from 0s to 1h, such as 30s", duration(0, time.Hour, func(s *Settings) *time.Duration { return &s.Limits.DrainTimeout })},
+	{"limits", "header_timeout", false, "a duration from 100ms to 10m", duration(100*time.Millisecond, 10*time.Minute, func(s *Settings) *time.Duration { return &s.Limits.HeaderTimeout })},
+	{"limits", "max_header_bytes", false, "a number from 1024 to 1048576", number(1<<10, 1<<20, func(s *Settings) *int { return &s.Limits.MaxHeaderBytes })},
+	{"limits", "max_keyed_body_bytes", false, "a number from 1024 to 67108864", number(1<<10, 64<<20, func(s *Settings) *int { return &s.Limits.MaxKeyedBodyBytes })},
+	{"limits", "max_caller_connections", false, "a number from 1 to 1000000", number(1, 1_000_000, func(s *Settings) *int { return &s.Limits.MaxCallerConnections })},
+	{"log", "level", false, "debug, info, warn or error", level},
+}
+
+func text(at func(*Settings) *string) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		*at(s) = v
+		return nil
+	}
+}
+
+func name(at func(*Settings) *string) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		if !namePattern.MatchString(v) {
+			return errValue
+		}
+		*at(s) = v
+		return nil
+	}
+}
+
+func addr(at func(*Settings) *netip.AddrPort) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		a, err := netip.ParseAddrPort(v)
+		if err != nil {
+			return err
+		}
+		*at(s) = a
+		return nil
+	}
+}
+
+func baseURL(at func(*Settings) *string) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		u, err := url.Parse(v)
+		if err != nil {
+			return err
+		}
+		if u.Scheme != "http" && u.Scheme != "https" {
+			return errValue
+		}
+		if _, err := netip.ParseAddrPort(u.Host); err != nil {
+			return err
+		}
+		if (u.Path != "" && u.Path != "/") || u.RawQuery != "" || u.User != nil {
+			return errValue
+		}
+		*at(s) = u.Scheme + "://" + u.Host
+		return nil
+	}
+}
+
+func duration(lowest, highest time.Duration, at func(*Settings) *time.Duration) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		d, err := time.ParseDuration(v)
+		if err != nil {
+			return err
+		}
+		if d < lowest || d > highest {
+			return errValue
+		}
+		*at(s) = d
+		return nil
+	}
+}
+
+func number(lowest, highest int, at func(*Settings) *int) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		n, err := strconv.Atoi(v)
+		if err != nil {
+			return err
+		}
+		if n < lowest || n > highest {
+			return errValue
+		}
+		*at(s) = n
+		return nil
+	}
+}
+
+func level(s *Settings, v string) error {
+	switch v {
+	case "debug", "info", "warn", "error":
+		s.Log.Level = v
+		return nil
+	default:
+		return errValue
+	}
+}
--- /dev/null
+++ b/settings/load.go
@@ -0,0 +1,135 @@
+package settings
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+	"gopkg.in/ini.v1"
+)
+
+// Error is one problem of a settings file.
+type Error struct {
+	File     string
+	Section  string
+	Key      string
+	Problem  string
+	Expected string
+}
+
+// Error tells file, section, key, problem and what was expected.
+func (e *Error) Error() string {
+	msg := fmt.Sprintf("%s: section [%s]", e.File, e.Section)
+	if e.Key != "" {
+		msg += fmt.Sprintf(" key %q", e.Key)
+	}
+	return fmt.Sprintf("%s: %s; expected %s", msg, e.Problem, e.Expected)
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (*Settings, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{
+		AllowNonUniqueSections: true, AllowShadows: true,
+		SkipUnrecognizableLines: false, SpaceBeforeInlineComment: true,
+	}, path)
+	if err != nil {
+		return nil, errors.Wrapf(err, "%s: expected an INI file", path)
+	}
+	if err := checkKnown(path, file); err != nil {
+		return nil, err
+	}
+	s := defaults()
+	for _, f := range fields {
+		if err := apply(path, file, f, s); err != nil {
+			return nil, err
+		}
+	}
+	if s.Platform.Hosts == "" {
+		s.Platform.Hosts = s.Platform.Objects
+	}
+	return s, checkWhole(path, s)
+}
+
+func defaults() *Settings {
+	return &Settings{
+		Limits: Limits{
+			DrainTimeout: DefaultDrainTimeout, HeaderTimeout: DefaultHeaderTimeout,
+			MaxHeaderBytes: DefaultMaxHeaderBytes, MaxKeyedBodyBytes: DefaultMaxKeyedBodyBytes,
+			MaxCallerConnections: DefaultMaxCallerConnections,
+		},
+		Log: Log{Level: defaultLogLevel},
+	}
+}
+
+func apply(path string, file *ini.File, f field, s *Settings) error {
+	section := file.Section(f.section)
+	if !section.HasKey(f.key) {
+		if f.required {
+			return &Error{path, f.section, f.key, "the required key is missing", f.expected}
+		}
+		return nil
+	}
+	if err := f.set(s, section.Key(f.key).String()); err != nil {
+		return &Error{path, f.section, f.key, "the value can't be used", f.expected}
+	}
+	return nil
+}
+
+// checkKnown refuses unknown and repeated sections and keys.
+func checkKnown(path string, file *ini.File) error {
+	known := lo.GroupBy(fields, func(f field) string { return f.section })
+	seen := map[string]bool{}
+	for _, section := range file.Sections() {
+		name := section.Name()
+		if name == ini.DefaultSection {
+			if len(section.Keys()) > 0 {
+				return &Error{path, "", section.Keys()[0].Name(), "the key stands outside of any section", "a section before the first key"}
+			}
+			continue
+		}
+		if seen[name] {
+			return &Error{path, name, "", "the section stands twice", "each section once"}
+		}
+		seen[name] = true
+		if err := checkKeys(path, section, known[name]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkKeys(path string, section *ini.Section, known []field) error {
+	if len(known) == 0 {
+		names := lo.Uniq(lo.Map(fields, func(f field, _ int) string { return f.section }))
+		return &Error{path, section.Name(), "", "unknown section", "one of " + strings.Join(names, ", ")}
+	}
+	keys := lo.Map(known, func(f field, _ int) string { return f.key })
+	for _, key := range section.Keys() {
+		if !slices.Contains(keys, key.Name()) {
+			return &Error{path, section.Name(), key.Name(), "unknown key", "one of " + strings.Join(keys, ", ")}
+		}
+		if len(key.ValueWithShadows()) > 1 {
+			return &Error{path, section.Name(), key.Name(), "the key stands twice", "each key once"}
+		}
+	}
+	return nil
+}
+
+// checkWhole checks what concerns several keys.
+func checkWhole(path string, s *Settings) error {
+	for section, a := range map[string]Access{"admin": s.Admin, "peers": s.Peers} {
+		set := lo.CountBy([]string{a.Cert, a.Key, a.CA}, func(v string) bool { return v != "" })
+		if set != 0 && set != 3 {
+			return &Error{path, section, "tls_cert", "TLS is set in part", "tls_cert, tls_key and tls_ca, or none of them"}
+		}
+	}
+	if !s.Listen.Admin.Addr().IsLoopback() && !s.Admin.Protected() {
+		return &Error{path, "admin", "token", "the admin address is off loopback and unprotected", "a token or TLS with client certificates"}
+	}
+	if !s.Listen.Peers.Addr().IsLoopback() && !s.Peers.Protected() {
+		return &Error{path, "peers", "token", "the peers address is off loopback and unprotected", "a token or TLS with client certificates"}
+	}
+	return nil
+}
--- /dev/null
+++ b/settings/load_test.go
@@ -0,0 +1,78 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/chestnutfield/chestnutfield/settings"
+)
+
+const valid = `[host]
+name = entry-1
+failure_domain = scot-central-a
+[listen]
+callers = 127.0.0.1:7001
+admin = 127.0.0.1:7002
+peers = 127.0.0.1:7003
+[platform]
+table = http://127.0.0.1:7400
+objects = http://127.0.0.1:7400
+[admin]
+token =
+[limits]
+drain_timeout = 5s
+`
+
+func load(text string) (*settings.Settings, error) {
+	path := filepath.Join(GinkgoT().TempDir(), "s.ini")
+	Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+	return settings.Load(path)
+}
+
+var _ = Describe("Load", func() {
+	It("reads a whole file and fills in defaults", func() {
+		s, err := load(valid)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Host.Name).To(Equal("entry-1"))
+		Expect(s.Limits.DrainTimeout).To(Equal(5 * time.Second))
+		Expect(s.Limits.MaxHeaderBytes).To(Equal(settings.DefaultMaxHeaderBytes))
+		Expect(s.Platform.Hosts).To(Equal("http://127.0.0.1:7400"))
+	})
+
+	DescribeTable("refuses with section, key and what was expected",
+		func(from, to, section, key string) {
+			_, err := load(strings.Replace(valid, from, to, 1))
+			var problem *settings.Error
+			Expect(errors.As(err, &problem)).To(BeTrue(), "%v", err)
+			Expect(problem.Section).To(Equal(section))
+			Expect(problem.Key).To(Equal(key))
+			Expect(problem.Expected).NotTo(BeEmpty())
+			Expect(problem.Error()).To(ContainSubstring("s.ini"))
+		},
+		Entry("unknown key", "token =", "tokn =", "admin", "tokn"),
+		Entry("unknown section", "[limits]", "[limit]", "limit", ""),
+		Entry("missing key", "name = entry-1\n", "", "host", "name"),
+		Entry("missing section", "[platform]\ntable = http://127.0.0.1:7400\nobjects = http://127.0.0.1:7400\n", "", "platform", "table"),
+		Entry("bad duration", "5s", "5 parsecs", "limits", "drain_timeout"),
+		Entry("negative duration", "5s", "-5s", "limits", "drain_timeout"),
+		Entry("host name for IP", "callers = 127.0.0.1:7001", "callers = localhost:7001", "listen", "callers"),
+		Entry("bad URL", "table = http://127.0.0.1:7400", "table = 127.0.0.1:7400", "platform", "table"),
+		Entry("section twice", "[limits]", "[host]\nname = b\n[limits]", "host", ""),
+		Entry("key twice", "name = entry-1", "name = entry-1\nname = entry-2", "host", "name"),
+		Entry("key outside of sections", "[host]\n", "x = 1\n[host]\n", "", "x"),
+		Entry("admin off loopback without token", "admin = 127.0.0.1:7002", "admin = 10.0.0.1:7002", "admin", "token"),
+		Entry("peers off loopback without token", "peers = 127.0.0.1:7003", "peers = 0.0.0.0:7003", "peers", "token"),
+		Entry("TLS in part", "token =", "tls_cert = a.pem", "admin", "tls_cert"),
+	)
+
+	It("refuses a missing file", func() {
+		_, err := settings.Load("/nonexistent/s.ini")
+		Expect(err).To(MatchError(ContainSubstring("s.ini")))
+	})
+})
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,95 @@
+// Package settings reads the INI settings of one entry host. Every problem is
+// reported with file, section, key and what was expected; nothing is guessed.
+package settings
+
+import (
+	"crypto/tls"
+	"net/netip"
+	"time"
+)
+
+// Settings are the checked settings of one entry host.
+type Settings struct {
+	Host     Host
+	Listen   Listen
+	Platform Platform
+	Admin    Access
+	Peers    Access
+	Limits   Limits
+	Log      Log
+}
+
+// Host names this entry host.
+type Host struct {
+	// Name is unique among the entry hosts.
+	Name string
+	// FailureDomain is where the host stands.
+	FailureDomain string
+}
+
+// Listen holds the addresses that the host binds.
+type Listen struct {
+	Callers netip.AddrPort
+	Admin   netip.AddrPort
+	Peers   netip.AddrPort
+}
+
+// Platform holds the base URLs of the platform's services.
+type Platform struct {
+	Table   string
+	Objects string
+	// Hosts is the base URL of the host list; it defaults to Objects.
+	Hosts string
+}
+
+// Access protects one address by a token, by client certificates, or both.
+type Access struct {
+	// Token is compared with the bearer token of requests; "" switches the
+	// check off. It must never be logged.
+	Token string
+	// Cert, Key and CA are PEM files; all or none are set.
+	Cert string
+	Key  string
+	CA   string
+}
+
+// Limits bound what one host takes on.
+type Limits struct {
+	// DrainTimeout bounds a planned stop.
+	DrainTimeout time.Duration
+	// MaxHeaderBytes bounds the header of a request.
+	MaxHeaderBytes int
+	// MaxKeyedBodyBytes bounds the body of a request with an idempotency key.
+	MaxKeyedBodyBytes int
+	// HeaderTimeout bounds the time a caller takes to send a header.
+	HeaderTimeout time.Duration
+	// MaxCallerConnections bounds the connections of all callers.
+	MaxCallerConnections int
+}
+
+// Log configures the log.
+type Log struct {
+	// Level is debug, info, warn or error.
+	Level string
+}
+
+// Defaults of optional settings.
+const (
+	DefaultDrainTimeout         = 30 * time.Second
+	DefaultMaxHeaderBytes       = 16 << 10
+	DefaultMaxKeyedBodyBytes    = 1 << 20
+	DefaultHeaderTimeout        = 10 * time.Second
+	DefaultMaxCallerConnections = 10_000
+	defaultLogLevel             = "info"
+)
+
+// TLS loads the certificates of an address; it returns nil when none are set.
+func (a Access) TLS() (*tls.Config, error) {
+	if a.Cert == "" {
+		return nil, nil
+	}
+	return loadTLS(a)
+}
+
+// Protected reports whether requests must prove who they are.
+func (a Access) Protected() bool { return a.Token != "" || a.CA != "" }
