owner: groups of targets, their owner by rendezvous hashing, choice of group

Change: targets of a pool in one failure domain form a group with one owner among the hosts; hosts hand calls to owners, whose counts are exact. Package owner has the pure parts: Assign (rendezvous, near members first) and Chooser (expected wait from reports that ride on answers, discounted by age, with the host's own calls added).

--- /dev/null
+++ b/owner/chooser.go
@@ -0,0 +1,227 @@
+package owner
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// The constants of the choice.
+const (
+	// reportHalfLife is the age at which a report of backlog has lost half of
+	// its say.
+	reportHalfLife = 200 * time.Millisecond
+	// initialService stands for the service time of a group with no samples.
+	initialService = 10 * time.Millisecond
+	// suspendFor is how long a group is passed over after its owner could not
+	// be reached.
+	suspendFor = time.Second
+)
+
+// Report is the load that an owner states for one of its groups.
+type Report struct {
+	// Backlog counts requests in flight and queued at the owner.
+	Backlog int
+	// Slots counts the slots of the group's targets that take new work.
+	Slots int
+	// Service is the smoothed time a target takes for one request.
+	Service time.Duration
+}
+
+// Valid reports whether the figures are possible.
+func (r Report) Valid() bool {
+	return r.Backlog >= 0 && r.Slots >= 0 && r.Service >= 0 &&
+		r.Backlog <= maxBacklog && r.Slots <= maxSlots && r.Service <= maxService
+}
+
+// The bounds of a believable report.
+const (
+	maxBacklog = 1 << 20
+	maxSlots   = 1 << 16
+	maxService = time.Hour
+)
+
+// GroupSpec describes a group to the chooser.
+type GroupSpec struct {
+	Group Group
+	// Slots counts the slots of the group's targets.
+	Slots int
+	// Distance is the one-way time to the group's failure domain.
+	Distance time.Duration
+}
+
+// groupState is what one host knows of one group.
+type groupState struct {
+	spec     GroupSpec
+	inFlight int
+	report   Report
+	// reportedAt is when report was received; zero before the first.
+	reportedAt time.Time
+	// sentSince counts this host's requests since report.
+	sentSince int
+	// suspendedUntil ends a pause after the owner could not be reached.
+	suspendedUntil time.Time
+}
+
+// Chooser picks a group of one pool for each request. It is not safe for
+// concurrent use; its owner keeps one a pool under a lock.
+type Chooser struct {
+	groups []*groupState
+	rng    *rand.Rand
+}
+
+// NewChooser returns a chooser without groups.
+func NewChooser(seed uint64) *Chooser {
+	return &Chooser{rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15))}
+}
+
+// Update sets the groups; what is known of those that stay is kept.
+func (c *Chooser) Update(specs []GroupSpec) {
+	next := make([]*groupState, 0, len(specs))
+	for _, spec := range specs {
+		state := c.find(spec.Group)
+		if state == nil {
+			state = &groupState{}
+		}
+		state.spec = spec
+		next = append(next, state)
+	}
+	c.groups = next
+}
+
+// Pick chooses a group for a request and counts it as in flight. Groups in
+// exclude are passed over, as are groups without slots and groups whose owner
+// could not be reached a moment ago. ok is false when none is left.
+func (c *Chooser) Pick(now time.Time, exclude []Group) (g Group, ok bool) {
+	var best *groupState
+	bestWait := math.Inf(1)
+	mean := c.mean(now)
+	offset := c.rng.IntN(max(1, len(c.groups)))
+	for i := range c.groups {
+		state := c.groups[(i+offset)%len(c.groups)]
+		if !state.open(now) || slices.Contains(exclude, state.spec.Group) {
+			continue
+		}
+		if wait := state.expectedWait(now, mean); wait < bestWait {
+			best, bestWait = state, wait
+		}
+	}
+	if best == nil {
+		return Group{}, false
+	}
+	best.inFlight++
+	best.sentSince++
+	return best.spec.Group, true
+}
+
+// Done ends a request that Pick counted.
+func (c *Chooser) Done(g Group) {
+	if state := c.find(g); state != nil && state.inFlight > 0 {
+		state.inFlight--
+	}
+}
+
+// Learn takes in a report that rode on an answer; impossible figures are
+// dropped and false is returned.
+func (c *Chooser) Learn(now time.Time, g Group, r Report) bool {
+	state := c.find(g)
+	if state == nil || !r.Valid() {
+		return false
+	}
+	if r.Service == 0 {
+		r.Service = initialService
+	}
+	state.report, state.reportedAt, state.sentSince = r, now, 0
+	return true
+}
+
+// Unreachable passes over a group for a moment after its owner could not be
+// reached.
+func (c *Chooser) Unreachable(now time.Time, g Group) {
+	if state := c.find(g); state != nil {
+		state.suspendedUntil = now.Add(suspendFor)
+	}
+}
+
+func (c *Chooser) find(g Group) *groupState {
+	i := slices.IndexFunc(c.groups, func(s *groupState) bool { return s.spec.Group == g })
+	if i < 0 {
+		return nil
+	}
+	return c.groups[i]
+}
+
+// average is what is expected of a group whose own report says little.
+type average struct {
+	// load is requests a slot.
+	load float64
+	// service is in seconds.
+	service float64
+}
+
+// mean averages over the groups that have reported, by the say of their
+// reports; a group whose report has aged is taken to be like the average.
+func (c *Chooser) mean(now time.Time) average {
+	var sum average
+	var weight float64
+	for _, s := range c.groups {
+		w := s.say(now)
+		if w == 0 || s.spec.Slots == 0 {
+			continue
+		}
+		sum.load += w * s.reportedLoad()
+		sum.service += w * s.report.Service.Seconds()
+		weight += w
+	}
+	if weight == 0 {
+		return average{service: initialService.Seconds()}
+	}
+	return average{load: sum.load / weight, service: sum.service / weight}
+}
+
+func (s *groupState) open(now time.Time) bool {
+	if s.spec.Slots == 0 || now.Before(s.suspendedUntil) {
+		return false
+	}
+	return s.reportedAt.IsZero() || s.report.Slots > 0 || s.say(now) < 0.5
+}
+
+// say is the weight of the report by its age, from 1 down to 0.
+func (s *groupState) say(now time.Time) float64 {
+	if s.reportedAt.IsZero() {
+		return 0
+	}
+	age := max(0, now.Sub(s.reportedAt))
+	return math.Exp2(-float64(age) / float64(reportHalfLife))
+}
+
+func (s *groupState) slots() int {
+	if s.report.Slots > 0 {
+		return s.report.Slots
+	}
+	return s.spec.Slots
+}
+
+// reportedLoad is the reported backlog a slot.
+func (s *groupState) reportedLoad() float64 {
+	return float64(s.report.Backlog) / float64(max(1, s.slots()))
+}
+
+// expectedWait estimates, in seconds, the time until an answer: the queue
+// ahead, one service time and the way there and back. A group that has never
+// reported is taken to be free but for this host's own requests.
+func (s *groupState) expectedWait(now time.Time, mean average) float64 {
+	slots := float64(s.slots())
+	load, service := 0.0, mean.service
+	if !s.reportedAt.IsZero() {
+		w := s.say(now)
+		load = w*s.reportedLoad() + (1-w)*mean.load
+		service = w*s.report.Service.Seconds() + (1-w)*mean.service
+	}
+	load += float64(s.sentSince) / slots
+	// The host's own requests in flight are a lower bound of the load.
+	load = max(load, float64(s.inFlight)/slots)
+	queued := max(0, load-1+1/slots)
+	return (1+queued)*service + 2*s.spec.Distance.Seconds()
+}
