Stand-in platform: table service, object store, host list, faults

Cause: nothing could be run or measured without the platform that the balancer depends on. Change: lab/platformd serves the operations in use of the DynamoDB JSON 1.0 and S3 REST protocols and the lagging host list on one address, with faults that are switched while it runs (down, cut, slow, ack_lost, list_lag) and counts of items read and written a second; chestnutlab platform runs it. Conclusion: the table and object clients can be tested against it. A key condition with an empty string is refused as the service does; leave out the sk part for a query from the start.

--- /dev/null
+++ b/cmd/chestnutlab/main.go
@@ -0,0 +1,28 @@
+// Command chestnutlab runs the lab: stand-ins for the platform and for
+// upstreams, open-loop load, experiments and their reports.
+package main
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+type commandLine struct {
+	Platform platformCommand `cmd:"" help:"Run the stand-in platform: table service, object store, host list."`
+}
+
+func main() {
+	var c commandLine
+	k := kong.Parse(&c, kong.Name("chestnutlab"), kong.Description("The lab of chestnutfield."), kong.UsageOnError())
+	k.FatalIfErrorf(k.Run())
+}
+
+// untilStopped waits for SIGINT or SIGTERM.
+func untilStopped() {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	<-stop
+}
--- /dev/null
+++ b/lab/platformd/rows.go
@@ -0,0 +1,180 @@
+package platformd
+
+import (
+	"encoding/json"
+	"slices"
+	"strconv"
+	"sync"
+)
+
+// tableName is the only table that the stand-in serves.
+const tableName = "chestnutfield"
+
+// maxItemBytes bounds one item, as the table service does.
+const maxItemBytes = 400 << 10
+
+// attribute is one attribute value; other types than these are rejected.
+type attribute struct {
+	S    *string `json:"S,omitempty"`
+	N    *string `json:"N,omitempty"`
+	B    *[]byte `json:"B,omitempty"`
+	BOOL *bool   `json:"BOOL,omitempty"`
+}
+
+// item is one row as the protocol spells it.
+type item map[string]attribute
+
+// rowKey is the primary key of an item.
+type rowKey struct{ pk, sk string }
+
+// key reads the key attributes; ok is false when one is missing or empty.
+func (i item) key() (k rowKey, ok bool) {
+	pk, sk := i["pk"].S, i["sk"].S
+	if pk == nil || sk == nil || *pk == "" || *sk == "" {
+		return rowKey{}, false
+	}
+	return rowKey{*pk, *sk}, true
+}
+
+// size is the length of the item as JSON, a bound on its stored size.
+func (i item) size() int {
+	b, err := json.Marshal(i)
+	if err != nil {
+		return maxItemBytes + 1
+	}
+	return len(b)
+}
+
+// condition is what a write asks of the stored item.
+type condition struct {
+	// absent asks that no item has the key.
+	absent bool
+	// revision asks for this value of rev; nil asks for none.
+	revision *uint64
+}
+
+func (c condition) holds(stored item) bool {
+	if c.absent {
+		return stored == nil
+	}
+	if c.revision == nil {
+		return true
+	}
+	n := stored["rev"].N
+	if n == nil {
+		return false
+	}
+	have, err := strconv.ParseUint(*n, 10, 64)
+	return err == nil && have == *c.revision
+}
+
+// mutation is one conditional write; a nil item with remove unset only checks.
+type mutation struct {
+	key       rowKey
+	put       item
+	remove    bool
+	condition condition
+	returnOld bool
+}
+
+// failure is a mutation whose condition did not hold, nil when it did.
+type failure struct{ stored item }
+
+type partition struct {
+	keys  []string
+	items map[string]item
+}
+
+// rowStore holds all rows under one lock, so that a transaction is atomic.
+type rowStore struct {
+	mu         sync.RWMutex
+	partitions map[string]*partition
+}
+
+func newRowStore() *rowStore { return &rowStore{partitions: map[string]*partition{}} }
+
+func (s *rowStore) get(k rowKey) item {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.lookup(k)
+}
+
+func (s *rowStore) lookup(k rowKey) item {
+	if p := s.partitions[k.pk]; p != nil {
+		return p.items[k.sk]
+	}
+	return nil
+}
+
+// query returns up to limit items (0 for all) with sk > after, and whether
+// more follow.
+func (s *rowStore) query(pk, after string, limit int) (items []item, more bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	p := s.partitions[pk]
+	if p == nil {
+		return nil, false
+	}
+	from, found := slices.BinarySearch(p.keys, after)
+	if found {
+		from++
+	}
+	keys := p.keys[from:]
+	if limit > 0 && len(keys) > limit {
+		keys, more = keys[:limit], true
+	}
+	for _, sk := range keys {
+		items = append(items, p.items[sk])
+	}
+	return items, more
+}
+
+// apply applies all mutations or none. The result has one entry a mutation
+// when a condition failed, and is nil when all were applied.
+func (s *rowStore) apply(ms []mutation) []*failure {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	failures := make([]*failure, len(ms))
+	failed := false
+	for i, m := range ms {
+		if stored := s.lookup(m.key); !m.condition.holds(stored) {
+			failures[i] = &failure{stored: stored}
+			failed = true
+		}
+	}
+	if failed {
+		return failures
+	}
+	for _, m := range ms {
+		switch {
+		case m.put != nil:
+			s.put(m.key, m.put)
+		case m.remove:
+			s.remove(m.key)
+		}
+	}
+	return nil
+}
+
+func (s *rowStore) put(k rowKey, it item) {
+	p := s.partitions[k.pk]
+	if p == nil {
+		p = &partition{items: map[string]item{}}
+		s.partitions[k.pk] = p
+	}
+	if at, found := slices.BinarySearch(p.keys, k.sk); !found {
+		p.keys = slices.Insert(p.keys, at, k.sk)
+	}
+	p.items[k.sk] = it
+}
+
+func (s *rowStore) remove(k rowKey) {
+	p := s.partitions[k.pk]
+	if p == nil {
+		return
+	}
+	if at, found := slices.BinarySearch(p.keys, k.sk); found {
+		p.keys = slices.Delete(p.keys, at, at+1)
+		delete(p.items, k.sk)
+	}
+}
