handoff: requests go to the host that owns the group, with the load of the group on the answer

Cause: package owner chooses; something has to turn its choices into places to send a request to, and to measure what an owner reports. Change: handoff.Balancer (ports.Balancer, falls back to direct dispatch without a reachable owner or without peers), handoff.Meter (ports.Admission that counts a group's backlog and smooths its service time from successes alone), the text form of reports with a fuzz target.

--- /dev/null
+++ b/handoff/handoff_test.go
@@ -0,0 +1,188 @@
+package handoff_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnutfield/chestnutfield/handoff"
+	"github.com/chestnutfield/chestnutfield/outcome"
+	"github.com/chestnutfield/chestnutfield/owner"
+	"github.com/chestnutfield/chestnutfield/ports"
+	"github.com/chestnutfield/chestnutfield/table"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// direct is a ports.Balancer with one target.
+type direct struct{ picks int }
+
+var directTarget = netip.MustParseAddrPort("127.0.0.1:9999")
+
+type directAttempt struct{}
+
+func (directAttempt) Target() netip.AddrPort         { return directTarget }
+func (directAttempt) Done(time.Time, ports.Feedback) {}
+
+func (d *direct) Pick(ports.PickQuery) (ports.Attempt, bool) {
+	d.picks++
+	return directAttempt{}, true
+}
+
+func peers(n int) []handoff.Peer {
+	ps := make([]handoff.Peer, n)
+	for i := range ps {
+		ps[i] = handoff.Peer{
+			Member: owner.Member{Name: fmt.Sprintf("entry-%d", i), FailureDomain: string(rune('a' + i%3))},
+			Addr:   netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(7000+i)),
+		}
+	}
+	return ps
+}
+
+func pool() map[string]handoff.PoolSpec {
+	var targets []table.Target
+	for i := range 12 {
+		targets = append(targets, table.Target{
+			Addr:          netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(9000+i)),
+			FailureDomain: string(rune('a' + i%3)),
+		})
+	}
+	return map[string]handoff.PoolSpec{"p": {Targets: targets, Slots: 2}}
+}
+
+var _ = Describe("Balancer", func() {
+	var (
+		d *direct
+		b *handoff.Balancer
+	)
+	BeforeEach(func() {
+		d = &direct{}
+		b = handoff.New(handoff.Options{Self: peers(1)[0].Member, Direct: d, Seed: 1})
+	})
+	pick := func(exclude ...netip.AddrPort) ports.Attempt {
+		a, ok := b.Pick(ports.PickQuery{Pool: "p", Now: start, Exclude: exclude})
+		Expect(ok).To(BeTrue())
+		return a
+	}
+
+	It("hands to owners that stand in the group's failure domain", func() {
+		b.Update(peers(18), pool())
+		a, isPeer := pick().(ports.PeerAttempt)
+		Expect(isPeer).To(BeTrue())
+		group, ok := a.Group()
+		Expect(ok).To(BeTrue())
+		at := int(a.Target().Port()) - 7000
+		Expect(group).To(Equal("p@" + peers(18)[at].FailureDomain))
+		Expect(d.picks).To(BeZero())
+	})
+
+	It("tries other owners, then dispatches directly", func() {
+		b.Update(peers(18), pool())
+		var tried []netip.AddrPort
+		for range 3 {
+			a := pick(tried...)
+			Expect(tried).NotTo(ContainElement(a.Target()))
+			a.Done(start, ports.Feedback{ConnectFailed: true})
+			tried = append(tried, a.Target())
+		}
+		Expect(pick(tried...).Target()).To(Equal(directTarget))
+	})
+
+	It("dispatches directly while all owners are unreachable, and hands over again later", func() {
+		b.Update(peers(18), pool())
+		for range 3 {
+			pick().Done(start, ports.Feedback{ConnectFailed: true})
+		}
+		Expect(pick().Target()).To(Equal(directTarget))
+		a, ok := b.Pick(ports.PickQuery{Pool: "p", Now: start.Add(5 * time.Second)})
+		Expect(ok).To(BeTrue())
+		Expect(a.Target()).NotTo(Equal(directTarget))
+	})
+
+	It("dispatches directly when alone or when the pool is unknown", func() {
+		Expect(pick().Target()).To(Equal(directTarget))
+		b.Update(peers(1), pool())
+		Expect(pick().Target()).To(Equal(directTarget))
+		b.Update(peers(18), nil)
+		Expect(pick().Target()).To(Equal(directTarget))
+	})
+
+	It("learns load from answers, once each", func() {
+		b.Update(peers(18), pool())
+		first := pick()
+		first.Done(start, ports.Feedback{GroupLoad: "500 8 20000"})
+		first.Done(start, ports.Feedback{GroupLoad: "0 8 20000"})
+		second := pick()
+		second.Done(start, ports.Feedback{GroupLoad: "8 8 20000"})
+		third := pick()
+		third.Done(start, ports.Feedback{GroupLoad: "8 8 20000"})
+		for range 20 {
+			Expect(pick().Target()).NotTo(Equal(first.Target()))
+		}
+	})
+})
+
+type refuseAll struct{}
+
+func (refuseAll) Admit(context.Context, ports.AdmitQuery) (ports.Permit, *ports.Refusal) {
+	return nil, &ports.Refusal{Reason: outcome.QueueFull}
+}
+
+var _ = Describe("Meter", func() {
+	It("counts from admission to release and smooths the service time", func() {
+		m := handoff.NewMeter(nil)
+		m.SetSlots(map[string]int{"p@a": 8})
+		p, refusal := m.Admit(context.Background(), ports.AdmitQuery{Pool: "p@a"})
+		Expect(refusal).To(BeNil())
+		r, ok := m.Report("p@a")
+		Expect(ok).To(BeTrue())
+		Expect(r).To(Equal(owner.Report{Backlog: 1, Slots: 8}))
+		p.Release(start, ports.Result{Verdict: ports.Succeeded, Latency: 20 * time.Millisecond})
+		p.Release(start, ports.Result{Verdict: ports.Succeeded, Latency: 20 * time.Millisecond})
+		r, _ = m.Report("p@a")
+		Expect(r).To(Equal(owner.Report{Slots: 8, Service: 20 * time.Millisecond}))
+	})
+
+	It("does not take the speed of failures for the speed of service", func() {
+		m := handoff.NewMeter(nil)
+		m.SetSlots(map[string]int{"p@a": 8})
+		p, _ := m.Admit(context.Background(), ports.AdmitQuery{Pool: "p@a"})
+		p.Release(start, ports.Result{Verdict: ports.Failed, Latency: time.Microsecond})
+		r, _ := m.Report("p@a")
+		Expect(r.Service).To(BeZero())
+	})
+
+	It("forgets refused requests and unknown groups", func() {
+		m := handoff.NewMeter(refuseAll{})
+		m.SetSlots(map[string]int{"p@a": 8})
+		_, refusal := m.Admit(context.Background(), ports.AdmitQuery{Pool: "p@a"})
+		Expect(refusal).NotTo(BeNil())
+		r, _ := m.Report("p@a")
+		Expect(r.Backlog).To(BeZero())
+		_, ok := m.Report("p@b")
+		Expect(ok).To(BeFalse())
+	})
+})
+
+func FuzzParseReport(f *testing.F) {
+	for _, seed := range []string{"1 2 3", "", "-1 2 3", "1 2", "9999999999999 1 1", "1 2 3 4", "a b c"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		r, err := handoff.ParseReport(text)
+		if err == nil && !r.Valid() {
+			t.Fatalf("%q gave impossible figures: %+v", text, r)
+		}
+		if err == nil {
+			if again, err := handoff.ParseReport(handoff.FormatReport(r)); err != nil || again != r {
+				t.Fatalf("%q did not survive a round trip: %+v, %+v, %v", text, r, again, err)
+			}
+		}
+	})
+}
--- a/ports/ports.go
+++ b/ports/ports.go
@@ -103,6 +103,21 @@
 	Draining bool
 	// ConnectFailed is true when no connection could be opened.
 	ConnectFailed bool
+	// GroupLoad is the value of HeaderGroupLoad on the answer of a peer, ""
+	// when absent.
+	GroupLoad string
+}
+
+// HeaderGroupLoad carries the load of a group from its owner to the host that
+// handed a request over.
+const HeaderGroupLoad = "Chestnut-Group-Load"
+
+// PeerAttempt is an Attempt whose target is a peer that owns the targets.
+type PeerAttempt interface {
+	Attempt
+	// Group names the group that the peer is to dispatch to; ok is false when
+	// the target is an upstream itself.
+	Group() (group string, ok bool)
 }
 
 // RetryBudget bounds further attempts of a pool.
