--- /dev/null
+++ b/table/codec.go
@@ -0,0 +1,83 @@
+package table
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// Bounds of the encoded form.
+const (
+	// MaxEncodedBytes is what one row of the table service holds.
+	MaxEncodedBytes = 300 << 10
+	// maxDecodedBytes bounds what a reader unpacks.
+	maxDecodedBytes = 8 << 20
+)
+
+// Encode packs a version for the table service, peers and the object store:
+// gzip over JSON. The error says when the result exceeds MaxEncodedBytes.
+func Encode(t *Tables) ([]byte, error) {
+	var b bytes.Buffer
+	z, err := gzip.NewWriterLevel(&b, gzip.BestCompression)
+	if err != nil {
+		return nil, errors.Wrap(err, "gzip")
+	}
+	if err := json.NewEncoder(z).Encode(t); err != nil {
+		return nil, errors.Wrap(err, "encode tables")
+	}
+	if err := z.Close(); err != nil {
+		return nil, errors.Wrap(err, "gzip")
+	}
+	if b.Len() > MaxEncodedBytes {
+		return nil, errors.Errorf("tables take %d bytes packed, at most %d fit", b.Len(), MaxEncodedBytes)
+	}
+	return b.Bytes(), nil
+}
+
+// Decode unpacks what Encode packed. Sizes are bounded; unknown fields are
+// ignored, so that a newer host's tables can be read.
+func Decode(data []byte) (*Tables, error) {
+	if len(data) > MaxEncodedBytes {
+		return nil, errors.Errorf("packed tables of %d bytes, at most %d", len(data), MaxEncodedBytes)
+	}
+	z, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, errors.Wrap(err, "gunzip tables")
+	}
+	plain, err := io.ReadAll(io.LimitReader(z, maxDecodedBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "gunzip tables")
+	}
+	if len(plain) > maxDecodedBytes {
+		return nil, errors.Errorf("unpacked tables exceed %d bytes", maxDecodedBytes)
+	}
+	t := Empty()
+	if err := json.Unmarshal(plain, t); err != nil {
+		return nil, errors.Wrap(err, "decode tables")
+	}
+	if t.Pools == nil || t.Routes == nil {
+		return nil, errors.New("decode tables: expected pools and routes")
+	}
+	return t, nil
+}
+
+// Empty returns version 0, without pools and routes.
+func Empty() *Tables {
+	return &Tables{Pools: map[string]Pool{}, Routes: map[string]Route{}}
+}
+
+// Clone returns a copy whose maps can be changed without touching t. The
+// rows in them are shared and must be replaced whole.
+func (t *Tables) Clone() *Tables {
+	out := &Tables{Version: t.Version, Pools: make(map[string]Pool, len(t.Pools)), Routes: make(map[string]Route, len(t.Routes))}
+	for k, v := range t.Pools {
+		out.Pools[k] = v
+	}
+	for k, v := range t.Routes {
+		out.Routes[k] = v
+	}
+	return out
+}
--- /dev/null
+++ b/table/format.go
@@ -0,0 +1,74 @@
+package table
+
+import (
+	"bytes"
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+
+	"github.com/samber/lo"
+)
+
+// FormatPools writes pools as the INI file that ParsePools reads, sections in
+// order of name, every key spelled out.
+func FormatPools(pools map[string]Pool) []byte {
+	var b bytes.Buffer
+	for _, name := range sortedKeys(pools) {
+		p := pools[name]
+		fmt.Fprintf(&b, "[%s]\n", name)
+		writeKey(&b, "targets", strings.Join(lo.Map(p.Targets, func(t Target, _ int) string {
+			return t.Addr.String() + "@" + t.FailureDomain
+		}), ", "))
+		writeKey(&b, "service", p.Service)
+		writeKey(&b, "drain", strings.Join(lo.Map(p.Drain, func(a netip.AddrPort, _ int) string {
+			return a.String()
+		}), ", "))
+		writeKey(&b, "probe_budget", strconv.FormatFloat(p.ProbeBudget, 'g', -1, 64))
+		writeKey(&b, "load_path", p.LoadPath)
+		writeKey(&b, "health_path", p.HealthPath)
+		writeKey(&b, "slots", strconv.Itoa(p.Slots))
+		writeKey(&b, "connections", strconv.Itoa(p.Connections))
+		writeKey(&b, "policy", p.Policy)
+		b.WriteByte('\n')
+	}
+	return b.Bytes()
+}
+
+// FormatRoutes writes routes as the INI file that ParseRoutes reads, sections
+// in order of name, every key spelled out.
+func FormatRoutes(routes map[string]Route) []byte {
+	var b bytes.Buffer
+	for _, name := range sortedKeys(routes) {
+		r := routes[name]
+		fmt.Fprintf(&b, "[%s]\n", name)
+		writeKey(&b, "path_prefix", r.PathPrefix)
+		writeKey(&b, "methods", listOrAny(r.Methods))
+		writeKey(&b, "callers", listOrAny(r.Callers))
+		writeKey(&b, "host", r.Host)
+		writeKey(&b, "pool", r.Pool)
+		writeKey(&b, "class", string(r.Class))
+		writeKey(&b, "idempotent", strconv.FormatBool(r.Idempotent))
+		writeKey(&b, "timeout", r.Timeout.String())
+		writeKey(&b, "retries", strconv.Itoa(r.Retries))
+		if r.HedgeAfter > 0 {
+			writeKey(&b, "hedge_after", r.HedgeAfter.String())
+		}
+		b.WriteByte('\n')
+	}
+	return b.Bytes()
+}
+
+func listOrAny(items []string) string {
+	if len(items) == 0 {
+		return Any
+	}
+	return strings.Join(items, ", ")
+}
+
+// writeKey writes one line; empty values are left out.
+func writeKey(b *bytes.Buffer, key, value string) {
+	if value != "" {
+		fmt.Fprintf(b, "%s = %s\n", key, value)
+	}
+}
