config/command, config/query: changes stored once, reads beside them

Cause: operators race, acknowledgements get lost, and a change must be in the tables once or not at all, with a truthful answer either way. Change: one transaction writes the version row, the packed tables, the history row and the row of the change id, on condition that the version is the one the edit was made from. A lost acknowledgement is settled by sending the same transaction again: the failed condition shows whether the change id is stored. When the call's time ends first the result is unknown, with the change id for Ask or for sending it again. A race's loser gets a conflict.

--- /dev/null
+++ b/config/command/command_test.go
@@ -0,0 +1,205 @@
+package command_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnutfield/chestnutfield/config/command"
+	"github.com/chestnutfield/chestnutfield/config/query"
+	"github.com/chestnutfield/chestnutfield/config/rows"
+	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/platform/fake"
+	"github.com/chestnutfield/chestnutfield/table"
+)
+
+const backoff = time.Microsecond
+
+var now = time.Date(2026, 12, 3, 12, 0, 0, 0, time.UTC)
+
+func commander(store platform.Table) *command.Commander {
+	return command.New(command.Options{Store: store, Backoff: backoff})
+}
+
+func applyPools(id string, pools ...string) command.Request {
+	r := command.Request{Table: rows.Pools, Operation: rows.Apply, File: "pools.ini", ChangeID: "change-" + id, Author: "kirsty"}
+	for _, p := range pools {
+		r.Data = append(r.Data, fmt.Sprintf("[%s]\nservice = %s\n", p, p)...)
+	}
+	return r
+}
+
+func applyRoutes(id, pool string) command.Request {
+	data := fmt.Sprintf("[r]\npath_prefix = /\nclass = order\npool = %s\n", pool)
+	return command.Request{Table: rows.Routes, Operation: rows.Apply, File: "routes.ini", ChangeID: "change-" + id, Data: []byte(data)}
+}
+
+func deleteRow(id string, kind rows.Kind, name string) command.Request {
+	return command.Request{Table: kind, Operation: rows.Delete, Name: name, ChangeID: "change-" + id}
+}
+
+var _ = Describe("Commander", func() {
+	var (
+		ctx    context.Context
+		store  *fake.Table
+		c      *command.Commander
+		reader *query.Reader
+	)
+	BeforeEach(func() {
+		ctx, store = context.Background(), fake.NewTable()
+		c, reader = commander(store), query.New(store)
+	})
+	tables := func() *table.Tables {
+		GinkgoHelper()
+		t, err := reader.Tables(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		return t
+	}
+
+	It("stores a change with author, time and id, and tells what it accepted", func() {
+		var told *table.Tables
+		c = command.New(command.Options{Store: store, Clock: clockwork.NewFakeClockAt(now),
+			Accepted: func(t *table.Tables, _ []byte) { told = t }})
+		Expect(c.Do(ctx, applyPools("one", "b", "a"))).To(Equal(command.Result{
+			State: command.Accepted, Version: 1, ChangeID: "change-one"}))
+		Expect(told).To(Equal(tables()))
+		Expect(told.Pools).To(HaveLen(2))
+		history, err := reader.History(ctx, 10)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(history).To(HaveLen(1))
+		Expect(history[0].Fingerprint).NotTo(BeZero())
+		history[0].Fingerprint = 0
+		Expect(history[0]).To(Equal(rows.Change{ID: "change-one", Version: 1, Author: "kirsty", Time: now,
+			Table: rows.Pools, Operation: rows.Apply, Sections: []string{"a", "b"}}))
+	})
+
+	It("keeps the sections that the file does not name", func() {
+		c.Do(ctx, applyPools("one", "a"))
+		c.Do(ctx, applyPools("two", "b"))
+		Expect(tables().Pools).To(And(HaveKey("a"), HaveKey("b")))
+		Expect(tables().Version).To(Equal(uint64(2)))
+	})
+
+	It("accepts no new version for the same file", func() {
+		c.Do(ctx, applyPools("one", "a"))
+		res := c.Do(ctx, applyPools("two", "a"))
+		Expect(res.State).To(Equal(command.Unchanged))
+		Expect(res.Version).To(Equal(uint64(1)))
+	})
+
+	It("changes nothing when anything in the file is wrong", func() {
+		res := c.Do(ctx, applyRoutes("one", "none"))
+		Expect(res.State).To(Equal(command.Refused))
+		Expect(res.Problems).To(Equal(table.Problems{{File: "routes.ini", Section: "r", Key: "pool", Found: "none",
+			Expected: "a pool that exists"}}))
+		Expect(tables()).To(Equal(table.Empty()))
+	})
+
+	It("refuses to delete a pool in use, and deletes it once it is free", func() {
+		c.Do(ctx, applyPools("one", "a"))
+		c.Do(ctx, applyRoutes("two", "a"))
+		Expect(c.Do(ctx, deleteRow("three", rows.Pools, "a")).State).To(Equal(command.Refused))
+		Expect(c.Do(ctx, deleteRow("four", rows.Pools, "x")).State).To(Equal(command.NotFound))
+		Expect(c.Do(ctx, deleteRow("five", rows.Routes, "r")).State).To(Equal(command.Accepted))
+		Expect(c.Do(ctx, deleteRow("six", rows.Pools, "a")).State).To(Equal(command.Accepted))
+		Expect(tables().Pools).To(BeEmpty())
+	})
+
+	It("refuses with a conflict when the tables have moved on", func() {
+		c.Do(ctx, applyPools("one", "a"))
+		r := applyPools("two", "b")
+		r.IfVersion = new(uint64)
+		Expect(c.Do(ctx, r).State).To(Equal(command.Conflict))
+		*r.IfVersion = 1
+		Expect(c.Do(ctx, r).State).To(Equal(command.Accepted))
+	})
+
+	It("gives the loser of a race a conflict and keeps the winner's edit", func() {
+		race := &raced{Table: store, before: func() { commander(store).Do(ctx, applyPools("winner", "w")) }}
+		res := commander(race).Do(ctx, applyPools("loser", "l"))
+		Expect(res.State).To(Equal(command.Conflict))
+		Expect(res.Version).To(Equal(uint64(1)))
+		Expect(tables().Pools).To(And(HaveLen(1), HaveKey("w")))
+	})
+
+	It("settles a lost acknowledgement and applies once", func() {
+		store.LoseAcks(1)
+		Expect(c.Do(ctx, applyPools("one", "a")).State).To(Equal(command.Accepted))
+		Expect(tables().Version).To(Equal(uint64(1)))
+	})
+
+	It("claims its own change although another came after it", func() {
+		store.LoseAcks(1)
+		race := &raced{Table: store, after: func() { commander(store).Do(ctx, applyPools("other", "b")) }}
+		res := commander(race).Do(ctx, applyPools("one", "a"))
+		Expect(res).To(Equal(command.Result{State: command.Accepted, Version: 1, ChangeID: "change-one"}))
+		Expect(tables().Version).To(Equal(uint64(2)))
+	})
+
+	It("says unknown when it can't be settled, and answers when asked again", func() {
+		store.LoseAcks(1)
+		race := &raced{Table: store, after: func() { store.SetDown(true) }}
+		res := commander(race).Do(ctx, applyPools("one", "a"))
+		Expect(res.State).To(Equal(command.Unknown))
+		Expect(res.ChangeID).To(Equal("change-one"))
+		Expect(c.Ask(ctx, res.ChangeID, res.Base).State).To(Equal(command.Unknown))
+		store.SetDown(false)
+		Expect(c.Ask(ctx, res.ChangeID, res.Base)).To(Equal(command.Result{
+			State: command.Accepted, Version: 1, ChangeID: "change-one"}))
+		Expect(c.Do(ctx, applyPools("one", "a")).State).To(Equal(command.Accepted), "sent again")
+		Expect(tables().Version).To(Equal(uint64(1)))
+	})
+
+	It("says that nothing changed while the store is down", func() {
+		store.SetDown(true)
+		Expect(c.Do(ctx, applyPools("one", "a")).State).To(Equal(command.Unavailable))
+		store.SetDown(false)
+		Expect(c.Ask(ctx, "change-one", 0).State).To(Equal(command.Unknown))
+		c.Do(ctx, applyPools("two", "b"))
+		Expect(c.Ask(ctx, "change-one", 0).State).To(Equal(command.Conflict))
+	})
+
+	It("refuses a change id that stands for another change", func() {
+		c.Do(ctx, applyPools("one", "a"))
+		Expect(c.Do(ctx, applyPools("one", "b")).State).To(Equal(command.Refused))
+	})
+
+	It("holds 88 services with 1,200 targets in one row", func() {
+		r := applyPools("big")
+		for p := range 88 {
+			r.Data = append(r.Data, fmt.Sprintf("[service-%d]\ntargets = ", p)...)
+			for i := range 14 {
+				r.Data = append(r.Data, fmt.Sprintf("%s10.%d.%d.%d:9001@scot-central-%d", ", "[:2*min(i, 1)], p, i, i*7, i%7)...)
+			}
+			r.Data = append(r.Data, '\n')
+		}
+		Expect(c.Do(ctx, r).State).To(Equal(command.Accepted))
+		packed, _, err := reader.Packed(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		GinkgoWriter.Println("packed bytes:", len(packed))
+		Expect(len(packed)).To(BeNumerically("<=", table.MaxEncodedBytes))
+	})
+})
+
+// raced runs a hook before or after its first transaction.
+type raced struct {
+	platform.Table
+	before, after func()
+}
+
+func (r *raced) Transact(ctx context.Context, ws []platform.Write) error {
+	if f := r.before; f != nil {
+		r.before = nil
+		f()
+	}
+	err := r.Table.Transact(ctx, ws)
+	if f := r.after; f != nil {
+		r.after = nil
+		f()
+	}
+	return err
+}
--- /dev/null
+++ b/config/query/query.go
@@ -0,0 +1,99 @@
+// Package query reads the configuration from the table service. Every read is
+// strongly consistent; nothing here changes anything.
+package query
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/chestnutfield/chestnutfield/config/rows"
+	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/table"
+)
+
+// MaxHistory bounds the changes that one call returns.
+const MaxHistory = 500
+
+// Reader reads the configuration. It is safe for concurrent use.
+type Reader struct {
+	store platform.Table
+}
+
+// New returns a Reader of the given table service.
+func New(store platform.Table) *Reader { return &Reader{store: store} }
+
+// Version returns the accepted version, 0 when nothing was ever accepted. It
+// reads one small row.
+func (r *Reader) Version(ctx context.Context) (uint64, error) {
+	row, _, err := r.store.Get(ctx, rows.VersionKey)
+	return row.Revision, err
+}
+
+// Packed returns the accepted tables as table.Encode packs them. The body is
+// nil for version 0.
+func (r *Reader) Packed(ctx context.Context) (body []byte, version uint64, err error) {
+	row, _, err := r.store.Get(ctx, rows.BodyKey)
+	return row.Body, row.Revision, err
+}
+
+// Tables returns the accepted tables.
+func (r *Reader) Tables(ctx context.Context) (*table.Tables, error) {
+	body, version, err := r.Packed(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return Unpack(body, version)
+}
+
+// Unpack decodes a body that was read with its version.
+func Unpack(body []byte, version uint64) (*table.Tables, error) {
+	if version == 0 {
+		return table.Empty(), nil
+	}
+	t, err := table.Decode(body)
+	if err != nil {
+		return nil, err
+	}
+	if t.Version != version {
+		return nil, errors.Errorf("tables of version %d where %d was expected", t.Version, version)
+	}
+	return t, nil
+}
+
+// History returns up to limit of the latest changes, oldest first.
+func (r *Reader) History(ctx context.Context, limit int) ([]rows.Change, error) {
+	limit = min(max(limit, 1), MaxHistory)
+	version, err := r.Version(ctx)
+	if err != nil {
+		return nil, err
+	}
+	after := ""
+	if version > uint64(limit) {
+		after = rows.HistorySort(version - uint64(limit))
+	}
+	found, err := r.store.Query(ctx, rows.HistoryPartition, after, limit)
+	if err != nil {
+		return nil, err
+	}
+	changes := make([]rows.Change, 0, len(found))
+	for _, row := range found {
+		c, err := rows.DecodeChange(row.Body)
+		if err != nil {
+			return nil, err
+		}
+		changes = append(changes, c)
+	}
+	return changes, nil
+}
+
+// Change returns the accepted change with an id; ok is false when there is
+// none.
+func (r *Reader) Change(ctx context.Context, id string) (c rows.Change, ok bool, err error) {
+	row, ok, err := r.store.Get(ctx, rows.ChangeKey(id))
+	if err != nil || !ok {
+		return rows.Change{}, false, err
+	}
+	c, err = rows.DecodeChange(row.Body)
+	return c, err == nil, err
+}
