Stand-in targets with a log of what they ran

Cause: limits, balancing and the promises need targets that queue, shed, stop, drain and mislead as the real ones do, and a witness of what really ran. Checked: with the queue bound, or the stop of a running request, taken out the suite hangs to its time limit; with requests cancelled in the queue run all the same 2 specs fail; with duplicates counted from the third run on 1 spec fails.

--- /dev/null
+++ b/lab/upstreamd/job.go
@@ -0,0 +1,102 @@
+package upstreamd
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chestnutfield/chestnutfield/lab/workload"
+)
+
+// job is one request for work.
+type job struct {
+	token, order string
+	size         int
+	work         time.Duration
+}
+
+func (s *Server) newJob(r *http.Request) (job, error) {
+	j := job{token: r.Header.Get(workload.TokenHeader), size: defaultAnswerBytes}
+	if key := r.Header.Get(workload.IdempotencyHeader); key != "" {
+		j.order = r.Header.Get(workload.CallerHeader) + "\x00" + key
+	}
+	if v := r.Header.Get(workload.SizeHeader); v != "" {
+		n, err := strconv.Atoi(v)
+		if err != nil || n < 0 || n > maxAnswerBytes {
+			return j, errors.Errorf("%s %q: expected 0 to %d", workload.SizeHeader, v, maxAnswerBytes)
+		}
+		j.size = n
+	}
+	v := r.Header.Get(workload.ServiceTimeHeader)
+	if v == "" {
+		s.mu.Lock()
+		j.work = s.opts.ServiceTime.Draw(s.rand)
+		s.mu.Unlock()
+		return j, nil
+	}
+	var err error
+	j.work, err = time.ParseDuration(v)
+	return j, errors.Wrap(err, workload.ServiceTimeHeader)
+}
+
+// requestContext ends when the connection closes or the deadline passes.
+func requestContext(r *http.Request) (context.Context, context.CancelFunc) {
+	ms, err := strconv.Atoi(r.Header.Get(workload.DeadlineHeader))
+	if err != nil {
+		return context.WithCancel(r.Context())
+	}
+	return context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
+}
+
+// acquire waits in the queue for a slot; false when the queue is full or the
+// context ends first.
+func (s *Server) acquire(ctx context.Context) bool {
+	if s.slots.TryAcquire(1) {
+		return true
+	}
+	if s.queued.Add(1) > int64(s.opts.Queue) {
+		s.queued.Add(-1)
+		return false
+	}
+	defer s.queued.Add(-1)
+	return s.slots.Acquire(ctx, 1) == nil
+}
+
+// run keeps a slot for the job's time; false when the context ended first.
+func (s *Server) run(ctx context.Context, j job) bool {
+	began := time.Now()
+	s.inFlight.Add(1)
+	defer func() {
+		s.counters.busy.Add(int64(time.Since(began)))
+		s.inFlight.Add(-1)
+		s.slots.Release(1)
+	}()
+	timer := time.NewTimer(s.stretch(began, j.work))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// stretch applies the behavior in force to a service time.
+func (s *Server) stretch(now time.Time, work time.Duration) time.Duration {
+	s.mu.Lock()
+	b, restarted := s.behavior, s.restarted
+	s.mu.Unlock()
+	if b.Slowdown > 0 {
+		work = time.Duration(float64(work) * b.Slowdown)
+	}
+	if !restarted.IsZero() {
+		work = time.Duration(float64(work) * coldFactor(now.Sub(restarted), s.opts.ColdRamp))
+	}
+	if b.Noisy {
+		work = s.noise.stretch(now.Sub(s.born), work)
+	}
+	return work
+}
