membership, peer: hosts find each other and exchange what they know

Entry hosts need a list of each other that survives outages of the table service, and a count to divide shared limits by that errs on the high side.

membership/ is a pure core (events and time in, actions out) with a shell over the table service. A host holds its lease from before its renewal was sent and only while it reads the rows; without the table service while it hears from more than half of the hosts. A host is dropped after two reads a lease apart and only while the silent ones are no majority. A new host takes an eighth of its share until the others know of it.

peer/ is a twirp service with packed columns: Sync, FetchTables, Leave. A byte budget fed by what the connections carry shrinks figures, then rounds.

The property test over joins, kills, pauses, cuts and store outages found five faults of the first rules: a renewal without reads held the lease while unknown hosts joined; a cold start with one known host counted as a majority; heartbeats read from rows counted as proof that peers were reachable; peer evidence outlasted the join delay; silent hosts were judged by another window than the one that holds leases.

--- /dev/null
+++ b/membership/rowstore.go
@@ -0,0 +1,123 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"github.com/chestnutfield/chestnutfield/platform"
+)
+
+// callTimeout bounds one call of the table service.
+const callTimeout = 2 * time.Second
+
+// readPage is the number of rows asked for at once.
+const readPage = 200
+
+// rowStore reads and writes member rows.
+type rowStore struct {
+	table     platform.Table
+	clock     clockwork.Clock
+	retention time.Duration
+
+	mu       sync.Mutex
+	revision uint64
+	writes   uint64
+
+	ok, failed, badRows atomic.Uint64
+}
+
+func newRowStore(opt Options) *rowStore {
+	return &rowStore{table: opt.Table, clock: opt.Clock, retention: opt.Timing.RowRetention}
+}
+
+func (r *rowStore) observe(err error) {
+	if err != nil {
+		r.failed.Add(1)
+		return
+	}
+	r.ok.Add(1)
+}
+
+// write stores the own row. When another write stands in the way it returns
+// what stands there, and tries once more unless that is a later incarnation.
+func (r *rowStore) write(ctx context.Context, m Member) (found *Member, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err = r.writeOnce(ctx, m)
+	var conflict *platform.ConditionError
+	if !errors.As(err, &conflict) {
+		return nil, err
+	}
+	row := conflict.Failed[0]
+	if row == nil {
+		r.revision = 0
+		return nil, r.writeOnce(ctx, m)
+	}
+	stored, decodeErr := decodeRow(*row)
+	if decodeErr != nil {
+		r.badRows.Add(1)
+	} else if stored.Incarnation > m.Incarnation {
+		return &stored, err
+	}
+	r.revision = row.Revision
+	return nil, r.writeOnce(ctx, m)
+}
+
+func (r *rowStore) writeOnce(ctx context.Context, m Member) error {
+	r.writes++
+	writer := fmt.Sprintf("%s/%d/%d", m.Name, m.Incarnation, r.writes)
+	row, err := encodeRow(m, writer, r.clock.Now().Add(r.retention))
+	if err != nil {
+		return err
+	}
+	row.Revision = r.revision + 1
+	err = r.table.Write(ctx, platform.Write{Row: row, IfAbsent: r.revision == 0, IfRevision: r.revision})
+	if err != nil {
+		return errors.Wrap(err, "write member row")
+	}
+	r.revision = row.Revision
+	return nil
+}
+
+// readAll returns the members of all rows that have not run out.
+func (r *rowStore) readAll(ctx context.Context) ([]Member, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var out []Member
+	after := ""
+	for {
+		rows, err := r.table.Query(ctx, Partition, after, readPage)
+		if err != nil {
+			return nil, errors.Wrap(err, "read member rows")
+		}
+		for _, row := range rows {
+			after = row.Sort
+			if m, ok := r.usable(row); ok {
+				out = append(out, m)
+			}
+		}
+		if len(rows) < readPage {
+			return out, nil
+		}
+	}
+}
+
+func (r *rowStore) usable(row platform.Row) (Member, bool) {
+	if !row.Expires.IsZero() && r.clock.Now().After(row.Expires) {
+		return Member{}, false
+	}
+	m, err := decodeRow(row)
+	if err != nil {
+		r.badRows.Add(1)
+		return Member{}, false
+	}
+	return m, true
+}
--- /dev/null
+++ b/membership/share.go
@@ -0,0 +1,95 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+)
+
+// joinDivisor divides the share of a host that the others may not know yet.
+const joinDivisor = 8
+
+// count returns the number of hosts that may act on a share, this one
+// included.
+func (c *Core) count() int { return len(c.peers) + 1 }
+
+// ShareCount returns the number that a shared limit is divided by. It counts
+// every host that is not certainly gone, and is a multiple of that while this
+// host may be unknown to others.
+func (c *Core) ShareCount(now time.Time) int {
+	n := c.count() * c.divisor(now)
+	if !c.informed {
+		return max(n, c.opt.AssumedHosts)
+	}
+	return n
+}
+
+// divisor falls from joinDivisor to 1 in steps after the join delay.
+func (c *Core) divisor(now time.Time) int {
+	if c.superseded || !c.hold.settled() {
+		return joinDivisor
+	}
+	const stepsPerDelay = 4
+	step := c.opt.Timing.JoinDelay(c.count()) / stepsPerDelay
+	steps := int(now.Sub(c.hold.settledAt) / step)
+	return max(joinDivisor>>min(steps+1, stepsPerDelay), 1)
+}
+
+// Hosts returns the names of the hosts believed live, sorted.
+func (c *Core) Hosts(now time.Time) []string {
+	names := []string{}
+	if c.self.State == Live {
+		names = append(names, c.self.Name)
+	}
+	for _, e := range c.peers {
+		if e.State == Live && !c.silent(e, now) {
+			names = append(names, e.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Members returns every counted host, this one included, sorted by name.
+func (c *Core) Members() []Member {
+	out := lo.MapToSlice(c.peers, func(_ string, e *entry) Member { return e.Member })
+	out = append(out, c.self)
+	slices.SortFunc(out, func(a, b Member) int { return compareNames(a.Name, b.Name) })
+	return out
+}
+
+func compareNames(a, b string) int {
+	if a < b {
+		return -1
+	}
+	return lo.Ternary(a > b, 1, 0)
+}
+
+func (c *Core) silent(e *entry, now time.Time) bool {
+	return elapsed(e.advanced, now) > c.opt.Timing.Lease
+}
+
+// Peers chooses up to k other hosts for an exchange. Now and then one that
+// has been silent is tried, so that a healed network is noticed.
+func (c *Core) Peers(now time.Time, k int) []Member {
+	var heard, silent []Member
+	for _, name := range lo.Keys(c.peers) {
+		e := c.peers[name]
+		if c.silent(e, now) {
+			silent = append(silent, e.Member)
+		} else {
+			heard = append(heard, e.Member)
+		}
+	}
+	byName := func(a, b Member) int { return compareNames(a.Name, b.Name) }
+	slices.SortFunc(heard, byName)
+	slices.SortFunc(silent, byName)
+	c.rng.Shuffle(len(heard), func(i, j int) { heard[i], heard[j] = heard[j], heard[i] })
+	c.rng.Shuffle(len(silent), func(i, j int) { silent[i], silent[j] = silent[j], silent[i] })
+	const silentOneIn = 8
+	if len(silent) > 0 && (len(heard) == 0 || c.rng.IntN(silentOneIn) == 0) {
+		heard = append([]Member{silent[0]}, heard...)
+	}
+	return heard[:min(k, len(heard))]
+}
--- /dev/null
+++ b/peer/message.go
@@ -0,0 +1,236 @@
+package peer
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chestnutfield/chestnutfield/membership"
+	"github.com/chestnutfield/chestnutfield/peer/peerpb"
+	"github.com/chestnutfield/chestnutfield/ports"
+)
+
+// Bounds of what a message may carry.
+const (
+	maxEntries    = 4096
+	maxNameBytes  = 128
+	maxInFlight   = 1 << 20
+	maxLatency    = 10 * time.Minute
+	maxFigureAge  = 10 * time.Minute
+	maxDrainAge   = time.Minute
+	portBits      = 16
+	wideAddrBytes = 18
+)
+
+// drain is the news that a target leaves.
+type drain struct {
+	target netip.AddrPort
+	// age is the time since the first host learned of it.
+	age time.Duration
+}
+
+// message is the decoded content of an exchange.
+type message struct {
+	from          string
+	version       uint64
+	membersHash   uint64
+	members       []membership.Member
+	beats         []membership.Beat
+	figures       []ports.Figure
+	drains        []drain
+	figuresWanted int
+}
+
+// encode returns the wire form. It sorts figures and drains.
+func (m *message) encode() *peerpb.SyncMessage {
+	out := &peerpb.SyncMessage{
+		From: m.from, ConfigVersion: m.version, MembersHash: m.membersHash,
+		FiguresWanted: uint32(m.figuresWanted),
+	}
+	for _, e := range m.members {
+		out.Members = append(out.Members, encodeMember(e))
+	}
+	for _, b := range m.beats {
+		out.HeartbeatIds = append(out.HeartbeatIds, b.ID)
+		out.Heartbeats = append(out.Heartbeats, b.Heartbeat)
+	}
+	if len(m.figures) > 0 {
+		out.Figures = encodeFigures(m.figures)
+	}
+	if len(m.drains) > 0 {
+		out.Drains = encodeDrains(m.drains)
+	}
+	return out
+}
+
+func encodeFigures(figures []ports.Figure) *peerpb.Figures {
+	slices.SortFunc(figures, func(a, b ports.Figure) int { return compareTargets(a.Target, b.Target) })
+	out := &peerpb.Figures{}
+	var c targetColumns
+	for _, f := range figures {
+		c.add(f.Target)
+		out.InFlight = append(out.InFlight, uint32(min(max(f.InFlight, 0), maxInFlight)))
+		out.ReportedPlusOne = append(out.ReportedPlusOne, uint32(min(max(f.Reported, -1), maxInFlight)+1))
+		out.LatencyUs = append(out.LatencyUs, uint32(clamp(f.Latency, maxLatency)/time.Microsecond))
+		out.AgeMs = append(out.AgeMs, uint32(clamp(f.Age, maxFigureAge)/time.Millisecond))
+	}
+	out.TargetDeltas, out.WideTargets = c.deltas, c.wide
+	return out
+}
+
+func encodeDrains(drains []drain) *peerpb.Drains {
+	slices.SortFunc(drains, func(a, b drain) int { return compareTargets(a.target, b.target) })
+	out := &peerpb.Drains{}
+	var c targetColumns
+	for _, d := range drains {
+		c.add(d.target)
+		out.AgeMs = append(out.AgeMs, uint32(clamp(d.age, maxDrainAge)/time.Millisecond))
+	}
+	out.TargetDeltas, out.WideTargets = c.deltas, c.wide
+	return out
+}
+
+func clamp(d, most time.Duration) time.Duration { return min(max(d, 0), most) }
+
+// decode checks a message and returns its content.
+func decode(in *peerpb.SyncMessage) (message, error) {
+	if err := checkName("from", in.From); err != nil {
+		return message{}, err
+	}
+	m := message{
+		from: in.From, version: in.ConfigVersion, membersHash: in.MembersHash,
+		figuresWanted: int(min(in.FiguresWanted, maxEntries)),
+	}
+	var err error
+	if m.members, err = decodeMembers(in.Members); err != nil {
+		return message{}, err
+	}
+	if m.beats, err = decodeBeats(in); err != nil {
+		return message{}, err
+	}
+	if m.figures, err = decodeFigures(in.Figures); err != nil {
+		return message{}, err
+	}
+	m.drains, err = decodeDrains(in.Drains)
+	return m, err
+}
+
+func decodeBeats(in *peerpb.SyncMessage) ([]membership.Beat, error) {
+	if len(in.HeartbeatIds) != len(in.Heartbeats) || len(in.Heartbeats) > maxEntries {
+		return nil, errors.Errorf("heartbeats: %d identifiers and %d numbers, at most %d of each expected",
+			len(in.HeartbeatIds), len(in.Heartbeats), maxEntries)
+	}
+	beats := make([]membership.Beat, 0, len(in.Heartbeats))
+	for i, id := range in.HeartbeatIds {
+		beats = append(beats, membership.Beat{ID: id, Heartbeat: in.Heartbeats[i]})
+	}
+	return beats, nil
+}
+
+func decodeFigures(in *peerpb.Figures) ([]ports.Figure, error) {
+	if in == nil {
+		return nil, nil
+	}
+	targets, err := decodeTargets(in.TargetDeltas, in.WideTargets)
+	if err != nil {
+		return nil, errors.Wrap(err, "figures")
+	}
+	n := len(targets)
+	if len(in.InFlight) != n || len(in.ReportedPlusOne) != n || len(in.LatencyUs) != n || len(in.AgeMs) != n {
+		return nil, errors.New("figures: columns differ in length")
+	}
+	out := make([]ports.Figure, 0, n)
+	for i, t := range targets {
+		f := ports.Figure{
+			Target: t, InFlight: int(in.InFlight[i]), Reported: int(in.ReportedPlusOne[i]) - 1,
+			Latency: time.Duration(in.LatencyUs[i]) * time.Microsecond,
+			Age:     time.Duration(in.AgeMs[i]) * time.Millisecond,
+		}
+		if f.InFlight > maxInFlight || f.Reported > maxInFlight || f.Latency > maxLatency || f.Age > maxFigureAge {
+			return nil, errors.Errorf("figures: value out of range for target %s", t)
+		}
+		out = append(out, f)
+	}
+	return out, nil
+}
+
+func decodeDrains(in *peerpb.Drains) ([]drain, error) {
+	if in == nil {
+		return nil, nil
+	}
+	targets, err := decodeTargets(in.TargetDeltas, in.WideTargets)
+	if err != nil {
+		return nil, errors.Wrap(err, "drains")
+	}
+	if len(in.AgeMs) != len(targets) {
+		return nil, errors.New("drains: columns differ in length")
+	}
+	out := make([]drain, 0, len(targets))
+	for i, t := range targets {
+		d := drain{target: t, age: time.Duration(in.AgeMs[i]) * time.Millisecond}
+		if d.age > maxDrainAge {
+			return nil, errors.Errorf("drains: age out of range for target %s", t)
+		}
+		out = append(out, d)
+	}
+	return out, nil
+}
+
+// targetColumns collects sorted targets in their wire form.
+type targetColumns struct {
+	last   uint64
+	deltas []uint64
+	wide   [][]byte
+}
+
+func (c *targetColumns) add(t netip.AddrPort) {
+	if !t.Addr().Is4() {
+		wide := t.Addr().As16()
+		c.wide = append(c.wide, binary.BigEndian.AppendUint16(wide[:], t.Port()))
+		return
+	}
+	v4 := t.Addr().As4()
+	v := uint64(binary.BigEndian.Uint32(v4[:]))<<portBits | uint64(t.Port())
+	c.deltas = append(c.deltas, v-c.last)
+	c.last = v
+}
+
+func decodeTargets(deltas []uint64, wide [][]byte) ([]netip.AddrPort, error) {
+	if len(deltas)+len(wide) > maxEntries {
+		return nil, errors.Errorf("%d targets, at most %d expected", len(deltas)+len(wide), maxEntries)
+	}
+	out := make([]netip.AddrPort, 0, len(deltas)+len(wide))
+	const limit = 1 << (32 + portBits)
+	var v uint64
+	for _, d := range deltas {
+		if d >= limit-v {
+			return nil, errors.New("target out of range")
+		}
+		v += d
+		var b [4]byte
+		binary.BigEndian.PutUint32(b[:], uint32(v>>portBits))
+		out = append(out, netip.AddrPortFrom(netip.AddrFrom4(b), uint16(v)))
+	}
+	for _, w := range wide {
+		t, err := decodeAddr(w)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, t)
+	}
+	return out, nil
+}
+
+// compareTargets orders IPv4 before IPv6 and then by address and port.
+func compareTargets(a, b netip.AddrPort) int {
+	if a.Addr().Is4() != b.Addr().Is4() {
+		if a.Addr().Is4() {
+			return -1
+		}
+		return 1
+	}
+	return a.Compare(b)
+}
--- /dev/null
+++ b/peer/metrics.go
@@ -0,0 +1,54 @@
+package peer
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+type metrics struct {
+	bytes             *prometheus.CounterVec
+	bytesIn, bytesOut prometheus.Counter
+	exchanges         *prometheus.CounterVec
+	answered          prometheus.Counter
+	refused           prometheus.Counter
+	unauthorized      prometheus.Counter
+	skippedRounds     prometheus.Counter
+}
+
+func newMetrics() *metrics {
+	counter := func(name, help string) prometheus.Counter {
+		return prometheus.NewCounter(prometheus.CounterOpts{Name: "chestnut_peer_" + name, Help: help})
+	}
+	m := &metrics{
+		bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chestnut_peer_bytes_total", Help: "Bytes on peer connections, HTTP and TLS included.",
+		}, []string{"direction"}),
+		exchanges: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chestnut_peer_exchanges_total", Help: "Exchanges begun by this host.",
+		}, []string{"result"}),
+		answered:      counter("answered_total", "Exchanges begun by peers and answered."),
+		refused:       counter("refused_total", "Messages refused for their content."),
+		unauthorized:  counter("unauthorized_total", "Requests refused for their token."),
+		skippedRounds: counter("skipped_rounds_total", "Rounds left out to stay within the byte budget."),
+	}
+	m.bytesIn, m.bytesOut = m.bytes.WithLabelValues("in"), m.bytes.WithLabelValues("out")
+	return m
+}
+
+func (m *metrics) register(r prometheus.Registerer) error {
+	all := []prometheus.Collector{m.bytes, m.exchanges, m.answered, m.refused, m.unauthorized, m.skippedRounds}
+	for _, c := range all {
+		if err := r.Register(c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// carried counts bytes that a connection carried.
+func (n *Node) carried(direction prometheus.Counter, bytes int) {
+	if bytes <= 0 {
+		return
+	}
+	direction.Add(float64(bytes))
+	n.budget.spend(n.opt.Clock.Now(), bytes)
+}
--- /dev/null
+++ b/peer/node.go
@@ -0,0 +1,226 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+
+	"github.com/chestnutfield/chestnutfield/membership"
+	"github.com/chestnutfield/chestnutfield/peer/peerpb"
+)
+
+// maxExchanges bounds the exchanges that this host has open at once.
+const maxExchanges = 16
+
+// Node exchanges what this host knows with its peers. It is safe for
+// concurrent use.
+type Node struct {
+	opt      Options
+	budget   *budget
+	drains   *drainBook
+	versions *versionBook
+	clients  *clients
+	server   *http.Server
+	metrics  *metrics
+	wake     chan struct{}
+	slots    chan struct{}
+	// lastFull is when all members were last sent, in nanoseconds.
+	lastFull atomic.Int64
+	// lastRound is when a round last met a peer, in nanoseconds.
+	lastRound atomic.Int64
+}
+
+// NewNode returns a Node; Serve answers peers and Run meets them.
+func NewNode(opt Options) (*Node, error) {
+	opt.setDefaults()
+	if err := opt.validate(); err != nil {
+		return nil, err
+	}
+	n := &Node{
+		opt: opt, drains: newDrainBook(), versions: newVersionBook(),
+		budget:  newBudget(opt.BytesPerSecond, opt.Clock.Now()),
+		metrics: newMetrics(),
+		wake:    make(chan struct{}, 1), slots: make(chan struct{}, maxExchanges),
+	}
+	n.clients = newClients(n)
+	n.server = newServer(n)
+	if opt.Registerer != nil {
+		if err := n.metrics.register(opt.Registerer); err != nil {
+			return nil, errors.Wrap(err, "register peer metrics")
+		}
+	}
+	return n, nil
+}
+
+// Run meets peers until the context ends.
+func (n *Node) Run(ctx context.Context) error {
+	ticker := n.opt.Clock.NewTicker(n.opt.Interval)
+	defer ticker.Stop()
+	defer n.clients.close()
+	var open sync.WaitGroup
+	defer open.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.wake:
+			n.meet(ctx, &open, n.opt.PushFanOut)
+		case <-ticker.Chan():
+			if n.roundDue(n.opt.Clock.Now()) {
+				n.meet(ctx, &open, n.opt.FanOut)
+			}
+		}
+	}
+}
+
+// Push passes on what this host knows at once, in place of waiting for the
+// next round. Call it when a new version came into force.
+func (n *Node) Push() {
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
+
+// AnnounceDrain spreads the news that a target takes no new work.
+func (n *Node) AnnounceDrain(target netip.AddrPort) {
+	if n.drains.learn(n.opt.Clock.Now(), drain{target: unmap(target)}) {
+		n.Push()
+	}
+}
+
+// roundDue reports whether the budget allows a round. However short the budget,
+// a peer is met every few seconds, so that heartbeats pass.
+func (n *Node) roundDue(now time.Time) bool {
+	const longestGap = 4 * time.Second
+	if n.budget.left(now) > 0 || now.UnixNano()-n.lastRound.Load() >= int64(longestGap) {
+		n.lastRound.Store(now.UnixNano())
+		return true
+	}
+	n.metrics.skippedRounds.Inc()
+	return false
+}
+
+// meet starts exchanges with up to k peers.
+func (n *Node) meet(ctx context.Context, open *sync.WaitGroup, k int) {
+	peers := n.opt.Members.Peers(k)
+	addrs := lo.Map(peers, func(m membership.Member, _ int) netip.AddrPort { return m.Addr })
+	if len(addrs) == 0 && n.opt.Seeds != nil {
+		addrs = lo.Samples(n.opt.Seeds(), k)
+	}
+	for _, addr := range addrs {
+		if addr == n.opt.Members.Self().Addr {
+			continue
+		}
+		select {
+		case n.slots <- struct{}{}:
+		default:
+			n.metrics.exchanges.WithLabelValues("no_slot").Inc()
+			return
+		}
+		open.Go(func() {
+			defer func() { <-n.slots }()
+			n.exchange(ctx, addr)
+		})
+	}
+}
+
+// exchange syncs with one peer.
+func (n *Node) exchange(ctx context.Context, addr netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(ctx, n.opt.Timeout)
+	defer cancel()
+	sent := n.opt.Clock.Now()
+	request := n.compose(sent, n.opt.FiguresPerMessage, false)
+	reply, err := n.clients.get(addr).Sync(ctx, request.encode())
+	if err != nil {
+		n.metrics.exchanges.WithLabelValues("failed").Inc()
+		return
+	}
+	m, err := decode(reply)
+	if err != nil {
+		n.metrics.refused.Inc()
+		return
+	}
+	n.metrics.exchanges.WithLabelValues("ok").Inc()
+	n.take(m, sent)
+}
+
+// compose returns the message to send now with up to figures figures; full
+// adds all members.
+func (n *Node) compose(now time.Time, figures int, full bool) message {
+	const beatsPerMessage = 512
+	digest := n.opt.Members.Digest(beatsPerMessage)
+	m := message{
+		from: digest.Self.Name, membersHash: digest.Hash,
+		members: digest.Changes, beats: digest.Beats, drains: n.drains.current(now),
+		figuresWanted: n.budget.figures(now, n.opt.FiguresPerMessage),
+	}
+	if full {
+		m.members = n.opt.Members.Members()
+	}
+	if n.opt.Config != nil {
+		_, m.version = n.opt.Config.Encoded()
+	}
+	if limit := min(figures, m.figuresWanted); n.opt.Figures != nil && limit > 0 {
+		m.figures = n.opt.Figures.Outgoing(now, limit)
+	}
+	return m
+}
+
+// take merges a message. sent is when this host sent the request that it
+// answers, zero when the message is a request.
+func (n *Node) take(m message, sent time.Time) {
+	now := n.opt.Clock.Now()
+	news := n.opt.Members.Heard(membership.Hearing{Since: sent, Members: m.members, Beats: m.beats})
+	for _, d := range m.drains {
+		if !n.drains.learn(now, d) {
+			continue
+		}
+		news = true
+		if n.opt.Drains != nil {
+			n.opt.Drains.Leaving(now, d.target)
+		}
+	}
+	if n.opt.Figures != nil && len(m.figures) > 0 {
+		n.opt.Figures.Incoming(now, m.from, m.figures)
+	}
+	n.versions.heard(m.from, m.version, now)
+	if n.opt.Config != nil {
+		n.opt.Config.Heard(m.from, m.version)
+	}
+	if news {
+		n.Push()
+	}
+}
+
+// answer returns the reply to a peer's message.
+func (n *Node) answer(m message) *peerpb.SyncMessage {
+	now := n.opt.Clock.Now()
+	n.take(m, time.Time{})
+	own := n.opt.Members.Digest(0)
+	full := own.Hash != m.membersHash && n.fullDue(now)
+	reply := n.compose(now, m.figuresWanted, full)
+	return reply.encode()
+}
+
+// fullDue reports whether all members may be sent again; the gap grows with
+// their number.
+func (n *Node) fullDue(now time.Time) bool {
+	const gapPerMember = 50 * time.Millisecond
+	gap := max(time.Duration(len(n.opt.Members.Members()))*gapPerMember, n.opt.Interval)
+	last := n.lastFull.Load()
+	if now.UnixNano()-last < int64(gap) {
+		return false
+	}
+	return n.lastFull.CompareAndSwap(last, now.UnixNano())
+}
+
+func unmap(a netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,118 @@
+package peer
+
+import (
+	"context"
+	"crypto/subtle"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
+
+	"github.com/chestnutfield/chestnutfield/membership"
+	"github.com/chestnutfield/chestnutfield/peer/peerpb"
+)
+
+const (
+	bearer          = "Bearer "
+	fetchTablesPath = "/twirp/chestnutfield.peer.Peer/FetchTables"
+)
+
+func newServer(n *Node) *http.Server {
+	const (
+		headerTimeout = 2 * time.Second
+		readTimeout   = 5 * time.Second
+		writeTimeout  = 10 * time.Second
+		idleTimeout   = 2 * time.Minute
+		headerBytes   = 8 << 10
+	)
+	return &http.Server{
+		Handler: n.Handler(), ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout,
+		WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+	}
+}
+
+// Handler answers peers under /twirp/. Bytes are counted only on listeners
+// given to Serve.
+func (n *Node) Handler() http.Handler {
+	return n.authorize(http.MaxBytesHandler(peerpb.NewPeerServer(&service{node: n}), maxMessageBytes))
+}
+
+func (n *Node) authorize(next http.Handler) http.Handler {
+	want := []byte(bearer + n.opt.Token)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got := []byte(r.Header.Get("Authorization"))
+		if n.opt.Token != "" && subtle.ConstantTimeCompare(got, want) != 1 {
+			n.metrics.unauthorized.Inc()
+			http.Error(w, "token refused", http.StatusUnauthorized)
+			return
+		}
+		// Peers do not use the date; leaving it out saves bytes.
+		w.Header()["Date"] = nil
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Serve answers peers on the listener until Shutdown.
+func (n *Node) Serve(ln net.Listener) error {
+	counted := net.Listener(&countedListener{Listener: ln, node: n})
+	if n.opt.ServerTLS != nil {
+		counted = tls.NewListener(counted, n.opt.ServerTLS)
+	}
+	if err := n.server.Serve(counted); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve peers")
+	}
+	return nil
+}
+
+// Shutdown stops Serve and waits for open exchanges until the context ends.
+func (n *Node) Shutdown(ctx context.Context) error {
+	return errors.Wrap(n.server.Shutdown(ctx), "stop peer server")
+}
+
+// service implements peerpb.Peer.
+type service struct{ node *Node }
+
+// Sync implements peerpb.Peer.
+func (s *service) Sync(_ context.Context, in *peerpb.SyncMessage) (*peerpb.SyncMessage, error) {
+	m, err := decode(in)
+	if err == nil && m.from == s.node.opt.Members.Self().Name {
+		err = errors.New("from: another host's name expected")
+	}
+	if err != nil {
+		s.node.metrics.refused.Inc()
+		return nil, twirp.NewError(twirp.InvalidArgument, err.Error())
+	}
+	s.node.metrics.answered.Inc()
+	return s.node.answer(m), nil
+}
+
+// FetchTables implements peerpb.Peer.
+func (s *service) FetchTables(_ context.Context, in *peerpb.FetchTablesRequest) (*peerpb.FetchTablesResponse, error) {
+	if s.node.opt.Config == nil {
+		return nil, twirp.NewError(twirp.Unavailable, "no tables here")
+	}
+	encoded, version := s.node.opt.Config.Encoded()
+	if version < in.AtLeast {
+		return nil, twirp.NewErrorf(twirp.FailedPrecondition, "version %d in force", version)
+	}
+	return &peerpb.FetchTablesResponse{Version: version, Tables: encoded}, nil
+}
+
+// Leave implements peerpb.Peer.
+func (s *service) Leave(_ context.Context, in *peerpb.LeaveRequest) (*peerpb.LeaveResponse, error) {
+	m, err := decodeMember(in.Member)
+	if err == nil && m.State == membership.Live {
+		err = errors.New("state: leaving or gone expected")
+	}
+	if err != nil {
+		s.node.metrics.refused.Inc()
+		return nil, twirp.NewError(twirp.InvalidArgument, err.Error())
+	}
+	if s.node.opt.Members.Heard(membership.Hearing{Members: []membership.Member{m}}) {
+		s.node.Push()
+	}
+	return &peerpb.LeaveResponse{}, nil
+}
