proxy: requests are handed over to owners and taken from peers

Change: an attempt with a group carries group, class, idempotency and token; an owner (Options.PeerSide) finds no routes and keeps no ledger, dispatches within the group, and marks its answers with how they came about and the group's load. An answer that an owner made is no answer of an upstream: not-run goes to another owner, anything else counts as lost. The marks reach neither callers nor upstreams.

--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -77,6 +77,7 @@
 		return err
 	}
 	h.ResetConnectionClose()
+	c.markPeerAnswer(handoverAnswered)
 	if !c.body.whole() && !t.sentWhole {
 		c.conn.lingering.Store(true)
 		h.SetConnectionClose()
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -90,7 +90,9 @@
 }
 
 // keyed says that the ledger keeps this order at most once.
-func (c *call) keyed() bool { return c.in.key != "" && !c.match.Route.Idempotent }
+func (c *call) keyed() bool {
+	return c.in.key != "" && !c.match.Route.Idempotent && c.server.opts.PeerSide == nil
+}
 
 // serve takes a call through its life.
 func (s *Server) serve(c *call) {
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -22,7 +22,7 @@
 func (c *call) exchange(t *try) attempt.Action {
 	x, err := c.server.upstream.Open(c.ctx, upstream.OpenQuery{
 		Target:     t.attempt.Target(),
-		Limit:      c.share(),
+		Limit:      c.connectionLimit(t.attempt),
 		Deadline:   c.socketDeadline(),
 		Idempotent: c.match.Route.Idempotent,
 	})
@@ -43,6 +43,21 @@
 	return c.answered(t)
 }
 
+// connectionLimit bounds this host's connections to the place of an attempt.
+func (c *call) connectionLimit(a ports.Attempt) int {
+	if _, ok := groupOf(a); ok {
+		return maxPeerConnections
+	}
+	if c.server.opts.PeerSide != nil {
+		return max(c.share(), ownerConnections*c.match.Pool.Slots)
+	}
+	return c.share()
+}
+
+// ownerConnections is what the owner of a target may open for each slot,
+// however many hosts there are.
+const ownerConnections = 2
+
 // share is this host's part of the connections of one target.
 func (c *call) share() int {
 	hosts := 1
@@ -123,14 +138,16 @@
 		return err
 	}
 	t.feedback.Latency = c.now().Sub(t.started)
-	c.readSignals(t, x)
+	if err := c.readSignals(t, x); err != nil {
+		return err
+	}
 	return c.hold(t, x)
 }
 
 // sendHeld sends a request that is held whole. A write that fails leaves the
 // answer to decide: the upstream may have answered before it read all.
 func (c *call) sendHeld(t *try, x *upstream.Exchange) error {
-	head, body := c.head(t.number), c.body.held
+	head, body := c.head(t), c.body.held
 	if c.body.length == unknownLength {
 		body = c.chunkedBody()
 	}
@@ -158,7 +175,7 @@
 }
 
 // head builds the header of an attempt.
-func (c *call) head(number int) []byte {
+func (c *call) head(t *try) []byte {
 	in := c.in
 	b := make([]byte, 0, len(in.method)+len(in.target)+len(in.lines)+headRoom)
 	b = append(b, in.method...)
@@ -170,9 +187,10 @@
 	b = append(b, headerDeadline+": "...)
 	b = strconv.AppendInt(b, left, 10)
 	b = append(b, "\r\n"...)
-	if in.noRetries || number > 1 {
+	if in.noRetries || t.number > 1 {
 		b = append(b, headerRetries+": 0\r\n"...)
 	}
+	b = c.peerLines(b, t.attempt)
 	switch {
 	case c.body.length == unknownLength:
 		if in.trailer != "" {
@@ -193,7 +211,8 @@
 }
 
 // readSignals takes what the answer's header says about the target.
-func (c *call) readSignals(t *try, x *upstream.Exchange) {
+func (c *call) readSignals(t *try, x *upstream.Exchange) error {
+	var handover string
 	t.status = x.Header().StatusCode()
 	for name, value := range x.Header().All() {
 		switch {
@@ -204,8 +223,13 @@
 		case equalName(name, headerNotRun):
 			t.notRun = string(value) == "1" &&
 				(t.status == fasthttp.StatusTooManyRequests || t.status == fasthttp.StatusServiceUnavailable)
+		case equalName(name, ports.HeaderGroupLoad):
+			t.feedback.GroupLoad = string(value)
+		case equalName(name, headerHandover):
+			handover = string(value)
 		}
 	}
+	return t.readHandover(handover)
 }
 
 func equalName(name []byte, want string) bool {
--- a/proxy/lines.go
+++ b/proxy/lines.go
@@ -4,6 +4,8 @@
 	"strings"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/chestnutfield/chestnutfield/ports"
 )
 
 // lineKind says how the forwarding path treats a header line.
@@ -90,6 +92,8 @@
 	switch kindOf(name) {
 	case lineHop, lineConnection, lineUpgrade:
 		return true
+	case lineChestnut:
+		return equalName(name, headerHandover) || equalName(name, ports.HeaderGroupLoad)
 	}
 	return false
 }
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -30,9 +30,14 @@
 	// Registerer takes the metrics; nil registers none.
 	Registerer prometheus.Registerer
 	// Logger writes changes of state; nil writes none.
-	Logger   *zap.Logger
-	Limits   Limits
-	Upstream upstream.Options
+	Logger *zap.Logger
+	Limits Limits
+	// PeerSide, when set, makes the server take requests from other hosts in
+	// place of callers.
+	PeerSide *PeerSide
+	// PeerToken is sent with requests that are handed over to peers.
+	PeerToken string
+	Upstream  upstream.Options
 }
 
 // Limits bounds what a caller can ask of the host. Zero values select the
--- /dev/null
+++ b/proxy/peerside.go
@@ -0,0 +1,145 @@
+package proxy
+
+import (
+	"crypto/subtle"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/chestnutfield/chestnutfield/outcome"
+	"github.com/chestnutfield/chestnutfield/ports"
+	"github.com/chestnutfield/chestnutfield/router"
+	"github.com/chestnutfield/chestnutfield/table"
+	"github.com/chestnutfield/chestnutfield/upstream"
+)
+
+// Headers between the host that received a request and the owner of a group.
+// They come from and reach neither callers nor upstreams.
+const (
+	headerGroup      = "Chestnut-Group"
+	headerClass      = "Chestnut-Class"
+	headerIdempotent = "Chestnut-Idempotent"
+	headerPeerToken  = "Chestnut-Peer-Token"
+	// headerHandover says how the owner came by its answer: handoverAnswered,
+	// or the outcome of an answer that the owner made itself.
+	headerHandover   = "Chestnut-Handover"
+	handoverAnswered = "answered"
+	idempotentValue  = "1"
+)
+
+// errPeerLost says that the owner lost the request, or that what answered is
+// no owner.
+var errPeerLost = errors.New("the owner lost the request")
+
+// maxPeerConnections bounds the connections to one peer.
+const maxPeerConnections = 1024
+
+// PeerSide makes a Server take requests that other hosts hand over to this
+// one as the owner of a group. It finds no routes and keeps no ledger; the
+// host that received the request did.
+type PeerSide struct {
+	// Token is expected of peers; "" asks for none.
+	Token string
+	// Load returns the load of a group for peers; ok is false when unknown.
+	Load func(group string) (text string, ok bool)
+}
+
+// peerMatch reads from the header what a peer asks for.
+func (s *Server) peerMatch(h *fasthttp.RequestHeader) (router.Match, *problem) {
+	side := s.opts.PeerSide
+	if subtle.ConstantTimeCompare(h.Peek(headerPeerToken), []byte(side.Token)) != 1 {
+		p := malformed("peer token is wrong")
+		p.status = fasthttp.StatusForbidden
+		return router.Match{}, p
+	}
+	group := string(h.Peek(headerGroup))
+	poolName, _, _ := strings.Cut(group, "@")
+	pool, ok := s.opts.Tables.Current().Pools[poolName]
+	if !ok {
+		return router.Match{}, newProblem(outcome.NoTarget, outcome.NotRun, "pool of the group is unknown here")
+	}
+	class := table.Class(h.Peek(headerClass))
+	switch class {
+	case table.Lookup, table.Order, table.Batch:
+	default:
+		return router.Match{}, malformed("class is unknown")
+	}
+	pool.Name = group
+	return router.Match{
+		Route: &table.Route{
+			Name: group, Pool: group, Class: class,
+			Idempotent: string(h.Peek(headerIdempotent)) == idempotentValue,
+		},
+		Pool: &pool,
+	}, nil
+}
+
+// markPeerAnswer tells the peer how the answer came about and the load of the
+// group.
+func (c *call) markPeerAnswer(how string) {
+	side := c.server.opts.PeerSide
+	if side == nil {
+		return
+	}
+	h := &c.rc.Response.Header
+	h.Set(headerHandover, how)
+	if side.Load == nil {
+		return
+	}
+	if text, ok := side.Load(c.match.Pool.Name); ok {
+		h.Set(ports.HeaderGroupLoad, text)
+	}
+}
+
+// peerLines are the header lines of a request that is handed over.
+func (c *call) peerLines(b []byte, a ports.Attempt) []byte {
+	group, ok := groupOf(a)
+	if !ok {
+		return b
+	}
+	b = appendLine(b, headerGroup, group)
+	b = appendLine(b, headerClass, string(c.match.Route.Class))
+	if c.match.Route.Idempotent {
+		b = appendLine(b, headerIdempotent, idempotentValue)
+	}
+	if token := c.server.opts.PeerToken; token != "" {
+		b = appendLine(b, headerPeerToken, token)
+	}
+	return b
+}
+
+func appendLine(b []byte, name, value string) []byte {
+	b = append(b, name...)
+	b = append(b, ": "...)
+	b = append(b, value...)
+	return append(b, "\r\n"...)
+}
+
+// groupOf returns the group of an attempt that goes to a peer.
+func groupOf(a ports.Attempt) (string, bool) {
+	if p, ok := a.(ports.PeerAttempt); ok {
+		return p.Group()
+	}
+	return "", false
+}
+
+// readHandover takes what the owner says of its answer. An answer that the
+// owner made is no answer of an upstream: the request was not run, or it may
+// have been.
+func (t *try) readHandover(handover string) error {
+	if _, ok := groupOf(t.attempt); !ok {
+		return nil
+	}
+	switch handover {
+	case handoverAnswered:
+		return nil
+	case outcome.NotRun.String():
+		t.notRun = true
+		return nil
+	}
+	if t.status == fasthttp.StatusGatewayTimeout {
+		return errors.WithStack(upstream.ErrTimeout)
+	}
+	return errPeerLost
+}
--- /dev/null
+++ b/proxy/peerside_test.go
@@ -0,0 +1,141 @@
+package proxy
+
+import (
+	"net/netip"
+	"slices"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnutfield/chestnutfield/ports"
+	"github.com/chestnutfield/chestnutfield/table"
+)
+
+// peerBalancer hands every request to the first owner that is not excluded.
+type peerBalancer struct{ orderedBalancer }
+
+type peerAttempt struct{ ports.Attempt }
+
+func (peerAttempt) Group() (string, bool) { return "catalogue@a", true }
+
+func (b *peerBalancer) Pick(q ports.PickQuery) (ports.Attempt, bool) {
+	a, ok := b.orderedBalancer.Pick(q)
+	return peerAttempt{a}, ok
+}
+
+const peerToken = "secret"
+
+// newOwner is a server that takes requests handed over.
+func newOwner(upstreams []*rawUpstream, options ...bedOption) *bed {
+	side := func(o *Options, _ *table.Tables) {
+		o.PeerSide = &PeerSide{Token: peerToken, Load: func(string) (string, bool) { return "1 8 20000", true }}
+		o.Ledger = nil
+	}
+	return newBed(upstreams, append([]bedOption{side}, options...)...)
+}
+
+// newReceiver is a server that hands requests over to owners.
+func newReceiver(owners []netip.AddrPort, options ...bedOption) (*bed, *peerBalancer) {
+	balancer := &peerBalancer{orderedBalancer{targets: owners}}
+	hand := func(o *Options, _ *table.Tables) { o.Balancer, o.PeerToken = balancer, peerToken }
+	return newBed(nil, append([]bedOption{hand}, options...)...), balancer
+}
+
+func (b *bed) addrPort() netip.AddrPort { return netip.MustParseAddrPort(b.addr) }
+
+func noPools(_ *Options, t *table.Tables) { t.Pools = nil }
+
+var _ = Describe("handing over", func() {
+	It("passes request and answer whole through the owner, and its own headers to nobody", func() {
+		up := newUpstream(always("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nChestnut-Handover: not-run\r\n" +
+			"Chestnut-Group-Load: 9 9 9\r\nX-Spec: Bend\r\n\r\ndone"))
+		owner := newOwner([]*rawUpstream{up})
+		b, balancer := newReceiver([]netip.AddrPort{owner.addrPort()})
+		resp, body := b.ask(getSpec)
+		Expect(resp.StatusCode).To(Equal(200))
+		Expect(body).To(Equal("done"))
+		Expect(resp.Header).To(HaveKey("X-Spec"))
+		Expect(resp.Header).NotTo(HaveKey(headerHandover))
+		Expect(resp.Header).NotTo(HaveKey(ports.HeaderGroupLoad))
+		Expect(up.read()).To(MatchRegexp(`^GET /specs/a HTTP/1.1\r\nHost: h\r\nX-Caller: c1\r\nChestnut-Deadline-Ms: \d+\r\n\r\n$`))
+		Expect(balancer.feedback()).To(HaveLen(1))
+		Expect(balancer.feedback()[0].GroupLoad).To(Equal("1 8 20000"))
+	})
+
+	It("sends an order that an owner did not run to another owner", func() {
+		up := newUpstream(always(okAnswer))
+		behind := newOwner([]*rawUpstream{up}, noPools)
+		current := newOwner([]*rawUpstream{up})
+		b, _ := newReceiver([]netip.AddrPort{behind.addrPort(), current.addrPort()})
+		resp, body := b.ask(postOrder)
+		Expect(resp.StatusCode).To(Equal(200))
+		Expect(body).To(Equal("done"))
+		Expect(up.conns.Load()).To(BeEquivalentTo(1))
+	})
+
+	It("answers not-run when no owner ran an order", func() {
+		behind := newOwner(nil, noPools)
+		b, _ := newReceiver([]netip.AddrPort{behind.addrPort()})
+		resp, _ := b.ask(postOrder)
+		Expect(resp.StatusCode).To(Equal(503))
+		Expect(resp.Header.Get(headerOutcome)).To(Equal("not-run"))
+		Expect(resp.Header.Get("Retry-After")).NotTo(BeEmpty())
+	})
+
+	It("answers unknown and sends an order once when the owner lost its upstream", func() {
+		up := newUpstream(func(u *rawConn) { u.request() })
+		owners := []*bed{newOwner([]*rawUpstream{up}), newOwner([]*rawUpstream{up})}
+		b, _ := newReceiver([]netip.AddrPort{owners[0].addrPort(), owners[1].addrPort()})
+		resp, _ := b.ask(postOrder)
+		Expect(resp.StatusCode).To(Equal(502))
+		Expect(resp.Header.Get(headerOutcome)).To(Equal("unknown"))
+		Expect(up.conns.Load()).To(BeEquivalentTo(1))
+	})
+
+	It("sends a lookup that an owner lost to another owner", func() {
+		broken := newUpstream(func(u *rawConn) { u.request() })
+		up := newUpstream(always(okAnswer))
+		owners := []*bed{newOwner([]*rawUpstream{broken}), newOwner([]*rawUpstream{up})}
+		b, _ := newReceiver([]netip.AddrPort{owners[0].addrPort(), owners[1].addrPort()})
+		resp, body := b.ask(getSpec)
+		Expect(resp.StatusCode).To(Equal(200))
+		Expect(body).To(Equal("done"))
+	})
+
+	It("answers unknown when what answers an order is no owner", func() {
+		plain := newUpstream(always(okAnswer))
+		b, _ := newReceiver([]netip.AddrPort{plain.addr()})
+		resp, _ := b.ask(postOrder)
+		Expect(resp.StatusCode).To(Equal(502))
+		Expect(resp.Header.Get(headerOutcome)).To(Equal("unknown"))
+	})
+
+	It("runs nothing for a peer with a wrong token or an unknown class", func() {
+		up := newUpstream(always(okAnswer))
+		owner := newOwner([]*rawUpstream{up})
+		for _, lines := range []string{
+			"Chestnut-Peer-Token: other\r\nChestnut-Class: lookup\r\n",
+			"Chestnut-Class: lookup\r\n",
+			"Chestnut-Peer-Token: secret\r\nChestnut-Class: urgent\r\n",
+		} {
+			resp, _ := owner.ask("GET /specs/a HTTP/1.1\r\nHost: h\r\nChestnut-Group: catalogue@a\r\n" + lines + "\r\n")
+			Expect(resp.StatusCode).To(BeNumerically(">=", 400))
+			Expect(resp.Header.Get(headerOutcome)).To(Equal("not-run"))
+		}
+		Expect(up.read()).To(BeEmpty())
+	})
+
+	It("claims a keyed order at the receiving host alone", func() {
+		up := newUpstream(always(okAnswer))
+		owner := newOwner([]*rawUpstream{up})
+		b, _ := newReceiver([]netip.AddrPort{owner.addrPort()})
+		resp, _ := b.ask("POST /orders/1 HTTP/1.1\r\nHost: h\r\nX-Caller: c1\r\nIdempotency-Key: k\r\nContent-Length: 0\r\n\r\n")
+		Expect(resp.StatusCode).To(Equal(200))
+		Expect(slices.Collect(func(yield func(string) bool) {
+			for _, k := range b.ledger.keys {
+				yield(k.Key)
+			}
+		})).To(Equal([]string{"k"}))
+		Expect(up.read()).To(ContainSubstring("Idempotency-Key: k\r\n"))
+	})
+})
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -223,6 +223,9 @@
 	}
 	s.metrics.refused(p)
 	answerProblem(ctx, p)
+	if s.opts.PeerSide != nil {
+		ctx.Response.Header.Set(headerHandover, p.outcome.String())
+	}
 }
 
 // handle serves one request.
@@ -240,7 +243,7 @@
 		s.refuse(ctx, p)
 		return
 	}
-	m, p := s.route(in)
+	m, p := s.match(&ctx.Request.Header, in)
 	if p != nil {
 		s.refuse(ctx, p)
 		return
@@ -248,6 +251,14 @@
 	s.serve(newCall(s, ctx, conn, in, m))
 }
 
+// match says what the request is and where it goes.
+func (s *Server) match(h *fasthttp.RequestHeader, in *inbound) (router.Match, *problem) {
+	if s.opts.PeerSide != nil {
+		return s.peerMatch(h)
+	}
+	return s.route(in)
+}
+
 // route finds the route. A path that an upstream may read in another way must
 // lead to the same route either way.
 func (s *Server) route(in *inbound) (router.Match, *problem) {
--- a/proxy/settle.go
+++ b/proxy/settle.go
@@ -56,6 +56,7 @@
 		c.conn.lingering.Store(true)
 	}
 	answerProblem(c.rc, p)
+	c.markPeerAnswer(p.outcome.String())
 }
 
 // finish answers a call that the machine ended.
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -51,7 +51,7 @@
 // copyBody writes the header and the body as it arrives.
 func (c *call) copyBody(t *try, x *upstream.Exchange) error {
 	w := x.Writer()
-	if _, err := w.Write(c.head(t.number)); err != nil {
+	if _, err := w.Write(c.head(t)); err != nil {
 		return errors.WithStack(err)
 	}
 	if err := c.writePiece(w, c.body.held); err != nil {
