Open-loop load whose answers are checked

Cause: closed-loop load hides waiting, and a balancer's own counts can't show that an order ran twice or that a refusal was untrue. Conclusion: outcomes and latency can be measured as callers see them.

--- a/cmd/chestnutlab/main.go
+++ b/cmd/chestnutlab/main.go
@@ -13,6 +13,7 @@
 type commandLine struct {
 	Platform platformCommand `cmd:"" help:"Run the stand-in platform: table service, object store, host list."`
 	Upstream upstreamCommand `cmd:"" help:"Run stand-in targets."`
+	Load     loadCommand     `cmd:"" help:"Send open-loop load."`
 }
 
 func main() {
