--- a/membership/core_test.go
+++ b/membership/core_test.go
@@ -119,19 +119,32 @@
 	})
 
 	It("is held through a store outage by hearing more than half of the hosts", func() {
-		c := newTestCore(hostNamed(2), hostNamed(3), hostNamed(4), hostNamed(5))
-		for d := time.Second; d <= 3*time.Hour; d += time.Second {
+		all := []Member{hostNamed(2), hostNamed(3), hostNamed(4), hostNamed(5)}
+		c := newTestCore(all...)
+		keep(c, 0, 20*time.Second, all...)
+		for d := 21 * time.Second; d <= 3*time.Hour; d += time.Second {
 			c.Tick(at(d))
 			c.RenewFailed(at(d))
 			c.ReadFailed(at(d))
 			beats := []Beat{{ID: hostNamed(2).ID(), Heartbeat: uint64(d)}, {ID: hostNamed(3).ID(), Heartbeat: uint64(d)}}
 			c.Heard(at(d), at(d), nil, beats)
+			Expect(c.Holds(at(d))).To(BeTrue(), "at %v", d)
 		}
-		Expect(c.Holds(at(3 * time.Hour))).To(BeTrue())
 		Expect(c.Hosts(at(3 * time.Hour))).To(Equal([]string{"entry-01", "entry-02", "entry-03"}))
 		Expect(c.ShareCount(at(3 * time.Hour))).To(Equal(5))
 	})
 
+	It("is not begun by peers alone, which make the host's share whole", func() {
+		c := newTestCore()
+		for d := time.Second; d <= time.Minute; d += time.Second {
+			c.Tick(at(d))
+			c.RenewFailed(at(d))
+			c.Heard(at(d), at(d), []Member{beatOf(hostNamed(2), uint64(d))}, nil)
+		}
+		Expect(c.Holds(at(time.Minute))).To(BeFalse())
+		Expect(c.ShareCount(at(time.Minute))).To(Equal(2))
+	})
+
 	It("is not held by half of the hosts", func() {
 		c := newTestCore(hostNamed(2), hostNamed(3), hostNamed(4))
 		for d := time.Second; d <= 2*time.Minute; d += time.Second {
--- a/membership/lease.go
+++ b/membership/lease.go
@@ -18,7 +18,10 @@
 	since time.Time
 	// covers is true once the unbroken hold is known to the others.
 	covers bool
-	// settledAt is when the lease first covered actions.
+	// knownSince is when more than half of the hosts were first heard, while
+	// that lasts.
+	knownSince time.Time
+	// settledAt is when that had lasted for the join delay.
 	settledAt time.Time
 }
 
@@ -26,16 +29,25 @@
 
 // remaining returns how long the present evidence holds the lease.
 func (c *Core) remaining(now time.Time) time.Duration {
+	return max(c.byStore(now), c.byPeers(now), 0)
+}
+
+// byStore returns how long the table service holds the lease. Who does not
+// read may not know of those who joined.
+func (c *Core) byStore(now time.Time) time.Duration {
 	t, h := c.opt.Timing, &c.hold
-	var byStore, byPeers time.Duration
-	if !h.renewed.IsZero() && !h.read.IsZero() {
-		// Who does not read may not know of those who joined.
-		byStore = min(t.Lease-elapsed(h.renewed, now), t.readHold(c.count())-elapsed(h.read, now))
+	if h.renewed.IsZero() || h.read.IsZero() {
+		return 0
 	}
-	if !h.majority.IsZero() {
-		byPeers = t.peerHold(c.count()) - elapsed(h.majority, now)
+	return min(t.Lease-elapsed(h.renewed, now), t.readHold(c.count())-elapsed(h.read, now))
+}
+
+// byPeers returns how long the peers hold the lease.
+func (c *Core) byPeers(now time.Time) time.Duration {
+	if c.hold.majority.IsZero() {
+		return 0
 	}
-	return max(byStore, byPeers, 0)
+	return c.opt.Timing.peerHold(c.count()) - elapsed(c.hold.majority, now)
 }
 
 // lapse ends the hold when its evidence ran out. It comes before an event's
@@ -48,26 +60,27 @@
 	c.hold.since, c.hold.covers = time.Time{}, false
 }
 
-// refresh takes in new evidence for the lease. Until a hold covers actions,
-// more than half of the hosts must be heard through peers throughout the join
-// delay: any hosts that hold theirs without the table service then include one
-// that knows of this host.
+// refresh takes in new evidence for the lease and for being known.
 func (c *Core) refresh(now time.Time) {
 	h := &c.hold
 	h.majority = c.majorityWitness()
+	known := c.byPeers(now) > 0 || (c.count() == 1 && c.byStore(now) > 0)
 	if !h.covers {
-		c.begin(now)
+		c.begin(now, known)
 	}
-	if !h.settled() && c.Holds(now) {
-		h.settledAt = now
+	if !h.settled() {
+		c.settle(now, known)
 	}
 }
 
-func (c *Core) begin(now time.Time) {
+// begin starts a hold. It takes the row, which those who hold their leases
+// through the table service read, and more than half of the hosts heard
+// throughout the join delay: any hosts that hold theirs through peers then
+// include one that knows of this host. Peers alone only continue a hold.
+func (c *Core) begin(now time.Time, known bool) {
 	h := &c.hold
-	known := c.count() == 1 || (!h.majority.IsZero() && elapsed(h.majority, now) < c.opt.Timing.peerHold(c.count()))
 	switch {
-	case !known || c.remaining(now) == 0:
+	case !known || c.byStore(now) <= 0:
 		h.since = time.Time{}
 	case h.since.IsZero():
 		h.since = now
@@ -76,6 +89,19 @@
 	}
 }
 
+// settle notes when this host has been known to the others for the join delay.
+func (c *Core) settle(now time.Time, known bool) {
+	h := &c.hold
+	switch {
+	case !known:
+		h.knownSince = time.Time{}
+	case h.knownSince.IsZero():
+		h.knownSince = now
+	case now.Sub(h.knownSince) >= c.opt.Timing.JoinDelay(c.count()):
+		h.settledAt = now
+	}
+}
+
 // majorityWitness returns the instant since which more than half of the
 // counted hosts were heard of; zero when they were not, or with one host.
 func (c *Core) majorityWitness() time.Time {
--- /dev/null
+++ b/membership/service_test.go
@@ -0,0 +1,119 @@
+package membership
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/platform/fake"
+)
+
+var _ = Describe("the service", func() {
+	var (
+		ctx   context.Context
+		table *fake.Table
+		clock *clockwork.FakeClock
+	)
+	BeforeEach(func() {
+		ctx, table, clock = context.Background(), fake.NewTable(), clockwork.NewFakeClockAt(epoch)
+	})
+	start := func(i int) *Service {
+		s, err := New(Options{Self: hostNamed(i), Table: table, Clock: clock})
+		Expect(err).NotTo(HaveOccurred())
+		return s
+	}
+	// step ticks and carries out the actions in turn.
+	step := func(hosts ...*Service) {
+		clock.Advance(time.Second)
+		for _, s := range hosts {
+			s.performAll(ctx, s.tick())
+		}
+	}
+
+	It("finds the other hosts through their rows", func() {
+		a, b := start(1), start(2)
+		for range 5 {
+			step(a, b)
+		}
+		Expect(a.Hosts()).To(Equal([]string{"entry-01", "entry-02"}))
+		Expect(b.Members()).To(HaveLen(2))
+	})
+
+	It("renews after an acknowledgement was lost", func() {
+		a := start(1)
+		step(a)
+		step(a)
+		table.LoseAcks(1)
+		for range 12 {
+			step(a)
+		}
+		Expect(a.Holds()).To(BeTrue())
+		Expect(a.rows.failed.Load()).To(BeEquivalentTo(1))
+	})
+
+	It("keeps what it knows while the table service is down", func() {
+		a, b := start(1), start(2)
+		for range 5 {
+			step(a, b)
+		}
+		table.SetDown(true)
+		for range 120 {
+			step(a)
+		}
+		Expect(a.Members()).To(HaveLen(2))
+		Expect(a.Holds()).To(BeFalse())
+	})
+
+	It("finds the row of a later process of its name and gives way", func() {
+		a := start(1)
+		step(a)
+		step(a)
+		later := hostNamed(1)
+		later.Incarnation++
+		row, err := encodeRow(later, "other", time.Time{})
+		Expect(err).NotTo(HaveOccurred())
+		row.Revision = 9
+		Expect(table.Write(ctx, platform.Write{Row: row})).To(Succeed())
+		for range 12 {
+			step(a)
+		}
+		Expect(a.Holds()).To(BeFalse())
+		stored, _, _ := table.Get(ctx, row.Key)
+		Expect(stored.Writer).To(Equal("other"))
+	})
+
+	It("spreads a planned stop through its row", func() {
+		a, b := start(1), start(2)
+		for range 5 {
+			step(a, b)
+		}
+		Expect(a.Leave(ctx, false)).To(Succeed())
+		for range 5 {
+			step(b)
+		}
+		Expect(b.Hosts()).To(Equal([]string{"entry-02"}))
+		Expect(b.Members()).To(HaveLen(2))
+		Expect(a.Leave(ctx, true)).To(Succeed())
+		for range 5 {
+			step(b)
+		}
+		Expect(b.Members()).To(HaveLen(1))
+	})
+
+	It("skips rows that ran out or can't be read", func() {
+		old, err := encodeRow(hostNamed(3), "w", epoch)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(table.Write(ctx, platform.Write{Row: old})).To(Succeed())
+		Expect(table.Write(ctx, platform.Write{Row: platform.Row{
+			Key: platform.Key{Partition: Partition, Sort: "entry-04"}, Body: []byte("{"),
+		}})).To(Succeed())
+		a := start(1)
+		step(a)
+		Expect(a.Members()).To(HaveLen(1))
+		Expect(a.rows.badRows.Load()).To(BeEquivalentTo(1))
+	})
+})
