Planned stop: answers during the stop carry Connection: close

Cause: a request that arrives on a kept connection after the stop began was answered as if the connection would stay.

--- a/proxy/server.go
+++ b/proxy/server.go
@@ -71,9 +71,12 @@
 		Handler: func(ctx *fasthttp.RequestCtx) {
 			if fiberRoutes(ctx) {
 				inner(ctx)
-				return
+			} else {
+				s.handle(ctx)
+			}
+			if s.stopping.Load() {
+				ctx.SetConnectionClose()
 			}
-			s.handle(ctx)
 		},
 		ErrorHandler:                 s.refuseMalformed,
 		ConnState:                    connState,
