--- a/proxy/problem.go
+++ b/proxy/problem.go
@@ -91,7 +91,7 @@
 	resp.Header.SetContentType("text/plain; charset=utf-8")
 	resp.Header.Set("Proxy-Status", `chestnutfield; error=`+proxyErrors[p.reason]+`; details="`+p.detail+`"`)
 	resp.Header.Set(headerOutcome, p.outcome.String())
-	if p.status == fasthttp.StatusServiceUnavailable {
+	if p.status == fasthttp.StatusServiceUnavailable || p.retryAfter > 0 {
 		resp.Header.Set("Retry-After", retryAfterSeconds(p.retryAfter))
 	}
 	resp.SetBodyString(p.reason.String() + ": " + p.detail + "\n")
