ledger: orders at most once across entry hosts

A key has one row; a claim is written before dispatch where no row stands and is never taken over on a timer. Lost acknowledgements are settled by sending the same write again: the row in the way names its writer. A refused request whose claim may have taken effect, or may yet, is released by its host, and the released row keeps out a claim that arrives late. Claims and ends of many orders share transactions; a breaker refuses claims while the table service fails.

--- /dev/null
+++ b/ledger/ledger_test.go
@@ -0,0 +1,343 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnutfield/chestnutfield/outcome"
+	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/platform/fake"
+	"github.com/chestnutfield/chestnutfield/ports"
+)
+
+var order = ports.OrderKey{Caller: "ministry", Key: "k1", Fingerprint: 7}
+
+// deployment is some hosts over one table, in a bubble of its own time.
+type deployment struct {
+	table *fake.Table
+	hosts []*Ledger
+	kill  []context.CancelFunc
+}
+
+func deploy(t *testing.T, hosts int, test func(g *WithT, d *deployment)) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &deployment{table: fake.NewTable()}
+		var runs sync.WaitGroup
+		for i := range hosts {
+			l, err := New(Options{Table: d.table, Host: fmt.Sprintf("entry-%d", i)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			d.hosts, d.kill = append(d.hosts, l), append(d.kill, cancel)
+			runs.Go(func() { _ = l.Run(ctx) })
+		}
+		test(NewWithT(t), d)
+		for _, cancel := range d.kill {
+			cancel()
+		}
+		runs.Wait()
+	})
+}
+
+func (d *deployment) claim(host int) ports.Claim {
+	return d.hosts[host].Claim(context.Background(), order)
+}
+
+func (d *deployment) settle(host int, c ports.Claim, o outcome.Outcome, a *ports.RecordedAnswer) {
+	d.hosts[host].Settle(context.Background(), order, c.Token, o, a)
+}
+
+func (d *deployment) row(g *WithT) (record, bool) {
+	row, ok, err := d.table.Get(context.Background(), idOf(order).rowKey())
+	g.Expect(err).NotTo(HaveOccurred())
+	if !ok {
+		return record{}, false
+	}
+	r, err := decodeRow(&row)
+	g.Expect(err).NotTo(HaveOccurred())
+	return r, true
+}
+
+func TestOneHostHoldsAKey(t *testing.T) {
+	deploy(t, 2, func(g *WithT, d *deployment) {
+		c := d.claim(0)
+		g.Expect(c.State).To(Equal(ports.ClaimGranted))
+		for host := range 2 {
+			again := d.claim(host)
+			g.Expect(again.State).To(Equal(ports.ClaimInFlight))
+			g.Expect(again.Outcome).To(Equal(outcome.Unknown))
+		}
+		answer := &ports.RecordedAnswer{Status: 201, Header: [][2]string{{"A", "b"}}, Body: []byte("ok")}
+		d.settle(0, c, outcome.Ran, answer)
+		synctest.Wait()
+		for host := range 2 {
+			again := d.claim(host)
+			g.Expect(again.State).To(Equal(ports.ClaimDone))
+			g.Expect(again.Answer).To(Equal(answer))
+			g.Expect(again.Outcome).To(Equal(outcome.Ran))
+			other := order
+			other.Fingerprint++
+			g.Expect(d.hosts[host].Claim(context.Background(), other).State).To(Equal(ports.ClaimConflict))
+		}
+	})
+}
+
+func TestRequestThatDidNotRunFreesItsKey(t *testing.T) {
+	deploy(t, 2, func(g *WithT, d *deployment) {
+		for i := range 6 {
+			c := d.claim(i % 2)
+			g.Expect(c.State).To(Equal(ports.ClaimGranted), "round %d", i)
+			d.settle(i%2, c, outcome.NotRun, nil)
+			if i%3 == 0 {
+				// The same host asks again before the release is recorded.
+				c = d.claim(i % 2)
+				g.Expect(c.State).To(Equal(ports.ClaimGranted), "round %d", i)
+				d.settle(i%2, c, outcome.NotRun, nil)
+			}
+			synctest.Wait()
+		}
+	})
+}
+
+func TestHostKilledAfterItsClaimLeavesUnknown(t *testing.T) {
+	deploy(t, 2, func(g *WithT, d *deployment) {
+		g.Expect(d.claim(0).State).To(Equal(ports.ClaimGranted))
+		d.kill[0]()
+		for range 23 {
+			time.Sleep(time.Hour)
+			c := d.claim(1)
+			g.Expect(c.State).To(Equal(ports.ClaimInFlight))
+			g.Expect(c.Outcome).To(Equal(outcome.Unknown))
+		}
+	})
+}
+
+func TestPausedHolderWakesAndStillHolds(t *testing.T) {
+	deploy(t, 2, func(g *WithT, d *deployment) {
+		c := d.claim(0)
+		for range 20 {
+			time.Sleep(time.Hour)
+			g.Expect(d.claim(1).State).To(Equal(ports.ClaimInFlight))
+		}
+		d.settle(0, c, outcome.Ran, nil)
+		synctest.Wait()
+		g.Expect(d.claim(1).State).To(Equal(ports.ClaimDone))
+	})
+}
+
+func TestUnknownEndStaysUnknown(t *testing.T) {
+	deploy(t, 2, func(g *WithT, d *deployment) {
+		d.settle(0, d.claim(0), outcome.Unknown, nil)
+		synctest.Wait()
+		for host := range 2 {
+			c := d.claim(host)
+			g.Expect(c.State).To(Equal(ports.ClaimInFlight))
+			g.Expect(c.Outcome).To(Equal(outcome.Unknown))
+		}
+	})
+}
+
+func TestLostAcknowledgementsAreSettledByWhatStands(t *testing.T) {
+	deploy(t, 2, func(g *WithT, d *deployment) {
+		d.table.LoseAcks(1)
+		c := d.claim(0)
+		g.Expect(c.State).To(Equal(ports.ClaimGranted))
+		g.Expect(d.claim(1).State).To(Equal(ports.ClaimInFlight))
+		d.table.LoseAcks(1)
+		d.settle(0, c, outcome.Ran, nil)
+		time.Sleep(time.Second)
+		g.Expect(d.hosts[0].Pending()).To(BeZero())
+		g.Expect(d.claim(1).State).To(Equal(ports.ClaimDone))
+		d.table.LoseAcks(1)
+		g.Expect(d.claim(1).State).To(Equal(ports.ClaimDone))
+	})
+}
+
+func TestStoreDownRefusesFastWithFewCalls(t *testing.T) {
+	deploy(t, 1, func(g *WithT, d *deployment) {
+		d.table.SetDown(true)
+		start := time.Now()
+		for range 50 {
+			c := d.claim(0)
+			g.Expect(c.State).To(Equal(ports.ClaimUnavailable))
+			g.Expect(c.Outcome).To(Equal(outcome.NotRun))
+			g.Expect(c.RetryAfter).To(BeNumerically(">", 0))
+		}
+		g.Expect(time.Since(start)).To(BeNumerically("<", time.Second))
+		before := d.table.Counts()
+		g.Expect(before.Writes).To(BeNumerically("<=", 4))
+		time.Sleep(time.Minute)
+		after := d.table.Counts()
+		g.Expect(after.Reads - before.Reads).To(BeNumerically("<=", 61))
+		g.Expect(after.Writes).To(Equal(before.Writes))
+		d.table.SetDown(false)
+		time.Sleep(2 * time.Second)
+		g.Expect(d.claim(0).State).To(Equal(ports.ClaimGranted))
+	})
+}
+
+func TestEndsWaitForTheStore(t *testing.T) {
+	deploy(t, 2, func(g *WithT, d *deployment) {
+		c := d.claim(0)
+		d.table.SetDown(true)
+		d.settle(0, c, outcome.Ran, &ports.RecordedAnswer{Status: 201})
+		time.Sleep(time.Hour)
+		g.Expect(d.hosts[0].Pending()).To(Equal(1))
+		d.table.SetDown(false)
+		time.Sleep(3 * time.Second)
+		g.Expect(d.hosts[0].Flush(context.Background())).To(Succeed())
+		g.Expect(d.claim(1).Answer.Status).To(Equal(201))
+	})
+}
+
+// A claim that the store holds back is refused; it may still take effect, and
+// must block the key neither before nor after it does.
+func TestClaimThatArrivesLateBlocksNobody(t *testing.T) {
+	for _, released := range []bool{false, true} {
+		deploy(t, 2, func(g *WithT, d *deployment) {
+			if released {
+				d.settle(0, d.claim(0), outcome.NotRun, nil)
+				synctest.Wait()
+			}
+			d.table.Freeze()
+			c := d.claim(0)
+			g.Expect(c.State).To(Equal(ports.ClaimUnavailable))
+			g.Expect(c.Outcome).To(Equal(outcome.NotRun))
+			time.Sleep(time.Minute)
+			d.table.Thaw()
+			time.Sleep(5 * time.Second)
+			g.Expect(d.hosts[0].Pending()).To(BeZero())
+			r, ok := d.row(g)
+			g.Expect(ok).To(BeTrue())
+			g.Expect(r.State).To(Equal(stateReleased))
+			g.Expect(d.claim(1).State).To(Equal(ports.ClaimGranted))
+		})
+	}
+}
+
+// heldBack keeps the first write to apply it when told to.
+type heldBack struct {
+	platform.Table
+	mu   sync.Mutex
+	held *platform.Write
+	left int
+}
+
+func (h *heldBack) Write(ctx context.Context, w platform.Write) error {
+	h.mu.Lock()
+	hold := h.left > 0
+	if hold {
+		h.left--
+		h.held = &w
+	}
+	h.mu.Unlock()
+	if hold {
+		return platform.ErrUncertain
+	}
+	return h.Table.Write(ctx, w)
+}
+
+// apply sends the write that was held back.
+func (h *heldBack) apply() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.Table.Write(context.Background(), *h.held)
+}
+
+// holdNext holds back the next n writes.
+func (h *heldBack) holdNext(n int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.left = n
+}
+
+func TestClaimAppliedAfterItsReleaseTakesNoEffect(t *testing.T) {
+	for _, over := range []bool{false, true} {
+		deploy(t, 2, func(g *WithT, d *deployment) {
+			if over {
+				d.settle(1, d.claim(1), outcome.NotRun, nil)
+				synctest.Wait()
+			}
+			slow := &heldBack{Table: d.table}
+			d.hosts[0].claims.table = slow
+			ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+			defer cancel()
+			if over {
+				// The first write meets the released row; hold back the second.
+				found, _, _ := d.table.Get(ctx, idOf(order).rowKey())
+				e := d.hosts[0].book.admit(idOf(order), order.Fingerprint, "late").entry
+				slow.holdNext(1)
+				_, ok := d.hosts[0].write(ctx, e, &found, found.Revision+1)
+				g.Expect(ok).To(BeFalse())
+			} else {
+				slow.holdNext(1)
+				g.Expect(d.hosts[0].Claim(ctx, order).State).To(Equal(ports.ClaimUnavailable))
+			}
+			time.Sleep(5 * time.Second)
+			g.Expect(slow.apply()).To(MatchError(platform.ErrConditionFailed))
+			g.Expect(d.claim(1).State).To(Equal(ports.ClaimGranted))
+		})
+	}
+}
+
+func TestCallerThatGoesAwayReleasesItsClaim(t *testing.T) {
+	deploy(t, 2, func(g *WithT, d *deployment) {
+		d.table.SetDelay(100 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		g.Expect(d.hosts[0].Claim(ctx, order).State).To(Equal(ports.ClaimUnavailable))
+		time.Sleep(time.Second)
+		g.Expect(d.claim(1).State).To(Equal(ports.ClaimGranted))
+	})
+}
+
+func TestStrayTokensChangeNothing(t *testing.T) {
+	deploy(t, 1, func(g *WithT, d *deployment) {
+		c := d.claim(0)
+		d.settle(0, ports.Claim{Token: "forged"}, outcome.NotRun, nil)
+		synctest.Wait()
+		g.Expect(d.claim(0).State).To(Equal(ports.ClaimInFlight))
+		d.settle(0, c, outcome.Ran, nil)
+		d.settle(0, c, outcome.NotRun, nil)
+		synctest.Wait()
+		g.Expect(d.claim(0).State).To(Equal(ports.ClaimDone))
+	})
+}
+
+func TestBatchWithConflictsGrantsTheRest(t *testing.T) {
+	deploy(t, 2, func(g *WithT, d *deployment) {
+		d.table.SetDelay(50 * time.Millisecond)
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		granted := map[string]int{}
+		for i := range 60 {
+			for host, l := range d.hosts {
+				if host == 1 && i%3 != 0 {
+					continue
+				}
+				wg.Go(func() {
+					k := ports.OrderKey{Caller: "c", Key: fmt.Sprint(i)}
+					c := l.Claim(context.Background(), k)
+					mu.Lock()
+					defer mu.Unlock()
+					if c.State == ports.ClaimGranted {
+						granted[k.Key]++
+					}
+				})
+			}
+		}
+		wg.Wait()
+		g.Expect(granted).To(HaveLen(60))
+		for key, n := range granted {
+			g.Expect(n).To(Equal(1), "key %s", key)
+		}
+		g.Expect(d.table.Counts().Writes).To(BeNumerically("<", 20))
+	})
+}
--- /dev/null
+++ b/ledger/options.go
@@ -0,0 +1,111 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/chestnutfield/chestnutfield/platform"
+)
+
+// Options configures a Ledger.
+type Options struct {
+	Table platform.Table
+	// Host is the name of this host; it is part of every writer.
+	Host string
+	// Incarnation tells this process from earlier ones of the same name; 0
+	// takes the time of New in nanoseconds.
+	Incarnation uint64
+	// Retention is how long a key is kept.
+	Retention time.Duration
+	// ClaimTimeout bounds the wait of one Claim.
+	ClaimTimeout time.Duration
+	// CallTimeout bounds one call of the table service.
+	CallTimeout time.Duration
+	// ClaimCallsPerSecond and OutcomeCallsPerSecond bound the calls of this
+	// host; below them nothing waits to be batched.
+	ClaimCallsPerSecond, OutcomeCallsPerSecond float64
+	// ClaimCallsInFlight is the number of claim calls open at once.
+	ClaimCallsInFlight int
+	// AnswerBytes is the largest body that is kept with an order.
+	AnswerBytes int
+	// PendingLimit is the number of orders that may wait for their end to be
+	// recorded before claims are refused.
+	PendingLimit int
+	// PendingAnswerBytes bounds the kept bodies that wait to be recorded.
+	PendingAnswerBytes int
+	// BreakerAfter is the number of failed calls in a row that open the
+	// breaker; ProbeInterval is the time between two probes while it is open.
+	BreakerAfter  int
+	ProbeInterval time.Duration
+	Clock         clockwork.Clock
+	Logger        *zap.Logger
+	// Registerer takes the metrics; nil leaves them out.
+	Registerer prometheus.Registerer
+}
+
+// Hints for callers.
+const (
+	inFlightRetryAfter    = 2 * time.Second
+	unavailableRetryAfter = time.Second
+)
+
+func (o *Options) setDefaults() {
+	const (
+		retention          = 24 * time.Hour
+		claimTimeout       = 800 * time.Millisecond
+		callTimeout        = 400 * time.Millisecond
+		claimCalls         = 20
+		outcomeCalls       = 10
+		claimCallsInFlight = 2
+		answerBytes        = 16 << 10
+		pendingLimit       = 10_000
+		pendingAnswerBytes = 8 << 20
+		breakerAfter       = 3
+		probeInterval      = time.Second
+	)
+	setDefault(&o.Retention, retention)
+	setDefault(&o.ClaimTimeout, claimTimeout)
+	setDefault(&o.CallTimeout, callTimeout)
+	setDefault(&o.ClaimCallsPerSecond, claimCalls)
+	setDefault(&o.OutcomeCallsPerSecond, outcomeCalls)
+	setDefault(&o.ClaimCallsInFlight, claimCallsInFlight)
+	setDefault(&o.AnswerBytes, answerBytes)
+	setDefault(&o.PendingLimit, pendingLimit)
+	setDefault(&o.PendingAnswerBytes, pendingAnswerBytes)
+	setDefault(&o.BreakerAfter, breakerAfter)
+	setDefault(&o.ProbeInterval, probeInterval)
+	if o.Clock == nil {
+		o.Clock = clockwork.NewRealClock()
+	}
+	if o.Incarnation == 0 {
+		o.Incarnation = uint64(o.Clock.Now().UnixNano())
+	}
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
+}
+
+func setDefault[T int | float64 | time.Duration](v *T, d T) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+func (o *Options) validate() error {
+	switch {
+	case o.Table == nil:
+		return errors.New("ledger: Table is nil")
+	case o.Host == "":
+		return errors.New("ledger: Host is empty")
+	case o.Retention < 0 || o.ClaimTimeout < 0 || o.CallTimeout < 0 || o.ProbeInterval < 0:
+		return errors.New("ledger: durations must be positive")
+	case o.ClaimCallsPerSecond < 0 || o.OutcomeCallsPerSecond < 0 || o.ClaimCallsInFlight < 0:
+		return errors.New("ledger: call rates and ClaimCallsInFlight must be positive")
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/ledger/record.go
@@ -0,0 +1,82 @@
+package ledger
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/ports"
+)
+
+// PartitionPrefix starts the names of the partitions that hold the rows.
+const PartitionPrefix = "orders-"
+
+// state is the state of an order's row.
+type state string
+
+const (
+	stateClaimed  state = "claimed"
+	stateDone     state = "done"
+	stateUnknown  state = "unknown"
+	stateReleased state = "released"
+)
+
+// record is the body of a row.
+type record struct {
+	State       state  `json:"state"`
+	Fingerprint uint64 `json:"fingerprint,omitempty"`
+	// Host is the entry host that wrote the row.
+	Host   string                `json:"host"`
+	Answer *ports.RecordedAnswer `json:"answer,omitempty"`
+}
+
+// keyID is the hash of a caller and its key.
+type keyID [sha256.Size]byte
+
+// idOf hashes caller and key with their lengths, so that no two pairs of
+// strings share an input.
+func idOf(k ports.OrderKey) keyID {
+	h := sha256.New()
+	for _, s := range []string{k.Caller, k.Key} {
+		var n [8]byte
+		binary.BigEndian.PutUint64(n[:], uint64(len(s)))
+		h.Write(n[:])
+		h.Write([]byte(s))
+	}
+	return keyID(h.Sum(nil))
+}
+
+// rowKey spreads the rows over 256 partitions.
+func (id keyID) rowKey() platform.Key {
+	return platform.Key{
+		Partition: fmt.Sprintf("%s%02x", PartitionPrefix, id[0]),
+		Sort:      base64.RawURLEncoding.EncodeToString(id[:]),
+	}
+}
+
+func encodeRow(id keyID, r record, revision uint64, writer string, expires time.Time) (platform.Row, error) {
+	body, err := json.Marshal(r)
+	if err != nil {
+		return platform.Row{}, errors.Wrap(err, "encode order row")
+	}
+	return platform.Row{Key: id.rowKey(), Revision: revision, Writer: writer, Body: body, Expires: expires}, nil
+}
+
+func decodeRow(row *platform.Row) (record, error) {
+	var r record
+	if err := json.Unmarshal(row.Body, &r); err != nil {
+		return record{}, errors.Wrapf(err, "decode order row %s", row.Sort)
+	}
+	switch r.State {
+	case stateClaimed, stateDone, stateUnknown, stateReleased:
+		return r, nil
+	default:
+		return record{}, errors.Errorf("order row %s: unknown state %q", row.Sort, r.State)
+	}
+}
--- /dev/null
+++ b/ledger/rules_test.go
@@ -0,0 +1,80 @@
+package ledger
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnutfield/chestnutfield/outcome"
+	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/ports"
+)
+
+var now = time.Date(2026, 12, 3, 0, 0, 0, 0, time.UTC)
+
+func rowOf(s state, writer string, expires time.Time) *platform.Row {
+	row, err := encodeRow(keyID{}, record{State: s, Fingerprint: 7}, 3, writer, expires)
+	Expect(err).NotTo(HaveOccurred())
+	return &row
+}
+
+var _ = Describe("a row in the way of a claim", func() {
+	DescribeTable("is judged by its writer, state and age", func(s state, writer string, age time.Duration, want finding) {
+		got, _ := judge(rowOf(s, writer, now.Add(-age)), "me", 7, now)
+		Expect(got).To(Equal(want))
+	},
+		Entry("own", stateClaimed, "me", -time.Hour, findOurs),
+		Entry("claimed", stateClaimed, "other", -time.Hour, findTaken),
+		Entry("claimed long ago", stateClaimed, "other", 100*time.Hour, findTaken),
+		Entry("done", stateDone, "other", -time.Hour, findTaken),
+		Entry("done and just expired", stateDone, "other", time.Minute, findTaken),
+		Entry("done and long expired", stateDone, "other", 2*time.Hour, findFree),
+		Entry("unknown", stateUnknown, "other", -time.Hour, findTaken),
+		Entry("released", stateReleased, "other", -time.Hour, findFree),
+		Entry("of no known state", state("new"), "other", -time.Hour, findBad),
+	)
+
+	It("answers truthfully", func() {
+		_, c := judge(rowOf(stateClaimed, "other", now), "me", 7, now)
+		Expect(c.State).To(Equal(ports.ClaimInFlight))
+		Expect(c.Outcome).To(Equal(outcome.Unknown))
+		_, c = judge(rowOf(stateDone, "other", now), "me", 7, now)
+		Expect(c.State).To(Equal(ports.ClaimDone))
+		_, c = judge(rowOf(stateDone, "other", now), "me", 8, now)
+		Expect(c.State).To(Equal(ports.ClaimConflict))
+	})
+})
+
+var _ = Describe("keys", func() {
+	It("of different callers never share a row", func() {
+		a := idOf(ports.OrderKey{Caller: "ab", Key: "c"})
+		b := idOf(ports.OrderKey{Caller: "a", Key: "bc"})
+		Expect(a).NotTo(Equal(b))
+	})
+
+	It("of any bytes make plain row names", func() {
+		k := idOf(ports.OrderKey{Caller: "\x00/\n", Key: "..%"}).rowKey()
+		Expect(k.Partition).To(MatchRegexp(`^orders-[0-9a-f]{2}$`))
+		Expect(k.Sort).To(MatchRegexp(`^[A-Za-z0-9_-]{43}$`))
+	})
+})
+
+var _ = Describe("the breaker", func() {
+	It("opens after failures in a row, probes once an interval, closes on success", func() {
+		b := newBreaker(3, time.Second)
+		Expect(b.report(now, false)).To(BeFalse())
+		Expect(b.report(now, true)).To(BeFalse())
+		Expect(b.report(now, false)).To(BeFalse())
+		Expect(b.report(now, false)).To(BeFalse())
+		Expect(b.report(now, false)).To(BeTrue())
+		_, open := b.isOpen(now)
+		Expect(open).To(BeTrue())
+		Expect(b.probeDue(now.Add(999 * time.Millisecond))).To(BeFalse())
+		Expect(b.probeDue(now.Add(time.Second))).To(BeTrue())
+		Expect(b.probeDue(now.Add(time.Second))).To(BeFalse())
+		Expect(b.report(now, true)).To(BeTrue())
+		_, open = b.isOpen(now)
+		Expect(open).To(BeFalse())
+	})
+})
