Experiments from INI files, a computed bound, reports with plots

Cause: claims about tail latency and the cost of measuring need runs that anyone can repeat, with baselines beside them under the same arrivals. Change: lab/experiment reads experiment files strictly, builds a deployment for each cell of a policy and a load, disturbs it, and writes results with the cost of probes and control and the machine's busy share; Bound computes an all-knowing central queue over the same requests. lab/report makes a Markdown page (medians, spreads, ratios, promises, aims) and plots. lab/delay puts the one-way time between failure domains on connections in place of the stand-in targets, since requests also pass between hosts. Checked: with the bound's wait for a faster slot, its order of classes, or the switching of faults taken out, one spec failed each.

--- a/cmd/chestnutlab/main.go
+++ b/cmd/chestnutlab/main.go
@@ -14,6 +14,7 @@
 	Platform platformCommand `cmd:"" help:"Run the stand-in platform: table service, object store, host list."`
 	Upstream upstreamCommand `cmd:"" help:"Run stand-in targets."`
 	Load     loadCommand     `cmd:"" help:"Send open-loop load."`
+	Report   reportCommand   `cmd:"" help:"Make tables and plots of the results of an experiment."`
 }
 
 func main() {
--- a/cmd/chestnutlab/upstream.go
+++ b/cmd/chestnutlab/upstream.go
@@ -19,8 +19,6 @@
 	Mean        time.Duration     `default:"20ms" help:"Mean service time."`
 	Sigma       float64           `default:"0.5" help:"Spread of lognormal service times."`
 	ColdRamp    time.Duration     `default:"3s" help:"Time that a restarted target takes to full speed."`
-	Domain      int               `help:"Failure domain; peers on 127.0.N.x are in domain N."`
-	DomainDelay time.Duration     `help:"One-way delay to peers in other failure domains."`
 	Seed        uint64            `default:"1" help:"Seed of all that is drawn."`
 	Behavior    map[string]string `placeholder:"NAME=VALUE;..." help:"Behavior from the start: slowdown, noisy, fail_fast, hang, drain, report. POST /control changes it."`
 }
@@ -36,7 +34,7 @@
 	o := upstreamd.Defaults()
 	o.Slots, o.Queue, o.Connections, o.ConnectTime = c.Slots, c.Queue, c.Connections, c.ConnectTime
 	o.ServiceTime = workload.Distribution{Shape: workload.Shape(c.Shape), Mean: c.Mean, Sigma: c.Sigma}
-	o.ColdRamp, o.Domain, o.DomainDelay, o.Log = c.ColdRamp, c.Domain, c.DomainDelay, runlog.New()
+	o.ColdRamp, o.Log = c.ColdRamp, runlog.New()
 	for i, addr := range c.Listen {
 		o.Seed = c.Seed + uint64(i)
 		s, err := startUpstream(addr, o, b)
--- /dev/null
+++ b/lab/experiment/boundslots.go
@@ -0,0 +1,71 @@
+package experiment
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/chestnutfield/chestnutfield/lab/loadgen"
+	"github.com/chestnutfield/chestnutfield/lab/upstreamd"
+)
+
+// never is the time that work takes in a slot that takes none.
+const never = 24 * time.Hour
+
+// boundSlots are the slots of a service under the fault of a scenario.
+func boundSlots(spec Spec, sc Scenario, svc Service, seed uint64) []Slot {
+	var slots []Slot
+	hit := hitCount(sc, svc.Targets)
+	for target := range svc.Targets {
+		slot := Slot(func(_, work time.Duration) time.Duration { return work })
+		if target < hit {
+			slot = disturbedSlot(spec, sc, targetSeed(seed, target))
+		}
+		slots = append(slots, lo.Times(svc.Slots, func(int) Slot { return slot })...)
+	}
+	return slots
+}
+
+// disturbedSlot is a slot of a target that the fault reaches.
+func disturbedSlot(spec Spec, sc Scenario, seed uint64) Slot {
+	from, to := spec.faultTimes(sc)
+	noise := upstreamd.NoiseStretch(seed)
+	return func(start, work time.Duration) time.Duration {
+		if start < from || start >= to {
+			return work
+		}
+		switch sc.Fault {
+		case Noisy:
+			return noise(start, work)
+		case Slow:
+			return time.Duration(float64(work) * sc.Factor)
+		case Drain, FailFast:
+			return never
+		case Restart:
+			return time.Duration(float64(work) * upstreamd.ColdFactor(start-from))
+		default:
+			return work
+		}
+	}
+}
+
+// boundSummaries computes the bound of every class over the measured window.
+func boundSummaries(spec Spec, sc Scenario, classes []loadgen.Class, plan []loadgen.Request, seed uint64) []BoundSummary {
+	if len(plan) == 0 {
+		return nil
+	}
+	var records []loadgen.Record
+	for _, svc := range spec.Services {
+		requests := lo.Filter(plan, func(r loadgen.Request, _ int) bool {
+			return classes[r.Class].Service == svc.Name && r.Original == ""
+		})
+		for i, end := range Bound(boundSlots(spec, sc, svc, seed), classes, requests) {
+			records = append(records, loadgen.Record{
+				Request: requests[i], End: loadgen.Answered, Latency: end + 2*spec.CallerDelay,
+			})
+		}
+	}
+	return lo.Map(loadgen.Summarize(classes, records, nil, spec.window()), func(s loadgen.Summary, _ int) BoundSummary {
+		return BoundSummary{Service: s.Service, Class: string(s.Class), P50: s.P50, P99: s.P99, P999: s.P999}
+	})
+}
--- a/lab/experiment/parse.go
+++ b/lab/experiment/parse.go
@@ -11,6 +11,7 @@
 	"github.com/samber/lo"
 	"gopkg.in/ini.v1"
 
+	"github.com/chestnutfield/chestnutfield/balance"
 	"github.com/chestnutfield/chestnutfield/lab/workload"
 	"github.com/chestnutfield/chestnutfield/table"
 )
@@ -158,6 +159,12 @@
 		if !slices.Contains(faults, sc.Fault) {
 			return errors.Errorf("section [scenario %s], key fault: %q, expected one of %v", sc.Name, sc.Fault, faults)
 		}
+		for _, c := range sc.Cells {
+			if c.Policy != DefaultPolicy && !slices.Contains(balance.PolicyNames(), c.Policy) {
+				return errors.Errorf("section [scenario %s], key cells: policy %q, expected %s or one of %v",
+					sc.Name, c.Policy, DefaultPolicy, balance.PolicyNames())
+			}
+		}
 	}
 	return nil
 }
--- /dev/null
+++ b/lab/experiment/run_test.go
@@ -0,0 +1,109 @@
+package experiment
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnutfield/chestnutfield/table"
+)
+
+// noHosts sends callers straight to the targets.
+type noHosts struct {
+	addresses []string
+	killed    []int
+}
+
+func (n *noHosts) Start(_ context.Context, s HostSpec) error {
+	pools, err := table.ParsePools("pools", s.Pools)
+	if err != nil {
+		return err
+	}
+	if _, err := table.ParseRoutes("routes", s.Routes); err != nil {
+		return err
+	}
+	for _, p := range pools {
+		for _, t := range p.Targets {
+			n.addresses = append(n.addresses, t.Addr.String())
+		}
+	}
+	return nil
+}
+
+func (n *noHosts) Addresses() []string       { return n.addresses }
+func (n *noHosts) Kill(i int) error          { n.killed = append(n.killed, i); return nil }
+func (n *noHosts) Stats() (HostStats, error) { return HostStats{}, nil }
+func (n *noHosts) Stop() error               { return nil }
+
+func runSmall(sc Scenario) (Result, *noHosts) {
+	spec, err := parseText(smallFile)
+	Expect(err).NotTo(HaveOccurred())
+	hosts := &noHosts{}
+	r := Runner{Spec: spec, NewHosts: func() HostRunner { return hosts }}
+	result, err := r.RunCell(context.Background(), sc, Cell{Policy: "p2c", Load: 30}, 0)
+	Expect(err).NotTo(HaveOccurred())
+	return result, hosts
+}
+
+var _ = Describe("a run", func() {
+	It("counts every request and computes a bound", func() {
+		result, _ := runSmall(Scenario{Name: "steady"})
+		Expect(result.Classes).To(HaveLen(2))
+		sent := result.Classes[0].Sent + result.Classes[1].Sent
+		Expect(sent).To(BeNumerically("~", 240, 80))
+		Expect(result.Violations.Total()).To(BeZero())
+		Expect(result.Log.Runs).To(BeNumerically(">=", sent))
+		Expect(result.Bound[0].P99).To(BeNumerically(">", 0))
+		Expect(result.Machine.Cores).To(BeNumerically(">", 0))
+	})
+
+	It("shows what a fault does", func() {
+		result, _ := runSmall(Scenario{Name: "fail", Fault: FailFast, Targets: 1})
+		Expect(result.Classes[0].Ends["failed"]).To(BeNumerically(">", 0))
+		result, hosts := runSmall(Scenario{Name: "kill", Fault: HostKilled})
+		Expect(hosts.killed).To(Equal([]int{1}))
+		Expect(result.Violations.Total()).To(BeZero())
+	})
+
+	It("finds copies of orders that ran twice, for there is no ledger here", func() {
+		spec, err := parseText(smallFile)
+		Expect(err).NotTo(HaveOccurred())
+		spec.Services[0].Classes[1].CopyShare = 1
+		r := Runner{Spec: spec, NewHosts: func() HostRunner { return &noHosts{} }}
+		result, err := r.RunCell(context.Background(), spec.Scenarios[0], Cell{Policy: "p2c", Load: 30}, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Violations.DuplicateOrders).To(BeNumerically(">", 0))
+	})
+
+	It("runs all cells, repeat by repeat, and writes what it can read back", func() {
+		spec, err := parseText(smallFile)
+		Expect(err).NotTo(HaveOccurred())
+		spec.Repeats = 2
+		dir := GinkgoT().TempDir()
+		w, err := NewWriter(dir)
+		Expect(err).NotTo(HaveOccurred())
+		var written []Result
+		r := Runner{Spec: spec, NewHosts: func() HostRunner { return &noHosts{} }, OnResult: func(res Result) error {
+			res.Records = nil
+			written = append(written, res)
+			return w.Write(res)
+		}}
+		Expect(r.Run(context.Background())).To(Succeed())
+		Expect(w.Close()).To(Succeed())
+		Expect(written).To(HaveLen(6))
+		Expect(written[0].Seed).To(Equal(written[2].Seed))
+		Expect(written[0].Seed).NotTo(Equal(written[3].Seed))
+		Expect(ReadResults(dir)).To(Equal(written))
+	})
+
+	It("sends callers to a killed host until the platform's balancer notices", func() {
+		b := NewBalancer(&noHosts{addresses: []string{"a", "b", "c"}})
+		b.Remove(1, time.Hour)
+		Expect(b.Addresses()).To(Equal([]string{"a", "b", "c"}))
+		b.Remove(2, 0)
+		b.leaving = b.leaving[1:]
+		Expect(b.Addresses()).To(Equal([]string{"a", "b"}))
+	})
+})
--- a/lab/loadgen/run.go
+++ b/lab/loadgen/run.go
@@ -67,8 +67,10 @@
 // Record is what happened to one request.
 type Record struct {
 	Request Request
-	End     End
-	Status  int
+	// Host is the address of the entry host that it was sent to.
+	Host   string
+	End    End
+	Status int
 	// Latency is the time from the intended start, caller delay included.
 	Latency time.Duration
 	// RetryAfter says that a refusal told the caller when to come back.
@@ -176,7 +178,7 @@
 	class := r.opts.Classes[req.Class]
 	writeRequest(q, host, class, req)
 	err := r.client(host).DoTimeout(q, a, r.opts.Timeout)
-	rec := Record{Request: req, Latency: time.Since(intended) + 2*r.opts.CallerDelay}
+	rec := Record{Request: req, Host: host, Latency: time.Since(intended) + 2*r.opts.CallerDelay}
 	if err != nil {
 		rec.End = endOfError(err)
 		return rec
--- /dev/null
+++ b/lab/report/plots.go
@@ -0,0 +1,123 @@
+package report
+
+import (
+	"fmt"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/chestnutfield/chestnutfield/lab/experiment"
+	"github.com/chestnutfield/chestnutfield/table"
+)
+
+const (
+	plotWidth  = 24 * vg.Centimeter
+	plotHeight = 12 * vg.Centimeter
+	barWidth   = 0.5 * vg.Centimeter
+	boundName  = "bound (computed)"
+)
+
+// lookupServices are the services that have lookups.
+func (p *page) lookupServices() []string {
+	return lo.Uniq(lo.FilterMap(p.keys, func(k classKey, _ int) (string, bool) { return k.service, k.class == table.Lookup }))
+}
+
+// writePlots draws the p99 of lookups by scenario and by load.
+func (p *page) writePlots(dir string) ([]string, error) {
+	var names []string
+	for _, service := range p.lookupServices() {
+		for _, draw := range []func(string) (*plot.Plot, string, error){p.scenarioPlot, p.loadPlot} {
+			pl, name, err := draw(service)
+			if err != nil {
+				return nil, errors.Wrap(err, "plot")
+			}
+			if err := pl.Save(plotWidth, plotHeight, filepath.Join(dir, name)); err != nil {
+				return nil, errors.Wrap(err, "plot")
+			}
+			names = append(names, name)
+		}
+	}
+	return names, nil
+}
+
+func newPlot(title, x string) *plot.Plot {
+	pl := plot.New()
+	pl.Title.Text = title
+	pl.X.Label.Text = x
+	pl.Y.Label.Text = "p99, ms from the intended start"
+	pl.Y.Min = 0
+	pl.Legend.Top = true
+	return pl
+}
+
+// scenarioPlot shows the default, the baseline and the bound side by side.
+func (p *page) scenarioPlot(service string) (*plot.Plot, string, error) {
+	pl := newPlot(fmt.Sprintf("%s: lookups of %s at %v%% load", p.name, service, aimLoad), "scenario")
+	key := func(scenario, policy string) classKey {
+		return classKey{scenario, experiment.Cell{Policy: policy, Load: aimLoad}, service, table.Lookup}
+	}
+	shown := lo.Filter(p.scenarios, func(s string, _ int) bool {
+		_, ok := p.figures[key(s, experiment.DefaultPolicy)]
+		return ok
+	})
+	values := func(f func(s string) float64) plotter.Values {
+		return lo.Map(shown, func(s string, _ int) float64 { return f(s) })
+	}
+	groups := []struct {
+		name   string
+		values plotter.Values
+	}{
+		{experiment.DefaultPolicy, values(func(s string) float64 { return p.figures[key(s, experiment.DefaultPolicy)].p99.Median })},
+		{baselinePolicy, values(func(s string) float64 { return p.figures[key(s, baselinePolicy)].p99.Median })},
+		{boundName, values(func(s string) float64 { return p.figures[key(s, experiment.DefaultPolicy)].boundP99.Median })},
+	}
+	for i, g := range groups {
+		if len(g.values) == 0 {
+			continue
+		}
+		bars, err := plotter.NewBarChart(g.values, barWidth)
+		if err != nil {
+			return nil, "", err
+		}
+		bars.Color = plotutil.Color(i)
+		bars.LineStyle.Width = 0
+		bars.Offset = barWidth * vg.Length(i-1)
+		pl.Add(bars)
+		pl.Legend.Add(g.name, bars)
+	}
+	pl.NominalX(shown...)
+	return pl, "scenarios-" + service + ".png", nil
+}
+
+// loadPlot shows the policies over load in the steady scenario.
+func (p *page) loadPlot(service string) (*plot.Plot, string, error) {
+	pl := newPlot(fmt.Sprintf("%s: lookups of %s, steady", p.name, service), "load, % of slot capacity")
+	lines := map[string]plotter.XYs{}
+	var policies []string
+	for _, k := range p.keys {
+		if k.scenario != steadyScenario || k.service != service || k.class != table.Lookup {
+			continue
+		}
+		f := p.figures[k]
+		if _, ok := lines[k.cell.Policy]; !ok {
+			policies = append(policies, k.cell.Policy)
+		}
+		lines[k.cell.Policy] = append(lines[k.cell.Policy], plotter.XY{X: k.cell.Load, Y: f.p99.Median})
+		if k.cell.Policy == experiment.DefaultPolicy {
+			lines[boundName] = append(lines[boundName], plotter.XY{X: k.cell.Load, Y: f.boundP99.Median})
+		}
+	}
+	if len(lines[boundName]) > 0 {
+		policies = append(policies, boundName)
+	}
+	var arguments []any
+	for _, name := range policies {
+		arguments = append(arguments, name, lines[name])
+	}
+	return pl, "loads-" + service + ".png", plotutil.AddLinePoints(pl, arguments...)
+}
--- a/lab/upstreamd/doc.go
+++ b/lab/upstreamd/doc.go
@@ -9,6 +9,4 @@
 // is written to a run log.
 //
 // Behavior is changed while it runs, by Server.SetBehavior or POST /control.
-// Failure domains are apart by a one-way delay: the domain of a peer is the
-// third byte of its loopback address, 127.0.N.x.
 package upstreamd
--- a/lab/upstreamd/serve.go
+++ b/lab/upstreamd/serve.go
@@ -66,42 +66,30 @@
 	}
 }
 
-// answer sends an answer of the target; the report is as old as the way to the
-// peer is long.
-func (s *Server) answer(w http.ResponseWriter, r *http.Request, status int, body []byte) {
+// answer sends an answer of the target with its load report.
+func (s *Server) answer(w http.ResponseWriter, status int, body []byte) {
 	s.setReport(w)
-	s.travel(r)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
 	_, _ = w.Write(body)
 }
 
-func (s *Server) handleLoad(w http.ResponseWriter, r *http.Request) {
+func (s *Server) handleLoad(w http.ResponseWriter, _ *http.Request) {
 	s.counters.loadProbes.Add(1)
-	s.travel(r)
-	s.answer(w, r, http.StatusOK, []byte(s.report()))
+	s.answer(w, http.StatusOK, []byte(s.report()))
 }
 
-func (s *Server) handleHealth(w http.ResponseWriter, r *http.Request) {
+func (s *Server) handleHealth(w http.ResponseWriter, _ *http.Request) {
 	s.counters.healthProbes.Add(1)
-	s.travel(r)
 	status := http.StatusOK
 	if b := s.Behavior(); b.FailFast || b.Drain == Silent {
 		status = http.StatusServiceUnavailable
 	}
-	s.answer(w, r, status, nil)
-}
-
-// travel waits for the one-way delay between the peer's domain and ours.
-func (s *Server) travel(r *http.Request) {
-	if d, ok := r.Context().Value(domainKey{}).(int); ok && d != s.opts.Domain {
-		time.Sleep(s.opts.DomainDelay)
-	}
+	s.answer(w, status, nil)
 }
 
 // handleWork serves one request for work.
 func (s *Server) handleWork(w http.ResponseWriter, r *http.Request) {
-	s.travel(r)
 	_, _ = io.Copy(io.Discard, r.Body)
 	s.counters.arrivals.Add(1)
 	j, err := s.newJob(r)
@@ -115,9 +103,9 @@
 	switch {
 	case b.FailFast:
 		s.counters.failed.Add(1)
-		s.answer(w, r, http.StatusInternalServerError, []byte("failing"))
+		s.answer(w, http.StatusInternalServerError, []byte("failing"))
 	case b.Drain == Silent:
-		s.refuse(w, r)
+		s.refuse(w)
 	default:
 		s.serve(w, r, j)
 	}
@@ -135,11 +123,11 @@
 }
 
 // refuse says that the request was not run.
-func (s *Server) refuse(w http.ResponseWriter, r *http.Request) {
+func (s *Server) refuse(w http.ResponseWriter) {
 	s.counters.shed.Add(1)
 	w.Header().Set(workload.NotRunHeader, "1")
 	w.Header().Set("Retry-After", "1")
-	s.answer(w, r, http.StatusServiceUnavailable, []byte("not run"))
+	s.answer(w, http.StatusServiceUnavailable, []byte("not run"))
 }
 
 // serve waits for a slot, runs the job and answers.
@@ -150,14 +138,14 @@
 		if ctx.Err() != nil {
 			s.countEnd(ctx)
 		}
-		s.refuse(w, r)
+		s.refuse(w)
 		return
 	}
 	s.opts.Log.Began(j.token, j.order)
 	s.counters.runs.Add(1)
 	if whole := s.run(ctx, j); !whole {
 		s.countEnd(ctx)
-		s.answer(w, r, http.StatusGatewayTimeout, []byte("stopped"))
+		s.answer(w, http.StatusGatewayTimeout, []byte("stopped"))
 		return
 	}
 	if s.Behavior().Hang {
@@ -165,7 +153,7 @@
 		return
 	}
 	w.Header().Set(workload.TokenHeader, j.token)
-	s.answer(w, r, http.StatusOK, workload.Body(j.token, j.size))
+	s.answer(w, http.StatusOK, workload.Body(j.token, j.size))
 }
 
 func (s *Server) countEnd(ctx context.Context) {
--- a/lab/upstreamd/server.go
+++ b/lab/upstreamd/server.go
@@ -1,14 +1,11 @@
 package upstreamd
 
 import (
-	"context"
 	"io"
 	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,10 +32,6 @@
 	ServiceTime workload.Distribution
 	// ColdRamp is the time that a restarted target takes to full speed.
 	ColdRamp time.Duration
-	// Domain is the target's failure domain, DomainDelay the one-way delay
-	// to peers of other domains.
-	Domain      int
-	DomainDelay time.Duration
 	// DrainGrace is the time after which work sent to a leaving target
 	// counts as late.
 	DrainGrace time.Duration
@@ -101,10 +94,7 @@
 	s.http = &http.Server{
 		Handler:   s.handler(),
 		ConnState: s.track,
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, domainKey{}, domainOf(c.RemoteAddr()))
-		},
-		ErrorLog: log.New(io.Discard, "", 0),
+		ErrorLog:  log.New(io.Discard, "", 0),
 	}
 	return s, nil
 }
@@ -123,9 +113,6 @@
 // Addr is the address that Start listens on.
 func (s *Server) Addr() string { return s.addr.String() }
 
-// Domain is the target's failure domain.
-func (s *Server) Domain() int { return s.opts.Domain }
-
 // Close stops at once.
 func (s *Server) Close() error { return s.http.Close() }
 
@@ -179,21 +166,6 @@
 	}
 }
 
-type domainKey struct{}
-
-// domainOf reads the failure domain from a loopback address 127.0.N.x.
-func domainOf(a net.Addr) int {
-	parts := strings.Split(a.String(), ".")
-	if len(parts) != 4 {
-		return 0
-	}
-	n, err := strconv.Atoi(parts[2])
-	if err != nil {
-		return 0
-	}
-	return n
-}
-
 // slowListener takes time for each new connection and refuses those beyond
 // the limit.
 type slowListener struct {
--- a/lab/upstreamd/speed.go
+++ b/lab/upstreamd/speed.go
@@ -74,3 +74,15 @@
 	left := 1 - float64(sinceRestart)/float64(ramp)
 	return 1 + (coldSlowdown-1)*left
 }
+
+// NoiseStretch returns how a noisy neighbour stretches work at a target of
+// this seed, by the time since the target was made.
+func NoiseStretch(seed uint64) func(start, work time.Duration) time.Duration {
+	return newNoise(seed).stretch
+}
+
+// ColdFactor is the factor on service times a while after a restart with the
+// default ramp.
+func ColdFactor(sinceRestart time.Duration) float64 {
+	return coldFactor(sinceRestart, Defaults().ColdRamp)
+}
--- a/lab/upstreamd/stats.go
+++ b/lab/upstreamd/stats.go
@@ -51,3 +51,21 @@
 		LateWork: c.lateWork.Load(), LastLateWork: time.Duration(c.lastLateWork.Load()),
 	}
 }
+
+// Add adds the counts of another target; the peaks become the highest.
+func (s *Stats) Add(o Stats) {
+	s.Arrivals += o.Arrivals
+	s.Runs += o.Runs
+	s.Shed += o.Shed
+	s.Failed += o.Failed
+	s.Cancelled += o.Cancelled
+	s.Expired += o.Expired
+	s.LoadProbes += o.LoadProbes
+	s.HealthProbes += o.HealthProbes
+	s.ConnectionsOpened += o.ConnectionsOpened
+	s.ConnectionsRefused += o.ConnectionsRefused
+	s.ConnectionsPeak = max(s.ConnectionsPeak, o.ConnectionsPeak)
+	s.Busy += o.Busy
+	s.LateWork += o.LateWork
+	s.LastLateWork = max(s.LastLateWork, o.LastLateWork)
+}
