balance, load: shared knowledge of load, health, four candidate policies

Cause: each host makes one call in eighteen, so its own counts say little, and reports are stale when they arrive.

Change: load.Knowledge keeps per target the last reported number with its age, this host's own requests (known exactly), the mean of the others' and a trust that falls when reports contradict calls. An estimate is own plus the others' claim as far as it is fresh and trusted, the pool's mean for the rest. balance gains health (fail share and latency against the pool's medians, calls without an answer, trials of one call, ramps, at least half of the targets always in use) and the policies p2c_shared, hot_cold, completion and subset_completion. completion becomes the default. Reports count running and queued requests, which the targets report apart.

The spec "uses every target" asked sequential requests to spread, which a policy by completion time must not do: for these two it now asks that many requests at once spread within 3 of 10 each.

--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -13,7 +13,11 @@
 	pool   *pool
 	target *target
 	sent   time.Time
-	ended  atomic.Bool
+	// queue is the estimate, and claimed the report's number, of others at
+	// the target when the attempt was sent.
+	queue   float64
+	claimed int
+	ended   atomic.Bool
 }
 
 // Target returns the address to send to.
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -27,6 +27,9 @@
 	Seed uint64
 	// Membership tells the live hosts; nil stands for one host alone.
 	Membership ports.Membership
+	// CrossDomain is the time that a round trip to another failure domain
+	// adds; 0 means DefaultCrossDomain.
+	CrossDomain time.Duration
 	// OnDrain is called, outside all locks, when this host learns of a
 	// leaving target, so that peers can be told. It may be nil.
 	OnDrain func(now time.Time, target netip.AddrPort)
@@ -50,6 +53,9 @@
 // DefaultSlots is the number of slots of a target whose pool names none.
 const DefaultSlots = 2
 
+// DefaultCrossDomain is assumed for the round trip to another failure domain.
+const DefaultCrossDomain = 2 * time.Millisecond
+
 // Balancer chooses targets for all pools. It implements ports.Balancer and
 // ports.DrainNews and is safe for concurrent use.
 type Balancer struct {
@@ -68,9 +74,12 @@
 
 // New returns a balancer without pools.
 func New(opts Options) (*Balancer, error) {
-	if _, err := newPolicy(opts.Policy); err != nil {
+	if _, err := findDesign(opts.Policy); err != nil {
 		return nil, err
 	}
+	if opts.CrossDomain == 0 {
+		opts.CrossDomain = DefaultCrossDomain
+	}
 	m, err := newMetrics(opts.Registerer)
 	if err != nil {
 		return nil, errors.Wrap(err, "metrics of balance")
@@ -85,13 +94,13 @@
 func (b *Balancer) Update(now time.Time, specs map[string]PoolSpec) error {
 	b.update.Lock()
 	defer b.update.Unlock()
-	policies := make(map[string]Policy, len(specs))
+	chosen := make(map[string]design, len(specs))
 	for name, spec := range specs {
-		p, err := newPolicy(b.policyName(spec))
+		d, err := findDesign(b.policyName(spec))
 		if err != nil {
 			return errors.Wrapf(err, "pool %s", name)
 		}
-		policies[name] = p
+		chosen[name] = d
 	}
 	old := *b.pools.Load()
 	next := make(map[string]*pool, len(specs))
@@ -100,7 +109,7 @@
 		if !ok {
 			p = newPool(name, b)
 		}
-		p.update(now, spec, b.policyName(spec), policies[name])
+		p.update(now, spec, b.policyName(spec), chosen[name])
 		next[name] = p
 	}
 	b.pools.Store(&next)
@@ -123,6 +132,22 @@
 	return p, ok
 }
 
+// hosts is the number of hosts that share a limit.
+func (b *Balancer) hosts() int {
+	if b.opts.Membership == nil {
+		return 1
+	}
+	return max(b.opts.Membership.ShareCount(), 1)
+}
+
+// distance is the time that the way to a failure domain adds.
+func (b *Balancer) distance(domain string) time.Duration {
+	if domain == "" || domain == b.opts.FailureDomain {
+		return 0
+	}
+	return b.opts.CrossDomain
+}
+
 // Pick chooses a target and counts the attempt as in flight. ok is false when
 // the pool is unknown or has no target left that may take new work.
 func (b *Balancer) Pick(q ports.PickQuery) (ports.Attempt, bool) {
@@ -145,10 +170,14 @@
 	return b.drains.mark(now, target)
 }
 
-// ProbeAnswered takes what a probe of a target showed: draining is true when
-// the answer carried the draining mark. A target that no longer says so takes
-// new work again once its mark is old enough.
-func (b *Balancer) ProbeAnswered(now time.Time, target netip.AddrPort, draining bool) {
+// Probed takes the answer of a probe: the value of endpoint-load-metrics, ""
+// when absent, and whether the answer carried the draining mark. A target that
+// no longer says that it leaves takes new work again once its mark is old
+// enough.
+func (b *Balancer) Probed(now time.Time, target netip.AddrPort, report string, draining bool) {
+	for _, p := range *b.pools.Load() {
+		p.probed(now, target, report)
+	}
 	if draining {
 		b.learnDrain(now, target)
 		return
@@ -171,6 +200,14 @@
 	State         string         `json:"state"`
 	// InFlight is the number of this host's requests at the target.
 	InFlight int `json:"in_flight"`
+	// Estimate is the expected number of all hosts' requests.
+	Estimate float64 `json:"estimate"`
+	// Trust is the say of the target's load reports, 0 to 1.
+	Trust float64 `json:"trust"`
+	// Latency is the smoothed latency.
+	Latency time.Duration `json:"latency"`
+	// FailureShare is the smoothed share of calls that failed.
+	FailureShare float64 `json:"failure_share"`
 }
 
 // States returns the targets of a pool in address order; nil when the pool is
--- /dev/null
+++ b/balance/health.go
@@ -0,0 +1,143 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/chestnutfield/chestnutfield/ports"
+)
+
+const (
+	// failWeight is the weight of one call in the failure share.
+	failWeight = 0.3
+	// failShare is the failure share from which a target is set aside, and
+	// failMargin its least distance from the pool's median.
+	failShare, failMargin = 0.5, 0.4
+	// slowFactor times the pool's median latency, and at least slowFloor, is
+	// the latency from which a target is set aside.
+	slowFactor = 4
+	slowFloor  = 20 * time.Millisecond
+	// slowSamples is the number of calls before a target counts as slow.
+	slowSamples = 3
+	// stuckFactor times the median latency, and at least stuckFloor, is the
+	// age of an unanswered call from which a target is set aside.
+	stuckFactor = 10
+	stuckFloor  = 250 * time.Millisecond
+	// asideFirst is the first time set aside, asidePerHost what each sharing
+	// host adds so that the hosts together try seldom, asideLongest the
+	// longest.
+	asideFirst   = time.Second
+	asidePerHost = 200 * time.Millisecond
+	asideLongest = 30 * time.Second
+	// trialSuccesses is the number of calls that end a trial.
+	trialSuccesses = slowSamples
+	// rampTime is the time from a first call to a full share, and rampStart
+	// the share at its start.
+	rampTime  = 5 * time.Second
+	rampStart = 0.1
+)
+
+// phase is the health of a target as this host sees it.
+type phase uint8
+
+const (
+	// ready: takes its full share, or a growing one while it ramps.
+	ready phase = iota
+	// aside: takes nothing until a time.
+	aside
+	// trial: takes one call at a time until some succeed.
+	trial
+)
+
+// health decides whether a target takes calls. It is pure.
+type health struct {
+	phase     phase
+	until     time.Time
+	rampFrom  time.Time
+	fails     float64
+	successes int
+	// times counts the times set aside without full recovery between.
+	times int
+}
+
+// typical is what the pool shows, for comparison.
+type typical struct {
+	latency, service time.Duration
+	fails            float64
+	// others is the mean number of other hosts' requests at a target.
+	others float64
+}
+
+// ended takes the end of a call.
+func (h *health) ended(v ports.Verdict) {
+	switch v {
+	case ports.Succeeded:
+		h.fails -= failWeight * h.fails
+		h.successes++
+	case ports.Failed, ports.Shed, ports.TimedOut:
+		h.fails += failWeight * (1 - h.fails)
+		h.successes = 0
+	}
+}
+
+// failing reports whether calls fail far more often than in the pool.
+func (h *health) failing(pool typical) bool {
+	return h.fails >= max(failShare, pool.fails+failMargin)
+}
+
+func slow(latency time.Duration, samples int, pool typical) bool {
+	return samples >= slowSamples && pool.latency > 0 &&
+		latency > max(slowFactor*pool.latency, slowFloor)
+}
+
+func stuck(oldest time.Duration, pool typical) bool {
+	return pool.latency > 0 && oldest > max(stuckFactor*pool.latency, stuckFloor)
+}
+
+// setAside takes the target out for a while that doubles with every time.
+func (h *health) setAside(now time.Time, hosts int, rng *rand.Rand) {
+	hold := max(asideFirst, time.Duration(hosts)*asidePerHost) << min(h.times, 5)
+	hold = time.Duration(float64(min(hold, asideLongest)) * (0.5 + rng.Float64()))
+	h.phase, h.until, h.successes = aside, now.Add(hold), 0
+	h.times++
+}
+
+// advance moves a target whose time is over into its trial.
+func (h *health) advance(now time.Time) {
+	switch {
+	case h.phase == aside && !now.Before(h.until):
+		h.phase, h.successes, h.fails = trial, 0, 0
+	case h.phase == ready && h.times > 0 && now.Sub(h.rampFrom) > 2*rampTime:
+		h.times = 0
+	}
+}
+
+// recover ends a trial that went well; it returns true when it did.
+func (h *health) recover(now time.Time) bool {
+	if h.phase != trial || h.successes < trialSuccesses {
+		return false
+	}
+	h.phase = ready
+	h.rampFrom = now
+	return true
+}
+
+// weight is the share of its normal calls that a target takes, 0 to 1.
+func (h *health) weight(now time.Time) float64 {
+	if h.rampFrom.IsZero() {
+		return 1
+	}
+	done := float64(now.Sub(h.rampFrom)) / float64(rampTime)
+	return min(max(done, rampStart), 1)
+}
+
+func (h *health) String() string {
+	switch h.phase {
+	case aside:
+		return "set-aside"
+	case trial:
+		return "trial"
+	default:
+		return "ready"
+	}
+}
--- a/balance/metrics.go
+++ b/balance/metrics.go
@@ -8,6 +8,7 @@
 	noTarget *prometheus.CounterVec
 	drains   prometheus.Counter
 	ended    *prometheus.CounterVec
+	setAside *prometheus.CounterVec
 }
 
 func newMetrics(reg prometheus.Registerer) (*metrics, error) {
@@ -24,11 +25,15 @@
 			Name: "chestnut_balance_attempts_total",
 			Help: "Attempts by pool and verdict.",
 		}, []string{"pool", "verdict"}),
+		setAside: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chestnut_balance_set_aside_total",
+			Help: "Times a target was set aside for failures or latency, by pool.",
+		}, []string{"pool"}),
 	}
 	if reg == nil {
 		return m, nil
 	}
-	for _, c := range []prometheus.Collector{m.noTarget, m.drains, m.ended} {
+	for _, c := range []prometheus.Collector{m.noTarget, m.drains, m.ended, m.setAside} {
 		if err := reg.Register(c); err != nil {
 			return nil, err
 		}
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/lo"
 
+	"github.com/chestnutfield/chestnutfield/load"
 	"github.com/chestnutfield/chestnutfield/ports"
 	"github.com/chestnutfield/chestnutfield/table"
 )
@@ -24,22 +25,21 @@
 	mu         sync.Mutex
 	slots      int
 	policyName string
+	subset     bool
 	policy     Policy
 	rng        *rand.Rand
 	// targets is sorted by address.
 	targets []*target
-	// candidates is scratch space of pick.
+	typical typical
+	// mine holds the subset of this host by position, nil for all targets.
+	mine []bool
+	// typicalAt and mineAt are when typical and mine were derived.
+	typicalAt, mineAt time.Time
+	// usable and candidates are scratch space of pick.
+	usable     []bool
 	candidates []Candidate
 }
 
-// target is what a shard knows of one target.
-type target struct {
-	addr     netip.AddrPort
-	domain   string
-	drained  bool
-	inFlight int
-}
-
 func newPool(name string, owner *Balancer) *pool {
 	key := xxhash.Sum64String(owner.opts.Host + "/" + name)
 	p := &pool{
@@ -60,7 +60,8 @@
 }
 
 // update takes over a new spec and keeps what is known of targets that stay.
-func (p *pool) update(_ time.Time, spec PoolSpec, policyName string, fresh Policy) {
+// Targets that join a pool which had some start with a small share.
+func (p *pool) update(now time.Time, spec PoolSpec, policyName string, d design) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.slots = spec.Slots
@@ -68,44 +69,52 @@
 		p.slots = DefaultSlots
 	}
 	if p.policyName != policyName {
-		p.policyName, p.policy = policyName, fresh
+		p.policyName, p.policy, p.subset = policyName, d.build(), d.subset
 	}
 	known := lo.KeyBy(p.targets, func(t *target) netip.AddrPort { return t.addr })
 	unique := lo.UniqBy(spec.Targets, func(t table.Target) netip.AddrPort { return t.Addr })
 	p.targets = lo.Map(unique, func(s table.Target, _ int) *target {
 		t, ok := known[s.Addr]
 		if !ok {
-			t = &target{addr: s.Addr}
+			t = &target{addr: s.Addr, know: load.NewKnowledge(p.slots)}
+			if len(known) > 0 {
+				t.health.rampFrom = now
+			}
 		}
-		t.domain = s.FailureDomain
+		t.know.Slots = p.slots
+		t.domain, t.network = s.FailureDomain, p.owner.distance(s.FailureDomain)
 		t.drained = slices.Contains(spec.Drain, s.Addr)
 		return t
 	})
 	slices.SortFunc(p.targets, func(a, b *target) int { return a.addr.Compare(b.addr) })
+	p.typicalAt, p.mineAt = time.Time{}, time.Time{}
 }
 
 func (p *pool) pick(q ports.PickQuery) (*attempt, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.collect(q)
-	if len(p.candidates) == 0 {
+	p.refresh(q.Now)
+	t := p.choose(q)
+	if t == nil {
 		return nil, false
 	}
-	i := p.policy.Choose(q.Now, p.candidates, p.rng)
-	t := p.targets[p.candidates[i].Position]
-	t.inFlight++
-	return &attempt{pool: p, target: t, sent: q.Now}, true
+	a := &attempt{pool: p, target: t, sent: q.Now}
+	t.send(q.Now, a, t.know.Estimate(q.Now, p.typical.others))
+	return a, true
 }
 
-// collect fills p.candidates with the targets that may take the request.
-func (p *pool) collect(q ports.PickQuery) {
-	p.candidates = p.candidates[:0]
-	for i, t := range p.targets {
-		if p.leaving(q.Now, t) || slices.Contains(q.Exclude, t.addr) {
-			continue
-		}
-		p.candidates = append(p.candidates, Candidate{Addr: t.addr, Position: i, Own: t.inFlight})
+// choose returns the target of a request, nil when there is none.
+func (p *pool) choose(q ports.PickQuery) *target {
+	p.mark(q.Now)
+	if t := p.trialTarget(q); t != nil {
+		return t
 	}
+	p.collect(q)
+	if len(p.candidates) == 0 {
+		return nil
+	}
+	i := p.policy.Choose(q.Now, p.candidates, p.rng)
+	return p.targets[p.candidates[i].Position]
 }
 
 func (p *pool) leaving(now time.Time, t *target) bool {
@@ -121,17 +130,75 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	a.target.inFlight--
+	p.refresh(now)
+	t := a.target
+	t.end(now, a, d, p.typical)
+	p.judge(now, t)
+	if d.LoadReport != "" {
+		p.observe(now, t)
+	}
+}
+
+// judge sets a target aside that fails or lags behind its pool, and ends a
+// trial that went well.
+func (p *pool) judge(now time.Time, t *target) {
+	if t.health.phase == aside {
+		return
+	}
+	slowNow := slow(t.know.Latency(), t.know.Samples(), p.typical)
+	if t.health.failing(p.typical) || slowNow || stuck(t.oldest(now), p.typical) {
+		p.setAside(now, t)
+		return
+	}
+	t.health.recover(now)
+}
+
+func (p *pool) setAside(now time.Time, t *target) {
+	t.health.setAside(now, p.owner.hosts(), p.rng)
+	t.know.ForgetLatency()
+	p.owner.metrics.setAside.WithLabelValues(p.name).Inc()
+}
+
+// observe shows the last report of a target to a policy that learns.
+func (p *pool) observe(now time.Time, t *target) {
+	o, ok := p.policy.(Observer)
+	n, age := t.know.Reported(now)
+	if !ok || n == load.Absent || age > 0 || t.know.Trust() < 0.5 {
+		return
+	}
+	o.Observe(Answer{Addr: t.addr, At: now, InFlight: n, Latency: t.know.Latency()})
+}
+
+// probed takes the load report of a probe.
+func (p *pool) probed(now time.Time, addr netip.AddrPort, report string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t := p.find(addr); t != nil && report != "" {
+		t.report(now, report)
+		p.observe(now, t)
+	}
+}
+
+func (p *pool) find(addr netip.AddrPort) *target {
+	i, ok := slices.BinarySearchFunc(p.targets, addr, func(t *target, a netip.AddrPort) int { return t.addr.Compare(a) })
+	if !ok {
+		return nil
+	}
+	return p.targets[i]
 }
 
 func (p *pool) states(now time.Time) []TargetState {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return lo.Map(p.targets, func(t *target, _ int) TargetState {
-		state := "ready"
+		state := t.stateName(now)
 		if p.leaving(now, t) {
 			state = "leaving"
 		}
-		return TargetState{Addr: t.addr, FailureDomain: t.domain, State: state, InFlight: t.inFlight}
+		return TargetState{
+			Addr: t.addr, FailureDomain: t.domain, State: state, InFlight: t.know.Own,
+			Estimate: t.know.Estimate(now, p.typical.others), Trust: t.know.Trust(),
+			Latency: t.know.Latency(), FailureShare: t.health.fails,
+		}
 	})
 }
--- /dev/null
+++ b/balance/target.go
@@ -0,0 +1,72 @@
+package balance
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/chestnutfield/chestnutfield/load"
+	"github.com/chestnutfield/chestnutfield/ports"
+)
+
+// target is what a shard knows of one target.
+type target struct {
+	addr    netip.AddrPort
+	domain  string
+	drained bool
+	network time.Duration
+	know    *load.Knowledge
+	health  health
+	// open holds the attempts in flight, oldest first.
+	open []*attempt
+}
+
+// oldest returns the age of the oldest attempt in flight.
+func (t *target) oldest(now time.Time) time.Duration {
+	if len(t.open) == 0 {
+		return 0
+	}
+	return now.Sub(t.open[0].sent)
+}
+
+// send counts an attempt.
+func (t *target) send(now time.Time, a *attempt, estimate float64) {
+	a.queue = estimate
+	a.claimed = t.know.Sent(now)
+	t.open = append(t.open, a)
+}
+
+// end takes the end of an attempt.
+func (t *target) end(now time.Time, a *attempt, d ports.Feedback, pool typical) {
+	t.know.Ended()
+	t.open = slices.DeleteFunc(t.open, func(o *attempt) bool { return o == a })
+	t.health.ended(d.Verdict)
+	switch d.Verdict {
+	case ports.Succeeded:
+		t.know.Answered(now, d.Latency, a.queue, a.claimed, pool.service)
+	case ports.Shed:
+		t.know.Full(now)
+	}
+	t.report(now, d.LoadReport)
+}
+
+// report takes a load report, "" when there is none.
+func (t *target) report(now time.Time, s string) {
+	if s == "" {
+		return
+	}
+	r, err := load.Parse(s)
+	if err != nil {
+		t.know.BadReport()
+		return
+	}
+	t.know.Report(now, r)
+}
+
+// stateName describes the target for status pages.
+func (t *target) stateName(now time.Time) string {
+	if t.health.phase == ready && t.health.weight(now) < 1 {
+		return "ramping"
+	}
+	return t.health.String()
+}
--- a/load/parse.go
+++ b/load/parse.go
@@ -45,8 +45,8 @@
 
 // Report is one load report of a target.
 type Report struct {
-	// InFlight is the number of requests at the target, queued ones
-	// included, Absent when not reported.
+	// InFlight is the number of requests that hold a slot, Absent when not
+	// reported.
 	InFlight int
 	// Queued is the number of requests that wait for a slot, Absent when not
 	// reported.
@@ -60,12 +60,13 @@
 	return r.InFlight == Absent && r.Queued == Absent && r.Utilization < 0
 }
 
-// Count returns the best in-flight number that the report supports for a
-// target with the given number of slots; ok is false when there is none.
+// Count returns the number of requests at the target, queued ones included,
+// that the report supports for the given number of slots; ok is false when
+// there is none.
 func (r Report) Count(slots int) (n int, ok bool) {
 	switch {
 	case r.InFlight != Absent:
-		return max(r.InFlight, r.Queued), true
+		return r.InFlight + max(r.Queued, 0), true
 	case r.Utilization >= 0:
 		return int(math.Round(r.Utilization * float64(slots))), true
 	case r.Queued > 0:
--- /dev/null
+++ b/load/trust.go
@@ -0,0 +1,52 @@
+package load
+
+const (
+	// trustWeight is the weight of one call in the mean ratio.
+	trustWeight = 0.1
+	// ratioCap bounds one ratio of seen to predicted latency.
+	ratioCap = 10
+	// A mean ratio up to ratioGood keeps full trust, from ratioBad on none.
+	ratioGood, ratioBad = 2.0, 4.0
+	// ratioLow is the mean ratio below which trust falls in proportion.
+	ratioLow = 0.4
+	// lieFactor and honestGain move the honesty of counts.
+	lieFactor, honestGain = 0.7, 0.02
+)
+
+// trust is the say of the reports of one target, from what calls show.
+type trust struct {
+	// ratio is the mean of seen over predicted latency.
+	ratio float64
+	// honesty falls with reports that can't be true.
+	honesty float64
+}
+
+func fullTrust() trust { return trust{ratio: 1, honesty: 1} }
+
+// checkCount compares a reported number with this host's own requests: one of
+// them may not have arrived yet, more missing is a contradiction.
+func (t *trust) checkCount(reported, own int) {
+	if reported+1 < own {
+		t.lower()
+		return
+	}
+	t.honesty = min(t.honesty+honestGain, 1)
+}
+
+func (t *trust) lower() { t.honesty *= lieFactor }
+
+// checkLatency takes one ratio of seen to predicted latency.
+func (t *trust) checkLatency(ratio float64) {
+	t.ratio += trustWeight * (min(ratio, ratioCap) - t.ratio)
+}
+
+func (t *trust) value() float64 {
+	fit := 1.0
+	switch {
+	case t.ratio > ratioGood:
+		fit = max((ratioBad-t.ratio)/(ratioBad-ratioGood), 0)
+	case t.ratio < ratioLow:
+		fit = t.ratio / ratioLow
+	}
+	return fit * t.honesty
+}
