probe: probes in turns, within one budget of all hosts

Cause: a share of the budget a host with a burst each would exceed the budget by the number of hosts whenever they probe at once.

Change: time is cut into slots that the hosts take in turn by their place in the membership; Scheduler is pure, Prober asks over a connection of its own with a timeout and no repeats.

Checked by property tests: hosts that agree never exceed the budget in any second (1-60 hosts, budgets 1-40); hosts that disagree, with shares no lower than their number, exceed it by at most one probe each.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -170,21 +170,6 @@
 	return b.drains.mark(now, target)
 }
 
-// Probed takes the answer of a probe: the value of endpoint-load-metrics, ""
-// when absent, and whether the answer carried the draining mark. A target that
-// no longer says that it leaves takes new work again once its mark is old
-// enough.
-func (b *Balancer) Probed(now time.Time, target netip.AddrPort, report string, draining bool) {
-	for _, p := range *b.pools.Load() {
-		p.probed(now, target, report)
-	}
-	if draining {
-		b.learnDrain(now, target)
-		return
-	}
-	b.drains.clear(now, target)
-}
-
 // learnDrain records what an answer said of its target and passes news on.
 func (b *Balancer) learnDrain(now time.Time, target netip.AddrPort) {
 	if b.drains.mark(now, target) && b.opts.OnDrain != nil {
--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/chestnutfield/chestnutfield/balance"
 	"github.com/chestnutfield/chestnutfield/ports"
+	"github.com/chestnutfield/chestnutfield/probe"
 	"github.com/chestnutfield/chestnutfield/table"
 )
 
@@ -146,10 +147,10 @@
 	It("lifts a mark by a probe only after the hold, and by age without probes", func() {
 		b := newBalancer(balance.Options{}, balance.PoolSpec{Targets: targets(1)})
 		state := func(at time.Duration) string { return b.States(start.Add(at), "p")[0].State }
-		b.Probed(start, addr(0), "", true)
-		b.Probed(start.Add(29*time.Second), addr(0), "", false)
+		b.Probed(start, addr(0), probe.Answer{Draining: true})
+		b.Probed(start.Add(29*time.Second), addr(0), probe.Answer{})
 		Expect(state(29*time.Second)).To(Equal("leaving"), "a health endpoint lags")
-		b.Probed(start.Add(30*time.Second), addr(0), "", false)
+		b.Probed(start.Add(30*time.Second), addr(0), probe.Answer{})
 		Expect(state(30 * time.Second)).To(Equal("ready"))
 		b.Leaving(start, addr(0))
 		Expect(state(10 * time.Minute)).To(Equal("leaving"))
--- a/balance/drain.go
+++ b/balance/drain.go
@@ -47,6 +47,14 @@
 	return ok && now.Sub(at) <= drainTTL
 }
 
+// held reports whether a mark is old enough to be lifted by a probe.
+func (d *drains) held(now time.Time, target netip.AddrPort) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	at, ok := d.marked[target]
+	return ok && now.Sub(at) >= drainHold
+}
+
 // clear lifts the mark of a target that answered a probe without the draining
 // mark, once drainHold has passed.
 func (d *drains) clear(now time.Time, target netip.AddrPort) {
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -35,6 +35,8 @@
 	mine []bool
 	// typicalAt and mineAt are when typical and mine were derived.
 	typicalAt, mineAt time.Time
+	// lastPick is the time of the last request.
+	lastPick time.Time
 	// usable and candidates are scratch space of pick.
 	usable     []bool
 	candidates []Candidate
@@ -94,6 +96,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.refresh(q.Now)
+	p.lastPick = q.Now
 	t := p.choose(q)
 	if t == nil {
 		return nil, false
@@ -169,16 +172,6 @@
 	o.Observe(Answer{Addr: t.addr, At: now, InFlight: n, Latency: t.know.Latency()})
 }
 
-// probed takes the load report of a probe.
-func (p *pool) probed(now time.Time, addr netip.AddrPort, report string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if t := p.find(addr); t != nil && report != "" {
-		t.report(now, report)
-		p.observe(now, t)
-	}
-}
-
 func (p *pool) find(addr netip.AddrPort) *target {
 	i, ok := slices.BinarySearchFunc(p.targets, addr, func(t *target, a netip.AddrPort) int { return t.addr.Compare(a) })
 	if !ok {
--- a/balance/trial_test.go
+++ b/balance/trial_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/chestnutfield/chestnutfield/balance"
 	"github.com/chestnutfield/chestnutfield/ports"
+	"github.com/chestnutfield/chestnutfield/probe"
 )
 
 // The trial drives the decisions of 18 hosts against 12 queueing targets under
@@ -129,7 +130,7 @@
 				target := addr(t.rng.IntN(12))
 				tt := t.targets[target.String()]
 				report := fmt.Sprintf("TEXT named_metrics.in_flight=%d, named_metrics.queued=%d", tt.running, len(tt.queue))
-				t.after(time.Millisecond, func() { b.Probed(t.time(), target, report, false) })
+				t.after(time.Millisecond, func() { b.Probed(t.time(), target, probe.Answer{Report: report}) })
 			})
 		}
 	}
--- /dev/null
+++ b/probe/http.go
@@ -0,0 +1,62 @@
+package probe
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/chestnutfield/chestnutfield/load"
+)
+
+// The headers of an answer that a probe reads.
+const (
+	reportHeader   = "endpoint-load-metrics"
+	drainingHeader = "Chestnut-Draining"
+)
+
+// maxProbeConns is the number of connections to one target.
+const maxProbeConns = 1
+
+// httpAsker asks over connections of its own, one to each target.
+type httpAsker struct {
+	client *fasthttp.Client
+}
+
+func newHTTPAsker(timeout time.Duration) *httpAsker {
+	return &httpAsker{client: &fasthttp.Client{
+		Name:                "chestnutfield-probe",
+		MaxConnsPerHost:     maxProbeConns,
+		ReadTimeout:         timeout,
+		WriteTimeout:        timeout,
+		MaxResponseBodySize: load.MaxReportBytes,
+		RetryIfErr:          func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}}
+}
+
+// Ask sends one GET and reads the report from the header or the body.
+func (h *httpAsker) Ask(ctx context.Context, addr netip.AddrPort, path string) Answer {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + addr.String() + path)
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(defaultTimeout)
+	}
+	if err := h.client.DoDeadline(req, resp, deadline); err != nil {
+		return Answer{Failed: true}
+	}
+	a := Answer{
+		Report:   string(resp.Header.Peek(reportHeader)),
+		Draining: string(resp.Header.Peek(drainingHeader)) == "1",
+		Failed:   resp.StatusCode() >= http.StatusInternalServerError,
+	}
+	if a.Report == "" && resp.StatusCode() == http.StatusOK {
+		a.Report = strings.TrimSpace(string(resp.Body()))
+	}
+	return a
+}
--- /dev/null
+++ b/probe/probe_test.go
@@ -0,0 +1,170 @@
+package probe_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
+	"pgregory.net/rapid"
+
+	"github.com/chestnutfield/chestnutfield/probe"
+)
+
+func TestProbe(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "probe")
+}
+
+var (
+	start = time.Date(2026, 12, 3, 12, 0, 0, 0, time.UTC)
+	addr  = netip.MustParseAddrPort("127.0.0.1:9001")
+)
+
+type members []string
+
+func (m members) Hosts() []string { return m }
+func (m members) ShareCount() int { return len(m) }
+
+func hostNames(n int) members {
+	return lo.Times(n, func(i int) string { return fmt.Sprintf("entry-%03d", i) })
+}
+
+// sentBy lets hosts use every slot that is open and returns the times.
+func sentBy(views []probe.View, budget float64, span, step time.Duration) (sent []time.Duration) {
+	schedulers := lo.Times(len(views), func(int) *probe.Scheduler { return probe.NewScheduler() })
+	target := probe.Target{Addr: addr, Budget: budget}
+	for at := time.Duration(0); at < span; at += step {
+		for i, v := range views {
+			if open, _ := schedulers[i].Open(start.Add(at), v, target); open {
+				schedulers[i].Probed(start.Add(at), addr)
+				sent = append(sent, at)
+			}
+		}
+	}
+	return sent
+}
+
+// TestBudgetInEverySecond: hosts that agree never exceed the budget.
+func TestBudgetInEverySecond(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 60).Draw(t, "hosts")
+		extra := rapid.IntRange(0, 20).Draw(t, "share above hosts")
+		budget := float64(rapid.IntRange(1, 40).Draw(t, "budget"))
+		names := hostNames(n)
+		views := lo.Map(names, func(h string, _ int) probe.View { return probe.NewView(h, names, n+extra) })
+		sent := sentBy(views, budget, 5*time.Second, 3*time.Millisecond)
+		for i, at := range sent {
+			j, _ := slices.BinarySearch(sent, at+time.Second)
+			if float64(j-i) > budget {
+				t.Fatalf("%d probes in the second from %v, budget %g", j-i, at, budget)
+			}
+		}
+	})
+}
+
+// TestBudgetWhileHostsDisagree: with shares no lower than the number of hosts
+// the excess is at most one probe a host.
+func TestBudgetWhileHostsDisagree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 40).Draw(t, "hosts")
+		budget := float64(rapid.IntRange(1, 40).Draw(t, "budget"))
+		views := lo.Times(n, func(int) probe.View {
+			share := n + rapid.IntRange(0, 30).Draw(t, "extra")
+			return probe.View{Index: rapid.IntRange(0, share-1).Draw(t, "index"), Share: share}
+		})
+		const span = 4
+		sent := sentBy(views, budget, span*time.Second, 3*time.Millisecond)
+		if float64(len(sent)) > budget*span+float64(n) {
+			t.Fatalf("%d probes in %d s of %d hosts, budget %g", len(sent), span, n, budget)
+		}
+	})
+}
+
+type source struct {
+	mu      sync.Mutex
+	want    probe.Want
+	answers []probe.Answer
+}
+
+func (s *source) Wants(time.Time, string, netip.AddrPort) probe.Want { return s.want }
+
+func (s *source) Probed(_ time.Time, _ netip.AddrPort, a probe.Answer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers = append(s.answers, a)
+}
+
+func (s *source) got() []probe.Answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.answers)
+}
+
+var _ = Describe("Scheduler", func() {
+	It("uses most of the budget and keeps it while hosts join and leave", func() {
+		names := hostNames(18)
+		views := lo.Map(names, func(h string, _ int) probe.View { return probe.NewView(h, names, 18) })
+		Expect(len(sentBy(views, 20, 10*time.Second, time.Millisecond))).To(BeNumerically(">=", 180))
+		s, target, sent := probe.NewScheduler(), probe.Target{Addr: addr, Budget: 20}, 0
+		for ms := range 10_000 {
+			now, hosts := start.Add(time.Duration(ms)*time.Millisecond), hostNames(10+ms/100%9)
+			if open, _ := s.Open(now, probe.NewView("entry-004", hosts, len(hosts)), target); open {
+				s.Probed(now, addr)
+				sent++
+			}
+		}
+		Expect(sent).To(BeNumerically("<=", 20))
+	})
+
+	It("sends nothing for a host that isn't listed or without a budget", func() {
+		Expect(sentBy([]probe.View{probe.NewView("x", hostNames(2), 2)}, 20, time.Second, time.Millisecond)).To(BeEmpty())
+		Expect(sentBy([]probe.View{{Share: 1}}, 0, time.Second, time.Millisecond)).To(BeEmpty())
+	})
+})
+
+var _ = Describe("Prober", func() {
+	DescribeTable("asks over HTTP for what is wanted",
+		func(want probe.Want, answer probe.Answer) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/health" {
+					w.Header().Set("Chestnut-Draining", "1")
+					w.WriteHeader(http.StatusServiceUnavailable)
+				}
+				_, _ = fmt.Fprintln(w, "TEXT named_metrics.in_flight=1")
+			}))
+			defer server.Close()
+			s, clock := &source{want: want}, clockwork.NewFakeClockAt(start)
+			p, err := probe.New(probe.Options{Host: "entry-000", Membership: hostNames(1), Source: s, Clock: clock})
+			Expect(err).NotTo(HaveOccurred())
+			p.Update([]probe.Target{{
+				Pool: "p", Addr: netip.MustParseAddrPort(server.Listener.Addr().String()),
+				Budget: 20, LoadPath: "/load", HealthPath: "/health",
+			}})
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				p.Run(ctx)
+			}()
+			for len(s.got()) == 0 {
+				Expect(clock.BlockUntilContext(ctx, 1)).To(Succeed())
+				clock.Advance(5 * time.Millisecond)
+			}
+			cancel()
+			<-done
+			Expect(s.got()[0]).To(Equal(answer))
+		},
+		Entry("load", probe.Load, probe.Answer{Report: "TEXT named_metrics.in_flight=1"}),
+		Entry("health", probe.Health, probe.Answer{Draining: true, Failed: true}),
+	)
+})
--- /dev/null
+++ b/probe/prober.go
@@ -0,0 +1,226 @@
+package probe
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/lo"
+
+	"github.com/chestnutfield/chestnutfield/ports"
+)
+
+// Want is what is worth asking of a target.
+type Want uint8
+
+// The wants.
+const (
+	// Nothing: an answer would teach nothing.
+	Nothing Want = iota
+	// Load: its load report is old.
+	Load
+	// Health: it is set aside or leaving.
+	Health
+)
+
+// String returns the want as metric labels spell it.
+func (w Want) String() string {
+	switch w {
+	case Load:
+		return "load"
+	case Health:
+		return "health"
+	default:
+		return "nothing"
+	}
+}
+
+// Answer is what a probe showed.
+type Answer struct {
+	// Report is the load report, "" when there is none.
+	Report string
+	// Draining is true when the answer carried the draining mark.
+	Draining bool
+	// Failed is true without an answer, or with one of 500 or above.
+	Failed bool
+}
+
+// Source decides what is worth asking and takes the answers.
+type Source interface {
+	Wants(now time.Time, pool string, addr netip.AddrPort) Want
+	Probed(now time.Time, addr netip.AddrPort, a Answer)
+}
+
+// Asker does one probe.
+type Asker interface {
+	Ask(ctx context.Context, addr netip.AddrPort, path string) Answer
+}
+
+const (
+	// defaultTimeout bounds one probe.
+	defaultTimeout = 500 * time.Millisecond
+	// longestNap is the longest time between two looks at the schedule.
+	longestNap = 250 * time.Millisecond
+	// shortestNap bounds the processor time spent on the schedule.
+	shortestNap = 5 * time.Millisecond
+)
+
+// Options configure a Prober.
+type Options struct {
+	Host       string
+	Membership ports.Membership
+	Source     Source
+	// Asker does the probes; nil selects HTTP over connections of its own.
+	Asker Asker
+	// Timeout bounds one probe; 0 selects half a second.
+	Timeout time.Duration
+	// Clock gives the time; nil selects the real clock.
+	Clock clockwork.Clock
+	// Registerer takes the metrics; nil keeps none.
+	Registerer prometheus.Registerer
+}
+
+// Prober probes targets in the slots of this host.
+type Prober struct {
+	opts   Options
+	probes *prometheus.CounterVec
+
+	mu        sync.Mutex
+	targets   []Target
+	scheduler *Scheduler
+	running   map[netip.AddrPort]bool
+}
+
+// New returns a prober without targets.
+func New(o Options) (*Prober, error) {
+	if o.Membership == nil || o.Source == nil || o.Host == "" {
+		return nil, errors.New("probe: Host, Membership and Source are required")
+	}
+	if o.Timeout <= 0 {
+		o.Timeout = defaultTimeout
+	}
+	if o.Asker == nil {
+		o.Asker = newHTTPAsker(o.Timeout)
+	}
+	if o.Clock == nil {
+		o.Clock = clockwork.NewRealClock()
+	}
+	p := &Prober{
+		opts: o, scheduler: NewScheduler(), running: map[netip.AddrPort]bool{},
+		probes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chestnut_probes_total",
+			Help: "Probes sent by pool, kind and result.",
+		}, []string{"pool", "kind", "result"}),
+	}
+	if o.Registerer != nil {
+		if err := o.Registerer.Register(p.probes); err != nil {
+			return nil, errors.Wrap(err, "metrics of probe")
+		}
+	}
+	return p, nil
+}
+
+// Update sets the targets. A target in several pools is probed for the first
+// with a budget, with the lowest budget among them.
+func (p *Prober) Update(targets []Target) {
+	unique := map[netip.AddrPort]Target{}
+	for _, t := range targets {
+		if t.Budget <= 0 {
+			continue
+		}
+		if known, ok := unique[t.Addr]; ok {
+			known.Budget = min(known.Budget, t.Budget)
+			unique[t.Addr] = known
+			continue
+		}
+		unique[t.Addr] = t
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.targets = lo.Values(unique)
+	p.scheduler.Retain(p.targets)
+}
+
+// Run probes until the context ends and the running probes have.
+func (p *Prober) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		now := p.opts.Clock.Now()
+		due, nap := p.due(now)
+		for _, d := range due {
+			wg.Go(func() { p.ask(ctx, d) })
+		}
+		timer := p.opts.Clock.NewTimer(nap)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.Chan():
+		}
+	}
+}
+
+// job is a probe to do now.
+type job struct {
+	Target
+	want Want
+	path string
+}
+
+// due returns the probes to do now and the time until the next look.
+func (p *Prober) due(now time.Time) (due []job, nap time.Duration) {
+	view := NewView(p.opts.Host, p.opts.Membership.Hosts(), p.opts.Membership.ShareCount())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	nap = longestNap
+	for _, t := range p.targets {
+		open, next := p.scheduler.Open(now, view, t)
+		nap = min(nap, next.Sub(now))
+		if !open || p.running[t.Addr] {
+			continue
+		}
+		j := job{Target: t, want: p.opts.Source.Wants(now, t.Pool, t.Addr)}
+		if j.path = j.choosePath(); j.path == "" {
+			continue
+		}
+		p.scheduler.Probed(now, t.Addr)
+		p.running[t.Addr] = true
+		due = append(due, j)
+	}
+	return due, max(nap, shortestNap)
+}
+
+// choosePath returns the path to ask, "" for none.
+func (j *job) choosePath() string {
+	switch j.want {
+	case Load:
+		return j.LoadPath
+	case Health:
+		if j.HealthPath != "" {
+			return j.HealthPath
+		}
+		return j.LoadPath
+	default:
+		return ""
+	}
+}
+
+func (p *Prober) ask(ctx context.Context, j job) {
+	ctx, cancel := context.WithTimeout(ctx, p.opts.Timeout)
+	defer cancel()
+	answer := p.opts.Asker.Ask(ctx, j.Addr, j.path)
+	result := "answered"
+	if answer.Failed {
+		result = "failed"
+	}
+	p.probes.WithLabelValues(j.Pool, j.want.String(), result).Inc()
+	p.opts.Source.Probed(p.opts.Clock.Now(), j.Addr, answer)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.running, j.Addr)
+}
