config: versions come into force on every host and never fall

Cause: an accepted version must be in force on all hosts within 12 s, by few reads of the table service, through outages of the stores and cuts between regions, and no host may go back. Change: config.Keeper over a pure core. A start collects for 3 s when the table service does not answer and takes nothing older than what it learned of, for up to 30 s.

--- /dev/null
+++ b/config/keeper_test.go
@@ -0,0 +1,189 @@
+package config
+
+import (
+	"context"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/chestnutfield/chestnutfield/config/command"
+	"github.com/chestnutfield/chestnutfield/config/rows"
+	"github.com/chestnutfield/chestnutfield/platform/fake"
+	"github.com/chestnutfield/chestnutfield/table"
+)
+
+// neighbours are peers that are other Keepers.
+type neighbours map[string]*Keeper
+
+func (n neighbours) Versions() []PeerVersion {
+	var out []PeerVersion
+	for name, k := range n {
+		_, v := k.Encoded()
+		out = append(out, PeerVersion{Host: name, Version: v})
+	}
+	return out
+}
+
+func (n neighbours) FetchTables(_ context.Context, from string, _ uint64) ([]byte, uint64, error) {
+	k, ok := n[from]
+	if !ok {
+		return nil, 0, errors.New("no such peer")
+	}
+	packed, v := k.Encoded()
+	return packed, v, nil
+}
+
+var _ = Describe("Keeper", func() {
+	var (
+		clock   *clockwork.FakeClock
+		store   *fake.Table
+		objects *fake.Objects
+		ctx     context.Context
+	)
+	BeforeEach(func() {
+		clock, store, objects = clockwork.NewFakeClock(), fake.NewTable(), fake.NewObjects()
+		ctx = context.Background()
+	})
+	// run starts a Keeper and stops it at the end of the spec.
+	run := func(name string, peers Peers) *Keeper {
+		k := New(Options{Host: name, Store: store, Objects: objects, Peers: peers, Clock: clock, Metrics: prometheus.NewRegistry()})
+		runCtx, cancel := context.WithCancel(ctx)
+		done := make(chan struct{})
+		go func() { defer close(done); _ = k.Run(runCtx) }()
+		DeferCleanup(func() { cancel(); <-done })
+		return k
+	}
+	apply := func(k *Keeper, id, pool string) uint64 {
+		GinkgoHelper()
+		c := command.New(command.Options{Store: store, Accepted: k.Accepted})
+		res := c.Do(ctx, command.Request{Table: rows.Pools, Operation: rows.Apply, File: "pools.ini", ChangeID: id,
+			Data: []byte("[" + pool + "]\nservice = s\n")})
+		Expect(res.State).To(Equal(command.Accepted))
+		return res.Version
+	}
+	version := func(k *Keeper) func() uint64 { return func() uint64 { return k.Current().Version } }
+
+	It("is ready with empty tables in a fresh deployment", func() {
+		k := run("one", nil)
+		Eventually(k.Ready()).Should(BeClosed())
+		Expect(k.Current()).To(Equal(table.Empty()))
+		Expect(k.Status()).To(Equal(Status{Ready: true, Source: "store", StoreReachable: true}))
+	})
+
+	It("has its own accepted change in force at once", func() {
+		k := run("one", nil)
+		Eventually(k.Ready()).Should(BeClosed())
+		Expect(apply(k, "change-one", "a")).To(Equal(uint64(1)))
+		Expect(k.Current().Pools).To(HaveKey("a"))
+	})
+
+	It("learns of a version by polling, and tells subscribers", func() {
+		first := run("one", nil)
+		Eventually(first.Ready()).Should(BeClosed())
+		second := New(Options{Host: "two", Store: store, Objects: objects, Clock: clock})
+		seen := make(chan uint64, 10)
+		second.Subscribe(func(t *table.Tables) { seen <- t.Version })
+		runCtx, cancel := context.WithCancel(ctx)
+		DeferCleanup(cancel)
+		go func() { _ = second.Run(runCtx) }()
+		Eventually(seen).Should(Receive(Equal(uint64(0))))
+		apply(first, "change-one", "a")
+		Eventually(func() uint64 { clock.Advance(MinPoll); return second.Current().Version }).Should(Equal(uint64(1)))
+		Eventually(seen).Should(Receive(Equal(uint64(1))))
+	})
+
+	It("starts from a peer while both stores are down", func() {
+		first := run("one", nil)
+		Eventually(first.Ready()).Should(BeClosed())
+		apply(first, "change-one", "a")
+		store.SetDown(true)
+		objects.SetDown(true)
+		second := run("two", neighbours{"one": first})
+		Eventually(func() uint64 { clock.Advance(DefaultStartWait); return second.Current().Version }).Should(Equal(uint64(1)))
+		Expect(second.Status().Source).To(Equal("peer one"))
+		Expect(second.Status().StoreReachable).To(BeFalse())
+	})
+
+	It("starts from the snapshot while the table service is down and no peer is known", func() {
+		first := run("one", nil)
+		Eventually(first.Ready()).Should(BeClosed())
+		apply(first, "change-one", "a")
+		Expect(first.syncSnapshot(ctx)).To(Succeed())
+		store.SetDown(true)
+		second := run("two", nil)
+		Eventually(func() uint64 { clock.Advance(DefaultStartWait); return second.Current().Version }).Should(Equal(uint64(1)))
+		Expect(second.Status().Source).To(Equal("snapshot"))
+	})
+
+	It("keeps what it has when it is cut off, and says so", func() {
+		k := run("one", nil)
+		Eventually(k.Ready()).Should(BeClosed())
+		apply(k, "change-one", "a")
+		store.SetDown(true)
+		objects.SetDown(true)
+		Eventually(func() bool { clock.Advance(MaxPoll); return k.Status().StoreReachable }).Should(BeFalse())
+		Expect(k.Status().SinceStoreContact).To(BeNumerically(">=", MaxPoll))
+		Expect(version(k)()).To(Equal(uint64(1)))
+	})
+
+	It("fetches from the peer whose news it hears while the table service is down", func() {
+		first := run("one", nil)
+		Eventually(first.Ready()).Should(BeClosed())
+		second := run("two", neighbours{"one": first})
+		Eventually(second.Ready()).Should(BeClosed())
+		apply(first, "change-one", "a")
+		store.SetDown(true)
+		second.Heard("one", 1)
+		Eventually(version(second)).Should(Equal(uint64(1)))
+	})
+})
+
+var _ = Describe("Snapshots", func() {
+	ctx := context.Background()
+	pack := func(version uint64) []byte {
+		GinkgoHelper()
+		t := table.Empty()
+		t.Version = version
+		packed, err := table.Encode(t)
+		Expect(err).NotTo(HaveOccurred())
+		return packed
+	}
+
+	It("never points back", func() {
+		objects := fake.NewObjects()
+		Expect(publishSnapshot(ctx, objects, 5, pack(5))).To(Succeed())
+		Expect(publishSnapshot(ctx, objects, 4, pack(4))).To(Succeed())
+		Expect(pointedSnapshot(ctx, objects)).To(Equal(uint64(5)))
+	})
+
+	It("is found past a pointer that a slow writer set back", func() {
+		objects := fake.NewObjects()
+		for v := uint64(3); v <= 5; v++ {
+			Expect(publishSnapshot(ctx, objects, v, pack(v))).To(Succeed())
+		}
+		Expect(objects.Put(ctx, rows.LatestObject, rows.FormatLatest(3))).To(Succeed())
+		Expect(latestSnapshot(ctx, objects)).To(Equal(uint64(5)))
+		Expect(publishSnapshot(ctx, objects, 5, pack(5))).To(Succeed())
+		Expect(pointedSnapshot(ctx, objects)).To(Equal(uint64(5)))
+	})
+
+	It("is written again by a later check when the object store was down", func() {
+		objects := fake.NewObjects()
+		k := New(Options{Host: "one", Store: fake.NewTable(), Objects: objects})
+		t := table.Empty()
+		t.Version = 7
+		objects.SetDown(true)
+		k.Accepted(t, pack(7))
+		Expect(k.syncSnapshot(ctx)).NotTo(Succeed())
+		objects.SetDown(false)
+		Expect(k.syncSnapshot(ctx)).To(Succeed())
+		Expect(latestSnapshot(ctx, objects)).To(Equal(uint64(7)))
+	})
+})
+
+var _ = DescribeTable("PollInterval",
+	func(hosts int, seconds float64) { Expect(PollInterval(hosts).Seconds()).To(Equal(seconds)) },
+	Entry("today", 19, 2.0), Entry("as many as share the reads", 250, 5.0), Entry("bounded", 1000, 8.0))
--- /dev/null
+++ b/config/metrics.go
@@ -0,0 +1,65 @@
+package config
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
+
+// metrics are the Keeper's counters and gauges.
+type metrics struct {
+	version   prometheus.Gauge
+	known     prometheus.Gauge
+	installs  *prometheus.CounterVec
+	polls     *prometheus.CounterVec
+	fetches   *prometheus.CounterVec
+	snapshots *prometheus.CounterVec
+}
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	f := promauto.With(r)
+	return &metrics{
+		version: f.NewGauge(prometheus.GaugeOpts{Name: "chestnut_config_version",
+			Help: "Version of the tables in force on this host."}),
+		known: f.NewGauge(prometheus.GaugeOpts{Name: "chestnut_config_known_version",
+			Help: "Highest version that this host has learned of."}),
+		installs: f.NewCounterVec(prometheus.CounterOpts{Name: "chestnut_config_installs_total",
+			Help: "Versions put in force, by the kind of source."}, []string{"source"}),
+		polls: f.NewCounterVec(prometheus.CounterOpts{Name: "chestnut_config_polls_total",
+			Help: "Reads of the version row, by result."}, []string{"result"}),
+		fetches: f.NewCounterVec(prometheus.CounterOpts{Name: "chestnut_config_fetches_total",
+			Help: "Fetches of packed tables, by the kind of source and result."}, []string{"source", "result"}),
+		snapshots: f.NewCounterVec(prometheus.CounterOpts{Name: "chestnut_config_snapshots_total",
+			Help: "Snapshots written to the object store, by result."}, []string{"result"}),
+	}
+}
+
+func (m *metrics) installed(h held) {
+	m.version.Set(float64(h.tables.Version))
+	m.installs.WithLabelValues(kindLabel(h.source)).Inc()
+}
+
+func (m *metrics) polled(err error) { m.polls.WithLabelValues(resultLabel(err)).Inc() }
+
+func (m *metrics) fetched(s source, err error) {
+	m.fetches.WithLabelValues(kindLabel(s), resultLabel(err)).Inc()
+}
+
+func (m *metrics) snapshotWritten(err error) { m.snapshots.WithLabelValues(resultLabel(err)).Inc() }
+
+func kindLabel(s source) string {
+	switch s.kind {
+	case fromPeer:
+		return "peer"
+	case fromStore:
+		return "store"
+	default:
+		return "snapshot"
+	}
+}
+
+func resultLabel(err error) string {
+	if err != nil {
+		return "failed"
+	}
+	return "ok"
+}
