--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -99,7 +99,7 @@
 		}
 		line := raw[:end]
 		raw = raw[end:]
-		name, _, ok := bytes.Cut(line, []byte(":"))
+		name, _, ok := cutName(line)
 		if !first && ok && (answerHop(name) || isNominated(nominated, name)) {
 			continue
 		}
@@ -114,7 +114,7 @@
 	for len(raw) > 0 {
 		line, rest, _ := bytes.Cut(raw, []byte("\n"))
 		raw = rest
-		name, value, ok := bytes.Cut(line, []byte(":"))
+		name, value, ok := cutName(line)
 		if ok && kindOf(name) == lineConnection {
 			scan.nominate(trimSpace(bytes.TrimSuffix(value, []byte("\r"))))
 		}
@@ -122,6 +122,13 @@
 	return scan.nominated
 }
 
+// cutName splits a line of an answer's header. Space before the colon is no
+// part of the name, as for the codec.
+func cutName(line []byte) (name, value []byte, ok bool) {
+	name, value, ok = bytes.Cut(line, []byte(":"))
+	return bytes.TrimRight(name, " \t"), value, ok
+}
+
 func isNominated(names []string, name []byte) bool {
 	for _, n := range names {
 		if equalName(name, n) && kindOf(name) == lineOther {
--- a/proxy/bodies_test.go
+++ b/proxy/bodies_test.go
@@ -40,6 +40,8 @@
 		Entry("two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\ndone"),
 		Entry("unknown coding", "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\ndone"),
 		Entry("an upgrade nobody asked for", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: a\r\n\r\n"),
+		Entry("a folded header line", "HTTP/1.1 200 OK\r\nConnection: a\r\n b\r\nContent-Length: 0\r\n\r\n"),
+		Entry("a bare line feed", "HTTP/1.1 200 OK\nContent-Length: 0\r\n\r\n"),
 		Entry("only interim", "HTTP/1.1 100 Continue\r\n\r\n"),
 		Entry("a header that is too large", "HTTP/1.1 200 OK\r\nA: "+strings.Repeat("a", 20<<10)+"\r\n\r\n"),
 	)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -134,11 +134,23 @@
 		}
 		if end := bytes.Index(block, headerEnd); end >= 0 {
 			x.conn.raw = append(x.conn.raw[:0], block[:end+len(headerEnd)]...)
-			return nil
+			return checkLines(x.conn.raw)
 		}
 	}
 }
 
+// checkLines refuses folded lines and bare line feeds: what filters a header
+// line by line must not leave half of one.
+func checkLines(block []byte) error {
+	if bytes.Count(block, []byte("\n")) != bytes.Count(block, []byte("\r\n")) {
+		return errors.New("header line does not end in CRLF")
+	}
+	if bytes.Contains(block, []byte("\n ")) || bytes.Contains(block, []byte("\n\t")) {
+		return errors.New("folded header line")
+	}
+	return nil
+}
+
 // RawHeader is the header of the answer as it arrived, status line and blank
 // line included. It is valid until Close.
 func (x *Exchange) RawHeader() []byte { return x.conn.raw }
