Fewer bytes for a call

Cause: the profile of BenchmarkThroughput showed 55% of a call's bytes in the room for header lines and a tenth in room for the answer's body; the look at a kept connection allocated a socket address.

Change: pooled room for header lines and header copies, the answer's room is as large as its length says, poll(2) in place of recvfrom(2) for the look.

--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -58,22 +58,30 @@
 	return c.end()
 }
 
-var headerReaders = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, maxAnswerHeader) }}
-
 // maxAnswerHeader is the largest answer header that is forwarded.
 const maxAnswerHeader = 32 << 10
 
+// headerCopier holds what a header passes through on its way to the caller.
+type headerCopier struct {
+	lines []byte
+	src   bytes.Reader
+	br    *bufio.Reader
+}
+
+var headerCopiers = sync.Pool{New: func() any { return &headerCopier{br: bufio.NewReaderSize(nil, maxAnswerHeader)} }}
+
 // copyHeader gives the caller the answer's header as it arrived, without its
 // hop-by-hop lines.
 func (c *call) copyHeader(t *try) error {
-	filtered := filterAnswer(make([]byte, 0, len(t.x.RawHeader())+len(versionLine)), t.x.RawHeader())
-	br := headerReaders.Get().(*bufio.Reader)
-	defer headerReaders.Put(br)
-	br.Reset(bytes.NewReader(filtered))
+	cp := headerCopiers.Get().(*headerCopier)
+	defer headerCopiers.Put(cp)
+	cp.lines = filterAnswer(cp.lines[:0], t.x.RawHeader())
+	cp.src.Reset(cp.lines)
+	cp.br.Reset(&cp.src)
 	h := &c.rc.Response.Header
 	h.DisableNormalizing()
 	h.SetNoDefaultContentType(true)
-	if err := h.Read(br); err != nil {
+	if err := h.Read(cp.br); err != nil {
 		return err
 	}
 	h.ResetConnectionClose()
--- /dev/null
+++ b/proxy/bench_test.go
@@ -0,0 +1,122 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/chestnutfield/chestnutfield/ports"
+)
+
+// oneTarget always picks the same target.
+type oneTarget struct{ addr netip.AddrPort }
+
+type oneAttempt struct{ addr netip.AddrPort }
+
+func (o oneTarget) Pick(ports.PickQuery) (ports.Attempt, bool) { return oneAttempt(o), true }
+func (o oneAttempt) Target() netip.AddrPort                    { return o.addr }
+func (o oneAttempt) Done(time.Time, ports.Feedback)            {}
+
+// benchBed starts an upstream and a server in front of it.
+func benchBed(b *testing.B) (direct, proxied string) {
+	upstream, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	target := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("bend specification") }}
+	go target.Serve(upstream)
+	tables := &tablesFake{}
+	tables.Store(testTables())
+	addr := netip.MustParseAddrPort(upstream.Addr().String())
+	s, err := New(Options{Tables: tables, Balancer: oneTarget{addr}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	front, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	go s.Serve(front)
+	b.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = s.Shutdown(ctx)
+		upstream.Close()
+	})
+	return upstream.Addr().String(), front.Addr().String()
+}
+
+// benchCaller sends one request after another on a kept connection.
+type benchCaller struct {
+	net.Conn
+	br   *bufio.Reader
+	resp fasthttp.Response
+}
+
+func dialBench(b *testing.B, addr string) *benchCaller {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { c.Close() })
+	return &benchCaller{Conn: c, br: bufio.NewReader(c)}
+}
+
+func (c *benchCaller) call(b *testing.B, raw string) time.Duration {
+	began := time.Now()
+	if _, err := io.WriteString(c.Conn, raw); err != nil {
+		b.Fatal(err)
+	}
+	if err := c.resp.Read(c.br); err != nil || c.resp.StatusCode() != 200 {
+		b.Fatal(err, c.resp.StatusCode())
+	}
+	return time.Since(began)
+}
+
+// BenchmarkAdded interleaves calls through the server with direct ones.
+func BenchmarkAdded(b *testing.B) {
+	for _, bench := range []struct{ name, raw string }{{"lookup", getSpec}, {"order", postOrder}} {
+		b.Run(bench.name, func(b *testing.B) {
+			direct, proxied := benchBed(b)
+			d, p := dialBench(b, direct), dialBench(b, proxied)
+			var directTimes, proxiedTimes []time.Duration
+			b.ReportAllocs()
+			for b.Loop() {
+				directTimes = append(directTimes, d.call(b, bench.raw))
+				proxiedTimes = append(proxiedTimes, p.call(b, bench.raw))
+			}
+			report(b, "direct", directTimes)
+			report(b, "proxied", proxiedTimes)
+		})
+	}
+}
+
+func report(b *testing.B, name string, times []time.Duration) {
+	slices.Sort(times)
+	for _, q := range []struct {
+		name  string
+		share float64
+	}{{"p50", 0.5}, {"p99", 0.99}} {
+		at := min(len(times)-1, int(q.share*float64(len(times))))
+		b.ReportMetric(float64(times[at])/float64(time.Microsecond), name+"-"+q.name+"-µs")
+	}
+}
+
+// BenchmarkThroughput sends on several connections at once.
+func BenchmarkThroughput(b *testing.B) {
+	_, proxied := benchBed(b)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		c := dialBench(b, proxied)
+		for pb.Next() {
+			c.call(b, getSpec)
+		}
+	})
+}
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -49,6 +49,7 @@
 	mu      sync.Mutex
 	machine *attempt.Machine
 	tries   []*try
+	room    [2]*try
 	// actions carries what hedged attempts lead to; nil when attempts run on
 	// the goroutine of the request.
 	actions    chan attempt.Action
@@ -75,6 +76,7 @@
 	if in.deadline > 0 {
 		timeout = min(timeout, in.deadline)
 	}
+	c.tries = c.room[:0]
 	c.deadline = c.received.Add(timeout)
 	c.ctx, c.cancel = context.WithDeadline(context.Background(), time.Now().Add(timeout))
 	return c
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -260,7 +260,11 @@
 	case length < 0 || length > limit:
 		return nil
 	}
-	buf := make([]byte, 0, max(length, minHeldBytes))
+	room := length
+	if length < 0 {
+		room = minHeldBytes
+	}
+	buf := make([]byte, 0, room)
 	for len(buf) <= limit {
 		if len(buf) == cap(buf) {
 			buf = append(buf, 0)[:len(buf)]
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -24,6 +25,7 @@
 	chestnutPrefix   = "chestnut-"
 	unknownLength    = -1
 	maxHeaderLines   = 256
+	usualHeaderLines = 32
 	maxDeadlineMilli = int64(24 * time.Hour / time.Millisecond)
 )
 
@@ -70,14 +72,23 @@
 	nominated []string
 }
 
+var lineScans = sync.Pool{New: func() any { return &lineScan{lines: make([]headerLine, 0, usualHeaderLines)} }}
+
+// release forgets the header and keeps the room.
+func (s *lineScan) release() {
+	clear(s.lines)
+	*s = lineScan{lines: s.lines[:0]}
+	lineScans.Put(s)
+}
+
 // parseInbound checks a request header byte by byte and keeps what goes on.
 func parseInbound(h *fasthttp.RequestHeader) (*inbound, *problem) {
 	in := &inbound{method: string(h.Method()), head: h.IsHead(), plain: !h.IsHTTP11()}
 	if p := checkProtocol(h); p != nil {
 		return nil, p
 	}
-	var room [32]headerLine
-	scan := lineScan{lines: room[:0]}
+	scan := lineScans.Get().(*lineScan)
+	defer scan.release()
 	if p := scan.read(h.RawHeaders()); p != nil {
 		return nil, p
 	}
@@ -87,7 +98,7 @@
 	if p := in.setTarget(h); p != nil {
 		return nil, p
 	}
-	in.keepLines(&scan)
+	in.keepLines(scan)
 	return in, nil
 }
 
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -21,10 +21,10 @@
 	reused    bool
 	// raw holds the header of the last answer.
 	raw []byte
-	// peekBuf and peeked serve live, so that a peek allocates nothing.
-	peekBuf [1]byte
-	peeked  peekResult
-	peekFn  func(fd uintptr)
+	// poll and peeked serve live, so that a peek allocates nothing.
+	poll   pollRoom
+	peeked peekResult
+	peekFn func(fd uintptr)
 }
 
 func newConn(nc net.Conn, t *target, headerBytes int) *conn {
@@ -39,7 +39,7 @@
 			cn.sys = sys
 		}
 	}
-	cn.peekFn = func(fd uintptr) { cn.peeked = peek(fd, cn.peekBuf[:]) }
+	cn.peekFn = func(fd uintptr) { cn.peeked = peek(fd, &cn.poll) }
 	return cn
 }
 
--- a/upstream/peek_other.go
+++ b/upstream/peek_other.go
@@ -3,4 +3,6 @@
 package upstream
 
 // peek is not available; every request opens a connection.
-func peek(uintptr, []byte) peekResult { return peekFailed }
+func peek(uintptr, *pollRoom) peekResult { return peekFailed }
+
+type pollRoom struct{}
