--- /dev/null
+++ b/balance/faults_test.go
@@ -0,0 +1,214 @@
+package balance_test
+
+import (
+	"container/heap"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnutfield/chestnutfield/balance"
+	"github.com/chestnutfield/chestnutfield/ports"
+	"github.com/chestnutfield/chestnutfield/probe"
+	"github.com/chestnutfield/chestnutfield/table"
+)
+
+const service = 20 * time.Millisecond
+
+// drive sends a lookup every gap for a time and ends each after the latency
+// that answer gives; no end for a negative one. It counts calls by target.
+func drive(b *balance.Balancer, from time.Time, span, gap time.Duration,
+	answer func(target int, now time.Time) (time.Duration, ports.Feedback),
+) (calls map[int]int) {
+	calls = map[int]int{}
+	var events trialQueue
+	for at := time.Duration(0); at < span; at += gap {
+		heap.Push(&events, trialEvent{at, func() {
+			a := pick(b, from.Add(at))
+			i := int(a.Target().Port()) - 9000
+			calls[i]++
+			latency, f := answer(i, from.Add(at))
+			f.Latency = latency
+			if latency >= 0 {
+				heap.Push(&events, trialEvent{at + latency, func() { a.Done(from.Add(at+latency), f) }})
+			}
+		}})
+	}
+	for events.Len() > 0 {
+		heap.Pop(&events).(trialEvent).run()
+	}
+	return calls
+}
+
+func sound(int, time.Time) (time.Duration, ports.Feedback) {
+	f := succeeded(service)
+	f.LoadReport = "TEXT named_metrics.in_flight=1, named_metrics.queued=0"
+	return service, f
+}
+
+// faulty makes target 0 behave as given and the others soundly.
+func faulty(latency time.Duration, f ports.Feedback) func(int, time.Time) (time.Duration, ports.Feedback) {
+	return func(i int, now time.Time) (time.Duration, ports.Feedback) {
+		if i == 0 {
+			return latency, f
+		}
+		return sound(i, now)
+	}
+}
+
+func verdict(v ports.Verdict) ports.Feedback { return ports.Feedback{Result: ports.Result{Verdict: v}} }
+
+func stateOf(b *balance.Balancer, now time.Time, i int) balance.TargetState {
+	return b.States(now, "p")[i]
+}
+
+var _ = Describe("Faults of a target", func() {
+	const gap = 5 * time.Millisecond
+	var b *balance.Balancer
+
+	for _, policy := range balance.PolicyNames() {
+		DescribeTable(policy+" sets a target aside",
+			func(latency time.Duration, f ports.Feedback, most int) {
+				b = newBalancer(balance.Options{}, balance.PoolSpec{Targets: targets(6), Policy: policy})
+				drive(b, start, time.Second, gap, sound)
+				calls := drive(b, start.Add(2*time.Second), 2*time.Second, gap, faulty(latency, f))
+				Expect(calls[0]).To(BeNumerically("<=", most), "of 400 calls, 67 each")
+			},
+			Entry("that fails fast", time.Millisecond, verdict(ports.Failed), 20),
+			Entry("that sheds everything without a word of leaving", time.Millisecond, verdict(ports.Shed), 20),
+			Entry("that is slow ×10", 10*service, succeeded(0), 30),
+			Entry("that accepts and never answers", time.Duration(-1), ports.Feedback{}, 30),
+		)
+	}
+
+	It("comes back by few calls, never an order, and a growing share", func() {
+		b = newBalancer(balance.Options{}, balance.PoolSpec{Targets: targets(4), Policy: balance.P2C})
+		drive(b, start, time.Second, gap, sound)
+		at := start.Add(time.Second)
+		drive(b, at, time.Second/2, gap, faulty(time.Millisecond, verdict(ports.Failed)))
+		Expect(stateOf(b, at.Add(time.Second/2), 0).State).To(Equal("set-aside"))
+		later := at.Add(5 * time.Second)
+		for range 20 {
+			a, ok := b.Pick(ports.PickQuery{Pool: "p", Class: table.Order, Now: later})
+			Expect(ok).To(BeTrue())
+			Expect(a.Target()).NotTo(Equal(addr(0)))
+			a.Done(later, succeeded(service))
+		}
+		first := pick(b, later)
+		Expect(first.Target()).To(Equal(addr(0)), "one lookup tries it")
+		Expect(pick(b, later).Target()).NotTo(Equal(addr(0)), "one at a time")
+		first.Done(later, succeeded(service))
+		calls := drive(b, later, time.Second, gap, sound)
+		Expect(stateOf(b, later.Add(time.Second), 0).State).To(Equal("ramping"))
+		Expect(calls[0]).To(BeNumerically("<", 25), "of 200 calls, 50 each in full")
+		full := drive(b, later.Add(10*time.Second), time.Second, gap, sound)
+		Expect(full[0]).To(BeNumerically("~", 50, 20))
+	})
+
+	It("is put off by a failed probe but not brought back by a sound one", func() {
+		b = newBalancer(balance.Options{}, balance.PoolSpec{Targets: targets(4), Policy: balance.P2C})
+		drive(b, start, time.Second, gap, sound)
+		drive(b, start.Add(time.Second), time.Second/2, gap, faulty(time.Millisecond, verdict(ports.Failed)))
+		at := start.Add(1500 * time.Millisecond)
+		b.Probed(at, addr(0), probe.Answer{})
+		Expect(stateOf(b, at, 0).State).To(Equal("set-aside"))
+		b.Probed(at, addr(0), probe.Answer{Failed: true})
+		pick(b, start.Add(3*time.Second-time.Millisecond))
+		Expect(stateOf(b, start.Add(3*time.Second-time.Millisecond), 0).State).To(Equal("set-aside"))
+	})
+
+	DescribeTable("shared by all never empties the pool",
+		func(f ports.Feedback, latency time.Duration) {
+			b = newBalancer(balance.Options{}, balance.PoolSpec{Targets: targets(6)})
+			drive(b, start, time.Second, gap, sound)
+			used := drive(b, start.Add(time.Second), 5*time.Second, gap,
+				func(int, time.Time) (time.Duration, ports.Feedback) { return latency, f })
+			Expect(len(used)).To(BeNumerically(">=", 3))
+		},
+		Entry("failing fast", verdict(ports.Failed), time.Millisecond),
+		Entry("slow", succeeded(0), 10*service),
+		Entry("shedding", verdict(ports.Shed), time.Millisecond),
+	)
+
+	It("that spreads from target to target leaves half of the pool in use", func() {
+		b = newBalancer(balance.Options{}, balance.PoolSpec{Targets: targets(6), Policy: balance.Random})
+		for failing := range 6 {
+			drive(b, start.Add(time.Duration(failing)*time.Second/2), time.Second/2, gap,
+				func(i int, now time.Time) (time.Duration, ports.Feedback) {
+					if i < failing {
+						return time.Millisecond, verdict(ports.Failed)
+					}
+					return sound(i, now)
+				})
+		}
+		Expect(len(countPicks(b, start.Add(3*time.Second), 60, verdict(ports.Abandoned)))).To(BeNumerically(">=", 3))
+	})
+
+	It("that is new in a pool starts with a small share", func() {
+		b = newBalancer(balance.Options{}, balance.PoolSpec{Targets: targets(3), Policy: balance.Random})
+		Expect(b.Update(start, map[string]balance.PoolSpec{"p": {Targets: targets(4), Policy: balance.Random}})).To(Succeed())
+		Expect(countPicks(b, start, 1000, succeeded(service))[addr(3)]).To(BeNumerically("<", 50))
+		Expect(countPicks(b, start.Add(5*time.Second), 1000, succeeded(service))[addr(3)]).To(BeNumerically("~", 250, 50))
+	})
+})
+
+var _ = Describe("Reports", func() {
+	const gap = 2500 * time.Microsecond
+
+	DescribeTable("that mislead lose their say",
+		func(latency time.Duration, report string) {
+			b := newBalancer(balance.Options{}, balance.PoolSpec{Targets: targets(6), Policy: balance.P2CShared})
+			f := succeeded(0)
+			f.LoadReport = report
+			honest := func(i int, now time.Time) (time.Duration, ports.Feedback) {
+				if i == 0 {
+					return latency, f
+				}
+				_, f := sound(i, now)
+				f.LoadReport = "TEXT named_metrics.in_flight=2, named_metrics.queued=2"
+				return 2 * service, f
+			}
+			drive(b, start, 4*time.Second, gap, honest)
+			Expect(stateOf(b, start, 0).Trust).To(BeNumerically("<", 0.5))
+			Expect(stateOf(b, start, 1).Trust).To(BeNumerically(">", 0.9))
+		},
+		Entry("idle while calls are slow", 7*service, "TEXT named_metrics.in_flight=0, named_metrics.queued=0"),
+		Entry("frozen high while calls are fast", service/4, "TEXT named_metrics.in_flight=2, named_metrics.queued=9"),
+		Entry("absurd", service, "TEXT named_metrics.in_flight=-7, named_metrics.queued=1e30"),
+	)
+
+	It("of a peer count when they are newer, and travel on", func() {
+		b := newBalancer(balance.Options{}, balance.PoolSpec{Targets: targets(2), Policy: balance.P2CShared})
+		_, answer := sound(0, start)
+		countPicks(b, start, 20, answer)
+		now := start.Add(2 * time.Second)
+		b.Incoming(now, "entry-2", []ports.Figure{
+			{Target: addr(0), Reported: 9, Latency: service, Age: time.Millisecond},
+			{Target: addr(1), Reported: 9, Latency: service, Age: time.Minute},
+			{Target: addr(9), Reported: 9},
+		})
+		Expect(stateOf(b, now, 0).Estimate).To(BeNumerically(">", 8))
+		Expect(stateOf(b, now, 1).Estimate).To(BeNumerically("<", 3), "too old")
+		out := b.Outgoing(now, 1)
+		Expect(out).To(HaveLen(1))
+		Expect(out[0].Target).To(Equal(addr(0)))
+		Expect(out[0].Reported).To(Equal(9))
+	})
+})
+
+var _ = Describe("Probes", func() {
+	It("are wanted only where they teach", func() {
+		b := newBalancer(balance.Options{}, balance.PoolSpec{Targets: targets(3), Drain: []netip.AddrPort{addr(2)}})
+		wants := func(at time.Duration, i int) probe.Want { return b.Wants(start.Add(at), "p", addr(i)) }
+		Expect(wants(0, 0)).To(Equal(probe.Nothing), "an idle pool")
+		pick(b, start).Done(start, succeeded(service))
+		Expect(wants(0, 0)).To(Equal(probe.Load))
+		b.Probed(start, addr(0), probe.Answer{Report: "TEXT named_metrics.in_flight=1"})
+		Expect(wants(time.Second/2, 0)).To(Equal(probe.Nothing), "a fresh report")
+		Expect(wants(0, 2)).To(Equal(probe.Nothing), "drained by the operator")
+		b.Leaving(start, addr(1))
+		Expect(wants(time.Second, 1)).To(Equal(probe.Nothing))
+		Expect(wants(time.Minute, 1)).To(Equal(probe.Health))
+	})
+})
--- a/balance/target.go
+++ b/balance/target.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/chestnutfield/chestnutfield/load"
 	"github.com/chestnutfield/chestnutfield/ports"
 )
@@ -60,7 +62,15 @@
 		t.know.BadReport()
 		return
 	}
-	t.know.Report(now, r)
+	t.know.Report(now, r, t.arrived(now))
+}
+
+// arrivalTime is the time after which an attempt has surely reached its target.
+const arrivalTime = 10 * time.Millisecond
+
+// arrived returns the number of attempts that have surely reached the target.
+func (t *target) arrived(now time.Time) int {
+	return lo.CountBy(t.open, func(a *attempt) bool { return now.Sub(a.sent) >= arrivalTime })
 }
 
 // stateName describes the target for status pages.
--- a/load/knowledge.go
+++ b/load/knowledge.go
@@ -48,13 +48,14 @@
 	return &Knowledge{Slots: slots, trust: fullTrust()}
 }
 
-// Report takes a load report that the target gave at now.
-func (k *Knowledge) Report(now time.Time, r Report) {
+// Report takes a load report that the target gave at now. arrived is the
+// number of this host's requests that have surely reached the target.
+func (k *Knowledge) Report(now time.Time, r Report, arrived int) {
 	n, ok := r.Count(k.Slots)
 	if !ok {
 		return
 	}
-	k.trust.checkCount(n, k.Own)
+	k.trust.checkCount(n, arrived)
 	k.take(now, n)
 }
 
--- a/load/trust.go
+++ b/load/trust.go
@@ -23,10 +23,10 @@
 
 func fullTrust() trust { return trust{ratio: 1, honesty: 1} }
 
-// checkCount compares a reported number with this host's own requests: one of
-// them may not have arrived yet, more missing is a contradiction.
-func (t *trust) checkCount(reported, own int) {
-	if reported+1 < own {
+// checkCount compares a reported number with this host's requests that have
+// arrived: one of them may have just ended, more missing is a contradiction.
+func (t *trust) checkCount(reported, arrived int) {
+	if reported+1 < arrived {
 		t.lower()
 		return
 	}
