handoff: admission that leaves queueing to owners; settings: peers address must be reachable

Cause: a host that hands a request over must not queue it a second time; an unspecified peers address can't be told to others. Change: handoff.Balancer.Admission, Meter.Text; [listen] peers refuses 0.0.0.0 and ::.

--- /dev/null
+++ b/handoff/admission.go
@@ -0,0 +1,38 @@
+package handoff
+
+import (
+	"context"
+	"time"
+
+	"github.com/chestnutfield/chestnutfield/ports"
+)
+
+// admission admits at once what will be handed over, for its owner queues it;
+// what is dispatched directly is left to next.
+type admission struct {
+	balancer *Balancer
+	next     ports.Admission
+}
+
+// Admission returns the admission that goes with the balancer. Without an
+// owner to hand to, requests of a pool are admitted by next.
+func (b *Balancer) Admission(next ports.Admission) ports.Admission {
+	return &admission{balancer: b, next: next}
+}
+
+// Admit admits at once or asks next.
+func (a *admission) Admit(ctx context.Context, q ports.AdmitQuery) (ports.Permit, *ports.Refusal) {
+	if a.balancer.handsOver(q.Pool) {
+		return freePermit{}, nil
+	}
+	return a.next.Admit(ctx, q)
+}
+
+// handsOver reports whether a pool has groups with owners.
+func (b *Balancer) handsOver(pool string) bool { return b.view.Load().pools[pool] != nil }
+
+// freePermit holds nothing.
+type freePermit struct{}
+
+// Release does nothing.
+func (freePermit) Release(time.Time, ports.Result) {}
--- a/handoff/handoff_test.go
+++ b/handoff/handoff_test.go
@@ -113,6 +113,16 @@
 		Expect(pick().Target()).To(Equal(directTarget))
 	})
 
+	It("admits at once what it hands over and asks for the rest", func() {
+		admission := b.Admission(refuseAll{})
+		_, refusal := admission.Admit(context.Background(), ports.AdmitQuery{Pool: "p"})
+		Expect(refusal).NotTo(BeNil())
+		b.Update(peers(18), pool())
+		permit, refusal := admission.Admit(context.Background(), ports.AdmitQuery{Pool: "p"})
+		Expect(refusal).To(BeNil())
+		permit.Release(start, ports.Result{})
+	})
+
 	It("learns load from answers, once each", func() {
 		b.Update(peers(18), pool())
 		first := pick()
@@ -143,6 +153,9 @@
 		r, ok := m.Report("p@a")
 		Expect(ok).To(BeTrue())
 		Expect(r).To(Equal(owner.Report{Backlog: 1, Slots: 8}))
+		text, ok := m.Text("p@a")
+		Expect(ok).To(BeTrue())
+		Expect(text).To(Equal("1 8 0"))
 		p.Release(start, ports.Result{Verdict: ports.Succeeded, Latency: 20 * time.Millisecond})
 		p.Release(start, ports.Result{Verdict: ports.Succeeded, Latency: 20 * time.Millisecond})
 		r, _ = m.Report("p@a")
--- a/handoff/meter.go
+++ b/handoff/meter.go
@@ -65,6 +65,15 @@
 	return owner.Report{Backlog: g.backlog, Slots: g.slots, Service: g.service}, true
 }
 
+// Text returns the load of a group in the form that peers read.
+func (m *Meter) Text(group string) (text string, ok bool) {
+	r, ok := m.Report(group)
+	if !ok {
+		return "", false
+	}
+	return FormatReport(r), true
+}
+
 // Admit counts the request from now until its permit is released.
 func (m *Meter) Admit(ctx context.Context, q ports.AdmitQuery) (ports.Permit, *ports.Refusal) {
 	g := m.find(q.Pool)
--- a/settings/load.go
+++ b/settings/load.go
@@ -131,5 +131,8 @@
 	if !s.Listen.Peers.Addr().IsLoopback() && !s.Peers.Protected() {
 		return &Error{path, "peers", "token", "the peers address is off loopback and unprotected", "a token or TLS with client certificates"}
 	}
+	if s.Listen.Peers.Addr().IsUnspecified() {
+		return &Error{path, "listen", "peers", "peers can't connect to this address", "the IP number that peers reach this host by"}
+	}
 	return nil
 }
