--- a/settings/fields.go
+++ b/settings/fields.go
@@ -26,6 +26,7 @@
 var fields = []field{
 	{"host", "name", true, "a name of 1 to 63 letters, digits, dots, dashes", name(func(s *Settings) *string { return &s.Host.Name })},
 	{"host", "failure_domain", true, "a name of 1 to 63 letters, digits, dots, dashes", name(func(s *Settings) *string { return &s.Host.FailureDomain })},
+	{"host", "handoff", false, "true or false", boolean(func(s *Settings) *bool { return &s.Host.Handoff })},
 	{"listen", "callers", true, "IP:PORT", addr(func(s *Settings) *netip.AddrPort { return &s.Listen.Callers })},
 	{"listen", "admin", true, "IP:PORT", addr(func(s *Settings) *netip.AddrPort { return &s.Listen.Admin })},
 	{"listen", "peers", true, "IP:PORT", addr(func(s *Settings) *netip.AddrPort { return &s.Listen.Peers })},
@@ -124,6 +125,17 @@
 	}
 }
 
+func boolean(at func(*Settings) *bool) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		b, err := strconv.ParseBool(v)
+		if err != nil {
+			return err
+		}
+		*at(s) = b
+		return nil
+	}
+}
+
 func level(s *Settings, v string) error {
 	switch v {
 	case "debug", "info", "warn", "error":
--- a/settings/load.go
+++ b/settings/load.go
@@ -54,6 +54,7 @@
 
 func defaults() *Settings {
 	return &Settings{
+		Host: Host{Handoff: true},
 		Limits: Limits{
 			DrainTimeout: DefaultDrainTimeout, HeaderTimeout: DefaultHeaderTimeout,
 			MaxHeaderBytes: DefaultMaxHeaderBytes, MaxKeyedBodyBytes: DefaultMaxKeyedBodyBytes,
--- a/settings/load_test.go
+++ b/settings/load_test.go
@@ -40,6 +40,7 @@
 		s, err := load(valid)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(s.Host.Name).To(Equal("entry-1"))
+		Expect(s.Host.Handoff).To(BeTrue())
 		Expect(s.Limits.DrainTimeout).To(Equal(5 * time.Second))
 		Expect(s.Limits.MaxHeaderBytes).To(Equal(settings.DefaultMaxHeaderBytes))
 		Expect(s.Platform.Hosts).To(Equal("http://127.0.0.1:7400"))
@@ -61,6 +62,7 @@
 		Entry("missing section", "[platform]\ntable = http://127.0.0.1:7400\nobjects = http://127.0.0.1:7400\n", "", "platform", "table"),
 		Entry("bad duration", "5s", "5 parsecs", "limits", "drain_timeout"),
 		Entry("negative duration", "5s", "-5s", "limits", "drain_timeout"),
+		Entry("bad truth value", "name = entry-1", "name = entry-1\nhandoff = perhaps", "host", "handoff"),
 		Entry("host name for IP", "callers = 127.0.0.1:7001", "callers = localhost:7001", "listen", "callers"),
 		Entry("bad URL", "table = http://127.0.0.1:7400", "table = 127.0.0.1:7400", "platform", "table"),
 		Entry("section twice", "[limits]", "[host]\nname = b\n[limits]", "host", ""),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -25,6 +25,9 @@
 	Name string
 	// FailureDomain is where the host stands.
 	FailureDomain string
+	// Handoff makes the host hand requests over to the owners of groups; a
+	// host without it always dispatches directly.
+	Handoff bool
 }
 
 // Listen holds the addresses that the host binds.
