--- /dev/null
+++ b/resolve/resolve_test.go
@@ -0,0 +1,131 @@
+package resolve
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/table"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func addr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(9000+i))
+}
+
+// listing lists n hosts of which the last ones leave.
+func listing(n, leaving int) []platform.ListedHost {
+	hosts := make([]platform.ListedHost, n)
+	for i := range hosts {
+		hosts[i] = platform.ListedHost{Service: "s", Addr: addr(i), FailureDomain: "a", Leaving: i >= n-leaving}
+	}
+	return hosts
+}
+
+var _ = Describe("book", func() {
+	var b *book
+	BeforeEach(func() {
+		b = newBook()
+		Expect(b.take(start, "s", listing(6, 0))).To(BeTrue())
+	})
+	after := func(d time.Duration, listed []platform.ListedHost) (open int) {
+		b.take(start.Add(d), "s", listed)
+		all, leaving := b.targets("s")
+		return len(all) - len(leaving)
+	}
+
+	It("lets listed leavers and unlisted targets leave at once, and forgets them later", func() {
+		Expect(after(2*time.Second, listing(6, 1))).To(Equal(5))
+		Expect(after(4*time.Second, listing(4, 0))).To(Equal(4))
+		all, _ := b.targets("s")
+		Expect(all).To(HaveLen(6))
+		after(2*time.Minute, listing(4, 0))
+		all, _ = b.targets("s")
+		Expect(all).To(HaveLen(4))
+	})
+
+	It("takes a target back that is listed again", func() {
+		after(2*time.Second, listing(5, 0))
+		Expect(after(4*time.Second, listing(6, 0))).To(Equal(6))
+	})
+
+	It("doubts a list that is empty or lost most targets, until readings agree for a while", func() {
+		Expect(after(2*time.Second, nil)).To(Equal(6))
+		Expect(after(20*time.Second, listing(2, 0))).To(Equal(6))
+		Expect(after(31*time.Second, listing(2, 0))).To(Equal(6))
+		Expect(after(33*time.Second, listing(2, 0))).To(Equal(2))
+	})
+
+	It("begins to doubt anew after a reading that was whole", func() {
+		after(2*time.Second, nil)
+		after(20*time.Second, listing(6, 0))
+		Expect(after(40*time.Second, nil)).To(Equal(6))
+	})
+
+	It("still adds what a doubted list shows", func() {
+		moved := []platform.ListedHost{{Service: "s", Addr: addr(99), FailureDomain: "a"}}
+		Expect(after(2*time.Second, moved)).To(Equal(7))
+	})
+
+	It("reports no change when nothing changed, and forgets services that no pool names", func() {
+		Expect(b.take(start.Add(time.Second), "s", listing(6, 0))).To(BeFalse())
+		b.keep(nil)
+		all, _ := b.targets("s")
+		Expect(all).To(BeEmpty())
+	})
+})
+
+type fixedTables struct{ t *table.Tables }
+
+func (f fixedTables) Current() *table.Tables { return f.t }
+
+type scriptedList struct {
+	hosts []platform.ListedHost
+	err   error
+}
+
+func (l *scriptedList) List(context.Context, string) ([]platform.ListedHost, error) {
+	return l.hosts, l.err
+}
+
+var _ = Describe("Resolver", func() {
+	pool := table.Pool{Name: "p", Service: "s"}
+
+	It("keeps what it knows while the list can't be read, and tells of changes", func() {
+		list, changes := &scriptedList{hosts: listing(3, 1)}, 0
+		r, err := New(Options{
+			List: list, Tables: fixedTables{&table.Tables{Pools: map[string]table.Pool{"p": pool}}},
+			Changed: func() { changes++ },
+		})
+		Expect(err).NotTo(HaveOccurred())
+		r.readAll(context.Background())
+		list.err = errors.New("down")
+		r.readAll(context.Background())
+		all, leaving := r.Targets(pool)
+		Expect(all).To(HaveLen(3))
+		Expect(leaving).To(Equal([]netip.AddrPort{addr(2)}))
+		Expect(changes).To(Equal(1))
+	})
+
+	It("reads a large list less often, within its bytes a second", func() {
+		r, err := New(Options{List: &scriptedList{}, Tables: fixedTables{&table.Tables{}}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.interval(12)).To(BeNumerically(">=", minInterval))
+		Expect(r.interval(1200)).To(BeNumerically(">=", 1200*entryBytes/bytesPerSecond*time.Second))
+	})
+
+	It("passes the targets of a pool that lists them", func() {
+		r, err := New(Options{List: &scriptedList{}, Tables: fixedTables{&table.Tables{}}})
+		Expect(err).NotTo(HaveOccurred())
+		fixed := table.Pool{Targets: []table.Target{{Addr: addr(1), FailureDomain: "a"}}}
+		all, leaving := r.Targets(fixed)
+		Expect(all).To(Equal(fixed.Targets))
+		Expect(leaving).To(BeEmpty())
+	})
+})
