limit: fixed limiter for owned groups; proxy: idle connections can be closed

Cause: an owner knows the number in flight exactly and needs no adaptation; no one closed idle upstream connections. Change: limit.Fixed holds the slots of its pool; proxy.Server.CloseIdle. Conclusion: one spec for Fixed.

--- /dev/null
+++ b/limit/fixed_test.go
@@ -0,0 +1,31 @@
+package limit
+
+import (
+	"context"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnutfield/chestnutfield/outcome"
+	"github.com/chestnutfield/chestnutfield/ports"
+	"github.com/chestnutfield/chestnutfield/table"
+)
+
+var _ = Describe("Fixed", func() {
+	It("admits as many requests as the pool has slots", func() {
+		a, err := New(Options{NewLimiter: func(_, _ float64) Limiter { return NewFixed() }})
+		Expect(err).NotTo(HaveOccurred())
+		a.Update(map[string]Capacity{"p": {Targets: 4, Slots: 2}})
+		q := ports.AdmitQuery{Pool: "p", Class: table.Lookup}
+		for range 8 {
+			permit, refusal := a.Admit(context.Background(), q)
+			Expect(refusal).To(BeNil())
+			Expect(permit).NotTo(BeNil())
+		}
+		gone, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, refusal := a.Admit(gone, q)
+		Expect(refusal).NotTo(BeNil())
+		Expect(refusal.Reason).To(Equal(outcome.CallerGone))
+	})
+})
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -159,6 +159,10 @@
 
 func (s *Server) forget(c *callerConn) { s.watcher.remove(c) }
 
+// CloseIdle closes upstream connections that were not used for a while and
+// returns their number. The embedder calls it now and then.
+func (s *Server) CloseIdle() int { return s.upstream.CloseIdle(false) }
+
 // Shutdown is a planned stop. It refuses new connections at once, answers
 // what is in flight and what still arrives on kept connections for a moment
 // with Connection: close, and returns when the last answer is written. When
