host, chestnutd: one entry host wired from the packages; a request end to end

Cause: the parts stood beside each other. Change: package host wires them by dependency injection, binds the addresses, runs loops and servers, and reconciles tables, members and targets into specs; chestnutd parses its command line and runs it until SIGTERM or SIGINT (a second one cuts). [peers] seeds names peers for a start while the table service is down. The operators' address has metrics alone for now. Conclusion: the thin path stands but for the operators' tool.

--- a/cmd/chestnutd/main.go
+++ b/cmd/chestnutd/main.go
@@ -1,4 +1,91 @@
 // Command chestnutd runs one entry host.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/chestnutfield/chestnutfield/host"
+	"github.com/chestnutfield/chestnutfield/settings"
+)
+
+// flags are the command line.
+type flags struct {
+	Settings string `help:"INI file with the settings of this host." required:"" type:"path" placeholder:"FILE.ini"`
+	Check    bool   `help:"Check the settings and exit."`
+}
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() {
+	var f flags
+	kong.Parse(&f, kong.Name("chestnutd"), kong.Description("One entry host of chestnutfield."))
+	os.Exit(run(f))
+}
+
+func run(f flags) int {
+	s, err := settings.Load(f.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "chestnutd:", err)
+		return exitSettings
+	}
+	if f.Check {
+		fmt.Printf("chestnutd: %s is valid\n", f.Settings)
+		return 0
+	}
+	log, err := newLogger(s.Log.Level)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "chestnutd:", err)
+		return exitFailed
+	}
+	defer func() { _ = log.Sync() }()
+	if err := serve(s, log); err != nil {
+		log.Error("ended with an error", zap.Error(err))
+		return exitFailed
+	}
+	return 0
+}
+
+// serve runs the host until a signal asks for a planned stop; a second signal
+// cuts what is still in flight.
+func serve(s *settings.Settings, log *zap.Logger) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	h, err := host.New(s, host.Options{Logger: log})
+	if err != nil {
+		return err
+	}
+	h.Start()
+	<-signals
+	ctx, cancel := context.WithTimeout(context.Background(), s.Limits.DrainTimeout)
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+	}()
+	return h.Stop(ctx)
+}
+
+func newLogger(level string) (*zap.Logger, error) {
+	parsed, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	c := zap.NewProductionConfig()
+	c.Level = zap.NewAtomicLevelAt(parsed)
+	c.DisableCaller = true
+	c.DisableStacktrace = true
+	c.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
+	return c.Build()
+}
--- /dev/null
+++ b/host/config.go
@@ -0,0 +1,88 @@
+package host
+
+import (
+	"context"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/do/v2"
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"github.com/chestnutfield/chestnutfield/config"
+	"github.com/chestnutfield/chestnutfield/config/command"
+	"github.com/chestnutfield/chestnutfield/config/query"
+	"github.com/chestnutfield/chestnutfield/peer"
+	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/ports"
+	"github.com/chestnutfield/chestnutfield/resolve"
+	"github.com/chestnutfield/chestnutfield/settings"
+)
+
+// provideConfig gives what keeps, changes and reads the tables.
+func provideConfig(i do.Injector) {
+	do.ProvideValue(i, &configPeers{})
+	do.Provide(i, newKeeper)
+	do.Provide(i, func(i do.Injector) (ports.Tables, error) { return do.Invoke[*config.Keeper](i) })
+	do.Provide(i, newResolver)
+	do.Provide(i, func(i do.Injector) (*command.Commander, error) {
+		return command.New(command.Options{
+			Store:    do.MustInvoke[platform.Table](i),
+			Accepted: do.MustInvoke[*config.Keeper](i).Accepted,
+			Clock:    do.MustInvoke[clockwork.Clock](i),
+		}), nil
+	})
+	do.Provide(i, func(i do.Injector) (*query.Reader, error) {
+		return query.New(do.MustInvoke[platform.Table](i)), nil
+	})
+}
+
+func newKeeper(i do.Injector) (*config.Keeper, error) {
+	return config.New(config.Options{
+		Host:    do.MustInvoke[*settings.Settings](i).Host.Name,
+		Store:   do.MustInvoke[platform.Table](i),
+		Objects: do.MustInvoke[platform.Objects](i),
+		Peers:   do.MustInvoke[*configPeers](i),
+		Hosts:   do.MustInvoke[ports.Membership](i).ShareCount,
+		Clock:   do.MustInvoke[clockwork.Clock](i),
+		Metrics: do.MustInvoke[*prometheus.Registry](i),
+		Log:     do.MustInvoke[*zap.Logger](i),
+	}), nil
+}
+
+func newResolver(i do.Injector) (*resolve.Resolver, error) {
+	return resolve.New(resolve.Options{
+		List:       do.MustInvoke[platform.HostList](i),
+		Tables:     do.MustInvoke[ports.Tables](i),
+		Clock:      do.MustInvoke[clockwork.Clock](i),
+		Seed:       uint64(do.MustInvoke[Seed](i)),
+		Logger:     do.MustInvoke[*zap.Logger](i),
+		Registerer: do.MustInvoke[*prometheus.Registry](i),
+	})
+}
+
+// errNoPeers says that the exchange with peers does not run yet.
+var errNoPeers = errors.New("the exchange with peers has not started")
+
+// configPeers lets the keeper ask the peers. The keeper is made before the
+// node that answers.
+type configPeers struct{ node *peer.Node }
+
+// Versions returns what peers last said of their versions.
+func (p *configPeers) Versions() []config.PeerVersion {
+	if p.node == nil {
+		return nil
+	}
+	return lo.Map(p.node.Versions(), func(v peer.HostVersion, _ int) config.PeerVersion {
+		return config.PeerVersion{Host: v.Host, Version: v.Version}
+	})
+}
+
+// FetchTables gets the tables from a peer.
+func (p *configPeers) FetchTables(ctx context.Context, from string, atLeast uint64) ([]byte, uint64, error) {
+	if p.node == nil {
+		return nil, 0, errNoPeers
+	}
+	return p.node.FetchTables(ctx, from, atLeast)
+}
--- /dev/null
+++ b/host/deployment_test.go
@@ -0,0 +1,165 @@
+package host_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
+
+	"github.com/chestnutfield/chestnutfield/config/command"
+	"github.com/chestnutfield/chestnutfield/config/rows"
+	"github.com/chestnutfield/chestnutfield/host"
+	"github.com/chestnutfield/chestnutfield/lab/platformd"
+	"github.com/chestnutfield/chestnutfield/lab/runlog"
+	"github.com/chestnutfield/chestnutfield/lab/upstreamd"
+	"github.com/chestnutfield/chestnutfield/platform/dynamo"
+	"github.com/chestnutfield/chestnutfield/settings"
+)
+
+// patience bounds what the specs wait for; nothing asserts how long it took.
+const patience = 30 * time.Second
+
+// deployment is a stand-in platform, targets and entry hosts on loopback.
+type deployment struct {
+	platform *platformd.Server
+	targets  []*upstreamd.Server
+	runs     *runlog.Log
+	hosts    []*host.Host
+	changes  int
+}
+
+func newDeployment(hosts, targets int) *deployment {
+	d := &deployment{platform: platformd.New(platformd.Options{}), runs: runlog.New()}
+	Expect(d.platform.Start("127.0.0.1:0")).To(Succeed())
+	DeferCleanup(d.platform.Close)
+	for i := range targets {
+		o := upstreamd.Defaults()
+		o.Seed, o.Log = uint64(i+1), d.runs
+		o.ServiceTime.Mean = 5 * time.Millisecond
+		target, err := upstreamd.New(o)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(target.Start("127.0.0.1:0")).To(Succeed())
+		DeferCleanup(target.Close)
+		d.targets = append(d.targets, target)
+	}
+	for i := range hosts {
+		d.hosts = append(d.hosts, d.startHost(i))
+	}
+	d.apply(rows.Pools, "[catalogue]\ntargets = "+d.targetList()+"\n")
+	d.apply(rows.Routes, `[lookup]
+path_prefix = /specs/
+pool = catalogue
+class = lookup
+idempotent = true
+timeout = 20s
+[order]
+path_prefix = /orders/
+pool = catalogue
+class = order
+idempotent = false
+timeout = 20s
+`)
+	return d
+}
+
+var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
+
+// startHost starts host number i; one started again has a new incarnation.
+func (d *deployment) startHost(i int, seeds ...string) *host.Host {
+	h, err := host.New(&settings.Settings{
+		Host:     settings.Host{Name: fmt.Sprintf("entry-%d", i), FailureDomain: domain(i), Handoff: true},
+		Listen:   settings.Listen{Callers: anyPort, Admin: anyPort, Peers: anyPort},
+		Peers:    settings.Peers{Seeds: lo.Map(seeds, func(s string, _ int) netip.AddrPort { return netip.MustParseAddrPort(s) })},
+		Platform: settings.Platform{Table: d.platform.URL(), Objects: d.platform.URL(), Hosts: d.platform.URL()},
+	}, host.Options{})
+	Expect(err).NotTo(HaveOccurred())
+	h.Start()
+	stopped := false
+	DeferCleanup(func() {
+		if !stopped {
+			h.Kill()
+		}
+	})
+	return h
+}
+
+func domain(i int) string { return string(rune('a' + i%3)) }
+
+func (d *deployment) targetList() string {
+	var list []string
+	for i, t := range d.targets {
+		list = append(list, t.Addr()+"@"+domain(i))
+	}
+	return strings.Join(list, ", ")
+}
+
+// apply gets a change of the tables accepted.
+func (d *deployment) apply(kind rows.Kind, text string) uint64 {
+	d.changes++
+	r := command.New(command.Options{Store: dynamo.New(dynamo.Options{Endpoint: d.platform.URL()})}).
+		Do(context.Background(), command.Request{
+			Table: kind, Operation: rows.Apply, File: "file.ini", Data: []byte(text),
+			ChangeID: fmt.Sprintf("change-%04d", d.changes),
+		})
+	Expect(r.State).To(Equal(command.Accepted), "%+v", r)
+	return r.Version
+}
+
+// answer is what a caller got.
+type answer struct {
+	status  int
+	outcome string
+	body    string
+}
+
+// ask sends a request to a host.
+func ask(h *host.Host, method, path, key string) (answer, error) {
+	req, err := http.NewRequest(method, "http://"+h.CallersAddr().String()+path, nil)
+	if err != nil {
+		return answer{}, err
+	}
+	req.Header.Set("X-Caller", "c1")
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	req.Close = true
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{}, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, resp.Header.Get("Chestnut-Outcome"), string(body)}, err
+}
+
+// lookup asks a host and returns the status.
+func lookup(h *host.Host) int {
+	a, err := ask(h, http.MethodGet, "/specs/x", "")
+	if err != nil {
+		return 0
+	}
+	return a.status
+}
+
+// metric reads one sample of a host's metrics.
+func metric(h *host.Host, sample string) string {
+	resp, err := http.Get("http://" + h.AdminAddr().String() + "/metrics")
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	for _, line := range strings.Split(string(body), "\n") {
+		if value, ok := strings.CutPrefix(line, sample+" "); ok {
+			return value
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/host/forwarding.go
@@ -0,0 +1,160 @@
+package host
+
+import (
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/do/v2"
+	"go.uber.org/zap"
+
+	"github.com/chestnutfield/chestnutfield/balance"
+	"github.com/chestnutfield/chestnutfield/handoff"
+	"github.com/chestnutfield/chestnutfield/ledger"
+	"github.com/chestnutfield/chestnutfield/limit"
+	"github.com/chestnutfield/chestnutfield/owner"
+	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/ports"
+	"github.com/chestnutfield/chestnutfield/proxy"
+	"github.com/chestnutfield/chestnutfield/retry"
+	"github.com/chestnutfield/chestnutfield/settings"
+	"github.com/chestnutfield/chestnutfield/upstream"
+)
+
+// callersSide and peersSide are the two servers of the forwarding path.
+type (
+	callersSide struct{ *proxy.Server }
+	peersSide   struct{ *proxy.Server }
+)
+
+// directAdmission and groupAdmission admit to pools and to owned groups.
+type (
+	directAdmission struct{ *limit.Admission }
+	groupAdmission  struct{ *limit.Admission }
+)
+
+// provideForwarding gives the way of a request.
+func provideForwarding(i do.Injector) {
+	do.ProvideValue(i, &drainRelay{})
+	do.Provide(i, newBalancer)
+	do.Provide(i, newHandoff)
+	do.Provide(i, newDirectAdmission)
+	do.Provide(i, newGroupAdmission)
+	do.Provide(i, func(i do.Injector) (*handoff.Meter, error) {
+		return handoff.NewMeter(do.MustInvoke[groupAdmission](i).Admission), nil
+	})
+	do.Provide(i, newRetries)
+	do.Provide(i, newLedger)
+	do.Provide(i, func(i do.Injector) (ports.Ledger, error) { return do.Invoke[*ledger.Ledger](i) })
+	do.Provide(i, newCallersSide)
+	do.Provide(i, newPeersSide)
+}
+
+func newBalancer(i do.Injector) (*balance.Balancer, error) {
+	s := do.MustInvoke[*settings.Settings](i)
+	return balance.New(balance.Options{
+		Host:          s.Host.Name,
+		FailureDomain: s.Host.FailureDomain,
+		Policy:        do.MustInvoke[Options](i).Policy,
+		Seed:          uint64(do.MustInvoke[Seed](i)),
+		Membership:    do.MustInvoke[ports.Membership](i),
+		OnDrain:       do.MustInvoke[*drainRelay](i).announce,
+		Registerer:    do.MustInvoke[*prometheus.Registry](i),
+	})
+}
+
+func newHandoff(i do.Injector) (*handoff.Balancer, error) {
+	s := do.MustInvoke[*settings.Settings](i)
+	return handoff.New(handoff.Options{
+		Self:       owner.Member{Name: s.Host.Name, FailureDomain: s.Host.FailureDomain},
+		Direct:     do.MustInvoke[*balance.Balancer](i),
+		Seed:       uint64(do.MustInvoke[Seed](i)),
+		Registerer: do.MustInvoke[*prometheus.Registry](i),
+	}), nil
+}
+
+// side labels the metrics of the two servers, which have equal names.
+func side(r prometheus.Registerer, name string) prometheus.Registerer {
+	return prometheus.WrapRegistererWith(prometheus.Labels{"side": name}, r)
+}
+
+func newDirectAdmission(i do.Injector) (directAdmission, error) {
+	a, err := limit.New(limit.Options{
+		Clock:      do.MustInvoke[clockwork.Clock](i),
+		Membership: do.MustInvoke[ports.Membership](i),
+		Registerer: side(do.MustInvoke[*prometheus.Registry](i), "callers"),
+	})
+	return directAdmission{a}, err
+}
+
+func newGroupAdmission(i do.Injector) (groupAdmission, error) {
+	a, err := limit.New(limit.Options{
+		Clock:      do.MustInvoke[clockwork.Clock](i),
+		NewLimiter: func(_, _ float64) limit.Limiter { return limit.NewFixed() },
+		Registerer: side(do.MustInvoke[*prometheus.Registry](i), "peers"),
+	})
+	return groupAdmission{a}, err
+}
+
+func newRetries(i do.Injector) (ports.RetryBudget, error) {
+	return retry.New(retry.Options{
+		Name:       "retry",
+		Membership: do.MustInvoke[ports.Membership](i),
+		Registerer: do.MustInvoke[*prometheus.Registry](i),
+	})
+}
+
+func newLedger(i do.Injector) (*ledger.Ledger, error) {
+	return ledger.New(ledger.Options{
+		Table:      do.MustInvoke[platform.Table](i),
+		Host:       do.MustInvoke[*settings.Settings](i).Host.Name,
+		Clock:      do.MustInvoke[clockwork.Clock](i),
+		Logger:     do.MustInvoke[*zap.Logger](i),
+		Registerer: do.MustInvoke[*prometheus.Registry](i),
+	})
+}
+
+func newCallersSide(i do.Injector) (callersSide, error) {
+	s := do.MustInvoke[*settings.Settings](i)
+	handover := do.MustInvoke[*handoff.Balancer](i)
+	server, err := proxy.New(proxy.Options{
+		Tables:     do.MustInvoke[ports.Tables](i),
+		Balancer:   handover,
+		Admission:  handover.Admission(do.MustInvoke[directAdmission](i)),
+		Retries:    do.MustInvoke[ports.RetryBudget](i),
+		Ledger:     do.MustInvoke[ports.Ledger](i),
+		Membership: do.MustInvoke[ports.Membership](i),
+		Clock:      do.MustInvoke[clockwork.Clock](i),
+		Registerer: side(do.MustInvoke[*prometheus.Registry](i), "callers"),
+		Logger:     do.MustInvoke[*zap.Logger](i).Named("callers"),
+		Limits:     limits(s),
+		Upstream:   upstream.Options{Dial: do.MustInvoke[Options](i).Dial},
+		PeerToken:  s.Peers.Token,
+	})
+	return callersSide{server}, err
+}
+
+func newPeersSide(i do.Injector) (peersSide, error) {
+	s := do.MustInvoke[*settings.Settings](i)
+	meter := do.MustInvoke[*handoff.Meter](i)
+	server, err := proxy.New(proxy.Options{
+		Tables:     do.MustInvoke[ports.Tables](i),
+		Balancer:   do.MustInvoke[*balance.Balancer](i),
+		Admission:  meter,
+		Membership: do.MustInvoke[ports.Membership](i),
+		Clock:      do.MustInvoke[clockwork.Clock](i),
+		Registerer: side(do.MustInvoke[*prometheus.Registry](i), "peers"),
+		Logger:     do.MustInvoke[*zap.Logger](i).Named("peers"),
+		Limits:     limits(s),
+		Upstream:   upstream.Options{Dial: do.MustInvoke[Options](i).Dial},
+		PeerSide:   &proxy.PeerSide{Token: s.Peers.Token, Load: meter.Text},
+	})
+	return peersSide{server}, err
+}
+
+// limits are the limits of the forwarding path that the settings name.
+func limits(s *settings.Settings) proxy.Limits {
+	return proxy.Limits{
+		HeaderBytes:    s.Limits.MaxHeaderBytes,
+		HeaderTimeout:  s.Limits.HeaderTimeout,
+		KeyedBodyBytes: s.Limits.MaxKeyedBodyBytes,
+	}
+}
--- /dev/null
+++ b/host/host_test.go
@@ -0,0 +1,134 @@
+package host_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
+
+	"github.com/chestnutfield/chestnutfield/config/rows"
+	"github.com/chestnutfield/chestnutfield/host"
+	"github.com/chestnutfield/chestnutfield/lab/platformd"
+)
+
+// serving waits until every host serves and knows all others.
+func (d *deployment) serving() {
+	for _, h := range d.hosts {
+		Eventually(lookup, patience).WithArguments(h).Should(Equal(http.StatusOK))
+		Eventually(func() string { return metric(h, `chestnut_membership_members{state="live"}`) }, patience).
+			Should(Equal(strconv.Itoa(len(d.hosts))))
+	}
+}
+
+var _ = Describe("a deployment", func() {
+	It("serves from every host, handing over to owners", func() {
+		d := newDeployment(3, 3)
+		d.serving()
+		for _, h := range d.hosts {
+			Eventually(func() string {
+				lookup(h)
+				return metric(h, "chestnut_handoff_requests_total")
+			}, patience).ShouldNot(Equal("0"))
+		}
+	})
+
+	It("runs an order once, whichever hosts get its key, and gives all the same answer", func() {
+		d := newDeployment(3, 3)
+		d.serving()
+		before := d.runs.Totals().Runs
+		var mu sync.Mutex
+		var answers []answer
+		var all sync.WaitGroup
+		for i := range 12 {
+			all.Go(func() {
+				defer GinkgoRecover()
+				a, err := ask(d.hosts[i%3], http.MethodPost, "/orders/1", "key-1")
+				Expect(err).NotTo(HaveOccurred())
+				mu.Lock()
+				defer mu.Unlock()
+				answers = append(answers, a)
+			})
+		}
+		all.Wait()
+		Expect(d.runs.Totals().Runs).To(Equal(before + 1))
+		for _, a := range answers {
+			Expect(a.status).To(Or(Equal(http.StatusOK), Equal(http.StatusConflict)))
+		}
+		Eventually(func() int {
+			a, _ := ask(d.hosts[2], http.MethodPost, "/orders/1", "key-1")
+			return a.status
+		}, patience).Should(Equal(http.StatusOK))
+		reused, err := ask(d.hosts[0], http.MethodPost, "/orders/2", "key-1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reused.status).To(Equal(http.StatusUnprocessableEntity))
+		Expect(reused.outcome).To(Equal("not-run"))
+		Expect(d.runs.Totals().Runs).To(Equal(before + 1))
+	})
+
+	It("keeps serving while the platform is down, and refuses keyed orders as not run", func() {
+		d := newDeployment(3, 3)
+		d.serving()
+		d.platform.SetFaults(platformd.Faults{Down: true})
+		Expect(lookup(d.hosts[0])).To(Equal(http.StatusOK))
+		a, err := ask(d.hosts[1], http.MethodPost, "/orders/1", "key-1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(a.outcome).To(Equal("not-run"))
+		runs := d.runs.Totals().Runs
+		unkeyed, err := ask(d.hosts[1], http.MethodPost, "/orders/1", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(unkeyed.status).To(Equal(http.StatusOK))
+		Expect(d.runs.Totals().Runs).To(Equal(runs + 1))
+	})
+
+	It("cuts no request in a planned stop", func() {
+		d := newDeployment(3, 6)
+		d.serving()
+		var all sync.WaitGroup
+		statuses := make([]int, 60)
+		begun := make(chan struct{}, len(statuses))
+		for i := range statuses {
+			all.Go(func() {
+				defer GinkgoRecover()
+				begun <- struct{}{}
+				statuses[i] = lookup(d.hosts[1])
+			})
+		}
+		for range 30 {
+			<-begun
+		}
+		Expect(d.hosts[0].Stop(context.Background())).To(Succeed())
+		all.Wait()
+		Expect(lo.Uniq(statuses)).To(Equal([]int{http.StatusOK}))
+	})
+
+	It("serves on when a host is killed", func() {
+		d := newDeployment(3, 3)
+		d.serving()
+		d.hosts[0].Kill()
+		for i := range 50 {
+			Expect(lookup(d.hosts[1+i%2])).To(Equal(http.StatusOK), fmt.Sprintf("lookup %d", i))
+		}
+	})
+
+	It("brings a change in force at every host, also at one that starts while the platform is down", func() {
+		d := newDeployment(3, 3)
+		d.serving()
+		d.apply(rows.Routes, "[added]\npath_prefix = /added/\npool = catalogue\nclass = batch\nidempotent = true\ntimeout = 20s\n")
+		status := func(h *host.Host) int {
+			a, _ := ask(h, http.MethodGet, "/added/x", "")
+			return a.status
+		}
+		for _, h := range d.hosts {
+			Eventually(status, patience).WithArguments(h).Should(Equal(http.StatusOK))
+		}
+		d.platform.SetFaults(platformd.Faults{Down: true})
+		late := d.startHost(3, d.hosts[0].PeersAddr().String())
+		Eventually(status, patience).WithArguments(late).Should(Equal(http.StatusOK))
+	})
+})
--- /dev/null
+++ b/host/listeners.go
@@ -0,0 +1,58 @@
+package host
+
+import (
+	"net"
+	"net/netip"
+
+	"github.com/pkg/errors"
+
+	"github.com/chestnutfield/chestnutfield/settings"
+)
+
+// listeners are the bound addresses of a host.
+type listeners struct {
+	callers net.Listener
+	admin   net.Listener
+	peers   net.Listener
+}
+
+// listen binds the three addresses, or none.
+func listen(l settings.Listen) (listeners, error) {
+	var bound listeners
+	for _, a := range []struct {
+		key  string
+		addr netip.AddrPort
+		to   *net.Listener
+	}{
+		{"callers", l.Callers, &bound.callers},
+		{"admin", l.Admin, &bound.admin},
+		{"peers", l.Peers, &bound.peers},
+	} {
+		ln, err := net.Listen("tcp", a.addr.String())
+		if err != nil {
+			bound.close()
+			return listeners{}, errors.Wrapf(err, "section [listen] key %q", a.key)
+		}
+		*a.to = ln
+	}
+	return bound, nil
+}
+
+// resolve returns the settings with the addresses that were bound.
+func (l listeners) resolve(s *settings.Settings) *settings.Settings {
+	resolved := *s
+	resolved.Listen = settings.Listen{
+		Callers: netip.MustParseAddrPort(l.callers.Addr().String()),
+		Admin:   netip.MustParseAddrPort(l.admin.Addr().String()),
+		Peers:   netip.MustParseAddrPort(l.peers.Addr().String()),
+	}
+	return &resolved
+}
+
+func (l listeners) close() {
+	for _, ln := range []net.Listener{l.callers, l.admin, l.peers} {
+		if ln != nil {
+			ln.Close()
+		}
+	}
+}
--- /dev/null
+++ b/host/members.go
@@ -0,0 +1,84 @@
+package host
+
+import (
+	"crypto/tls"
+	"net/netip"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/do/v2"
+	"go.uber.org/zap"
+
+	"github.com/chestnutfield/chestnutfield/balance"
+	"github.com/chestnutfield/chestnutfield/config"
+	"github.com/chestnutfield/chestnutfield/membership"
+	"github.com/chestnutfield/chestnutfield/peer"
+	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/ports"
+	"github.com/chestnutfield/chestnutfield/settings"
+)
+
+// provideMembers gives the membership and the exchange with peers.
+func provideMembers(i do.Injector) {
+	do.Provide(i, newMembership)
+	do.Provide(i, func(i do.Injector) (ports.Membership, error) {
+		return do.Invoke[*membership.Service](i)
+	})
+	do.Provide(i, newNode)
+}
+
+func newMembership(i do.Injector) (*membership.Service, error) {
+	s := do.MustInvoke[*settings.Settings](i)
+	return membership.New(membership.Options{
+		Self: membership.Member{
+			Name: s.Host.Name, Addr: s.Listen.Peers, FailureDomain: s.Host.FailureDomain, State: membership.Live,
+		},
+		Table:      do.MustInvoke[platform.Table](i),
+		Clock:      do.MustInvoke[clockwork.Clock](i),
+		Seed:       uint64(do.MustInvoke[Seed](i)),
+		Logger:     do.MustInvoke[*zap.Logger](i),
+		Registerer: do.MustInvoke[*prometheus.Registry](i),
+	})
+}
+
+func newNode(i do.Injector) (*peer.Node, error) {
+	s := do.MustInvoke[*settings.Settings](i)
+	serverTLS, err := s.Peers.TLS()
+	if err != nil {
+		return nil, err
+	}
+	return peer.NewNode(peer.Options{
+		Members:    do.MustInvoke[*membership.Service](i),
+		Drains:     do.MustInvoke[*balance.Balancer](i),
+		Config:     do.MustInvoke[*config.Keeper](i),
+		Seeds:      func() []netip.AddrPort { return s.Peers.Seeds },
+		Dial:       do.MustInvoke[Options](i).Dial,
+		Token:      s.Peers.Token,
+		ServerTLS:  serverTLS,
+		ClientTLS:  clientTLS(serverTLS),
+		Clock:      do.MustInvoke[clockwork.Clock](i),
+		Logger:     do.MustInvoke[*zap.Logger](i),
+		Registerer: do.MustInvoke[*prometheus.Registry](i),
+	})
+}
+
+// clientTLS is the side that connects: it shows the same certificate.
+func clientTLS(server *tls.Config) *tls.Config {
+	if server == nil {
+		return nil
+	}
+	c := server.Clone()
+	c.ClientAuth, c.ClientCAs = tls.NoClientCert, nil
+	return c
+}
+
+// drainRelay carries news of leaving targets from the balancer to the peers.
+// The balancer is made before the node that it tells.
+type drainRelay struct{ node *peer.Node }
+
+func (r *drainRelay) announce(_ time.Time, target netip.AddrPort) {
+	if r.node != nil {
+		r.node.AnnounceDrain(target)
+	}
+}
--- /dev/null
+++ b/host/reconciler.go
@@ -0,0 +1,142 @@
+package host
+
+import (
+	"context"
+	"net/netip"
+	"reflect"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"github.com/chestnutfield/chestnutfield/balance"
+	"github.com/chestnutfield/chestnutfield/handoff"
+	"github.com/chestnutfield/chestnutfield/membership"
+	"github.com/chestnutfield/chestnutfield/owner"
+	"github.com/chestnutfield/chestnutfield/table"
+)
+
+// reconcileInterval is the time between two looks at members and targets.
+const reconcileInterval = 200 * time.Millisecond
+
+// The calls a second of all hosts together by which the ledger uses the table
+// service.
+const (
+	claimCallsPerSecond   = 200
+	outcomeCallsPerSecond = 100
+)
+
+// reconciler hands the tables, the members and the state of targets on to the
+// parts that decide, whenever one of them has changed.
+type reconciler struct {
+	parts   *parts
+	resolve resolveFunc
+	// handOver is false on a host that always dispatches directly.
+	handOver bool
+	clock    clockwork.Clock
+	log      *zap.Logger
+	kick     chan struct{}
+
+	last input
+}
+
+func newReconciler(h *Host, clock clockwork.Clock) *reconciler {
+	return &reconciler{
+		parts:    &h.parts,
+		resolve:  h.parts.resolver.Targets,
+		handOver: h.settings.Host.Handoff,
+		clock:    clock,
+		log:      h.log,
+		kick:     make(chan struct{}, 1),
+	}
+}
+
+// input is all that the specs are derived from.
+type input struct {
+	tables *table.Tables
+	peers  []handoff.Peer
+	shares int
+	specs  specs
+}
+
+// changed asks for a look at once.
+func (r *reconciler) changed() {
+	select {
+	case r.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (r *reconciler) run(ctx context.Context) error {
+	ticker := r.clock.NewTicker(reconcileInterval)
+	defer ticker.Stop()
+	for {
+		r.look()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-r.kick:
+		case <-ticker.Chan():
+		}
+	}
+}
+
+// look brings the parts up to date.
+func (r *reconciler) look() {
+	now := r.clock.Now()
+	t := r.parts.keeper.Current()
+	next := input{tables: t, peers: r.peers(), shares: r.parts.members.ShareCount()}
+	next.specs = buildSpecs(t, r.resolve, func(pool string) map[netip.AddrPort]bool {
+		return usable(r.parts.balancer.States(now, pool))
+	})
+	if reflect.DeepEqual(next, r.last) {
+		return
+	}
+	if err := r.parts.balancer.Update(now, next.specs.targets); err != nil {
+		r.log.Error("pools refused", zap.Uint64("version", t.Version), zap.Error(err))
+		return
+	}
+	hosts := float64(next.shares)
+	r.parts.ledger.SetCallRates(claimCallsPerSecond/hosts, outcomeCallsPerSecond/hosts)
+	r.parts.direct.Update(next.specs.direct)
+	r.parts.groups.Update(next.specs.groups)
+	r.parts.meter.SetSlots(next.specs.slots)
+	r.parts.handoff.Update(next.peers, next.specs.pools)
+	r.announceDrains(next.specs)
+	r.last = next
+}
+
+// announceDrains tells the peers of targets that began to leave.
+func (r *reconciler) announceDrains(s specs) {
+	for name := range s.pools {
+		for _, target := range s.targets[name].Drain {
+			if !lo.Contains(r.last.specs.targets[name].Drain, target) {
+				r.parts.node.AnnounceDrain(target)
+			}
+		}
+	}
+}
+
+// peers are the live hosts that may own groups.
+func (r *reconciler) peers() []handoff.Peer {
+	if !r.handOver {
+		return nil
+	}
+	live := lo.Filter(r.parts.members.Members(), func(m membership.Member, _ int) bool {
+		return m.State == membership.Live
+	})
+	return lo.Map(live, func(m membership.Member, _ int) handoff.Peer {
+		return handoff.Peer{Member: owner.Member{Name: m.Name, FailureDomain: m.FailureDomain}, Addr: m.Addr}
+	})
+}
+
+// leavingState is the state of targets that get nothing new.
+const leavingState = "leaving"
+
+// usable maps the targets of a pool to whether they take new work.
+func usable(states []balance.TargetState) map[netip.AddrPort]bool {
+	return lo.SliceToMap(states, func(s balance.TargetState) (netip.AddrPort, bool) {
+		return s.Addr, s.State != leavingState
+	})
+}
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -5,6 +5,7 @@
 	"net/url"
 	"regexp"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -41,6 +42,7 @@
 	{"peers", "tls_cert", false, "a PEM file", text(func(s *Settings) *string { return &s.Peers.Cert })},
 	{"peers", "tls_key", false, "a PEM file", text(func(s *Settings) *string { return &s.Peers.Key })},
 	{"peers", "tls_ca", false, "a PEM file", text(func(s *Settings) *string { return &s.Peers.CA })},
+	{"peers", "seeds", false, "IP:PORT, IP:PORT, ...", addrs(func(s *Settings) *[]netip.AddrPort { return &s.Peers.Seeds })},
 	{"limits", "drain_timeout", false, "a duration from 0s to 1h, such as 30s", duration(0, time.Hour, func(s *Settings) *time.Duration { return &s.Limits.DrainTimeout })},
 	{"limits", "header_timeout", false, "a duration from 100ms to 10m", duration(100*time.Millisecond, 10*time.Minute, func(s *Settings) *time.Duration { return &s.Limits.HeaderTimeout })},
 	{"limits", "max_header_bytes", false, "a number from 1024 to 1048576", number(1<<10, 1<<20, func(s *Settings) *int { return &s.Limits.MaxHeaderBytes })},
@@ -77,6 +79,19 @@
 	}
 }
 
+func addrs(at func(*Settings) *[]netip.AddrPort) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		for _, one := range strings.Split(v, ",") {
+			a, err := netip.ParseAddrPort(strings.TrimSpace(one))
+			if err != nil {
+				return err
+			}
+			*at(s) = append(*at(s), a)
+		}
+		return nil
+	}
+}
+
 func baseURL(at func(*Settings) *string) func(*Settings, string) error {
 	return func(s *Settings, v string) error {
 		u, err := url.Parse(v)
--- a/settings/load.go
+++ b/settings/load.go
@@ -120,7 +120,7 @@
 
 // checkWhole checks what concerns several keys.
 func checkWhole(path string, s *Settings) error {
-	for section, a := range map[string]Access{"admin": s.Admin, "peers": s.Peers} {
+	for section, a := range map[string]Access{"admin": s.Admin, "peers": s.Peers.Access} {
 		set := lo.CountBy([]string{a.Cert, a.Key, a.CA}, func(v string) bool { return v != "" })
 		if set != 0 && set != 3 {
 			return &Error{path, section, "tls_cert", "TLS is set in part", "tls_cert, tls_key and tls_ca, or none of them"}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -14,7 +14,7 @@
 	Listen   Listen
 	Platform Platform
 	Admin    Access
-	Peers    Access
+	Peers    Peers
 	Limits   Limits
 	Log      Log
 }
@@ -56,6 +56,14 @@
 	CA   string
 }
 
+// Peers protects the exchange between hosts and says where it begins.
+type Peers struct {
+	Access
+	// Seeds are addresses of peers to ask when the table service can't say
+	// who they are.
+	Seeds []netip.AddrPort
+}
+
 // Limits bound what one host takes on.
 type Limits struct {
 	// DrainTimeout bounds a planned stop.
