--- a/settings/load_test.go
+++ b/settings/load_test.go
@@ -40,6 +40,7 @@
 		s, err := load(valid)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(s.Host.Name).To(Equal("entry-1"))
+		Expect(s.Host.Handoff).To(BeTrue())
 		Expect(s.Limits.DrainTimeout).To(Equal(5 * time.Second))
 		Expect(s.Limits.MaxHeaderBytes).To(Equal(settings.DefaultMaxHeaderBytes))
 		Expect(s.Platform.Hosts).To(Equal("http://127.0.0.1:7400"))
@@ -61,6 +62,7 @@
 		Entry("missing section", "[platform]\ntable = http://127.0.0.1:7400\nobjects = http://127.0.0.1:7400\n", "", "platform", "table"),
 		Entry("bad duration", "5s", "5 parsecs", "limits", "drain_timeout"),
 		Entry("negative duration", "5s", "-5s", "limits", "drain_timeout"),
+		Entry("bad truth value", "name = entry-1", "name = entry-1\nhandoff = perhaps", "host", "handoff"),
 		Entry("host name for IP", "callers = 127.0.0.1:7001", "callers = localhost:7001", "listen", "callers"),
 		Entry("bad URL", "table = http://127.0.0.1:7400", "table = 127.0.0.1:7400", "platform", "table"),
 		Entry("section twice", "[limits]", "[host]\nname = b\n[limits]", "host", ""),
@@ -68,6 +70,8 @@
 		Entry("key outside of sections", "[host]\n", "x = 1\n[host]\n", "", "x"),
 		Entry("admin off loopback without token", "admin = 127.0.0.1:7002", "admin = 10.0.0.1:7002", "admin", "token"),
 		Entry("peers off loopback without token", "peers = 127.0.0.1:7003", "peers = 0.0.0.0:7003", "peers", "token"),
+		Entry("peers at no certain address", "peers = 127.0.0.1:7003\n", "peers = 0.0.0.0:7003\n[peers]\ntoken = t\n", "listen", "peers"),
+		Entry("bad seed", "[limits]", "[peers]\nseeds = 127.0.0.1:7003, there\n[limits]", "peers", "seeds"),
 		Entry("TLS in part", "token =", "tls_cert = a.pem", "admin", "tls_cert"),
 	)
 
