--- a/settings/load.go
+++ b/settings/load.go
@@ -54,6 +54,7 @@
 
 func defaults() *Settings {
 	return &Settings{
+		Host: Host{Handoff: true},
 		Limits: Limits{
 			DrainTimeout: DefaultDrainTimeout, HeaderTimeout: DefaultHeaderTimeout,
 			MaxHeaderBytes: DefaultMaxHeaderBytes, MaxKeyedBodyBytes: DefaultMaxKeyedBodyBytes,
@@ -119,7 +120,7 @@
 
 // checkWhole checks what concerns several keys.
 func checkWhole(path string, s *Settings) error {
-	for section, a := range map[string]Access{"admin": s.Admin, "peers": s.Peers} {
+	for section, a := range map[string]Access{"admin": s.Admin, "peers": s.Peers.Access} {
 		set := lo.CountBy([]string{a.Cert, a.Key, a.CA}, func(v string) bool { return v != "" })
 		if set != 0 && set != 3 {
 			return &Error{path, section, "tls_cert", "TLS is set in part", "tls_cert, tls_key and tls_ca, or none of them"}
@@ -131,5 +132,8 @@
 	if !s.Listen.Peers.Addr().IsLoopback() && !s.Peers.Protected() {
 		return &Error{path, "peers", "token", "the peers address is off loopback and unprotected", "a token or TLS with client certificates"}
 	}
+	if s.Listen.Peers.Addr().IsUnspecified() {
+		return &Error{path, "listen", "peers", "peers can't connect to this address", "the IP number that peers reach this host by"}
+	}
 	return nil
 }
