host: pools choose owners by policy; probes and load figures are wired

Cause: an operator chooses in the pool's row between handing over and direct policies; an unknown policy was accepted by the tables and refused by every host, so a version could be in force that no host followed. Change: policy 'owned' is the default, all other policies dispatch directly; the tables refuse unknown names (the round trip draws valid ones); the prober and the exchange of load figures run in the host.

--- a/host/forwarding.go
+++ b/host/forwarding.go
@@ -13,6 +13,7 @@
 	"github.com/chestnutfield/chestnutfield/owner"
 	"github.com/chestnutfield/chestnutfield/platform"
 	"github.com/chestnutfield/chestnutfield/ports"
+	"github.com/chestnutfield/chestnutfield/probe"
 	"github.com/chestnutfield/chestnutfield/proxy"
 	"github.com/chestnutfield/chestnutfield/retry"
 	"github.com/chestnutfield/chestnutfield/settings"
@@ -35,6 +36,7 @@
 func provideForwarding(i do.Injector) {
 	do.ProvideValue(i, &drainRelay{})
 	do.Provide(i, newBalancer)
+	do.Provide(i, newProber)
 	do.Provide(i, newHandoff)
 	do.Provide(i, newDirectAdmission)
 	do.Provide(i, newGroupAdmission)
@@ -61,6 +63,16 @@
 	})
 }
 
+func newProber(i do.Injector) (*probe.Prober, error) {
+	return probe.New(probe.Options{
+		Host:       do.MustInvoke[*settings.Settings](i).Host.Name,
+		Membership: do.MustInvoke[ports.Membership](i),
+		Source:     do.MustInvoke[*balance.Balancer](i),
+		Clock:      do.MustInvoke[clockwork.Clock](i),
+		Registerer: do.MustInvoke[*prometheus.Registry](i),
+	})
+}
+
 func newHandoff(i do.Injector) (*handoff.Balancer, error) {
 	s := do.MustInvoke[*settings.Settings](i)
 	return handoff.New(handoff.Options{
--- a/host/providers.go
+++ b/host/providers.go
@@ -10,6 +10,7 @@
 	"github.com/chestnutfield/chestnutfield/ledger"
 	"github.com/chestnutfield/chestnutfield/membership"
 	"github.com/chestnutfield/chestnutfield/peer"
+	"github.com/chestnutfield/chestnutfield/probe"
 	"github.com/chestnutfield/chestnutfield/proxy"
 	"github.com/chestnutfield/chestnutfield/resolve"
 )
@@ -43,6 +44,7 @@
 	ledger   *ledger.Ledger
 	balancer *balance.Balancer
 	handoff  *handoff.Balancer
+	prober   *probe.Prober
 	direct   directAdmission
 	groups   groupAdmission
 	meter    *handoff.Meter
@@ -56,7 +58,7 @@
 	err = firstError(
 		take(i, &p.members), take(i, &p.keeper), take(i, &p.resolver), take(i, &p.ledger),
 		take(i, &p.balancer), take(i, &p.handoff),
-		take(i, &p.direct), take(i, &p.groups), take(i, &p.meter), take(i, &p.node),
+		take(i, &p.prober), take(i, &p.direct), take(i, &p.groups), take(i, &p.meter), take(i, &p.node),
 		take(i, &p.admin),
 	)
 	if err != nil {
--- a/host/reconciler.go
+++ b/host/reconciler.go
@@ -103,13 +103,14 @@
 	r.parts.groups.Update(next.specs.groups)
 	r.parts.meter.SetSlots(next.specs.slots)
 	r.parts.handoff.Update(next.peers, next.specs.pools)
+	r.parts.prober.Update(next.specs.probes)
 	r.announceDrains(next.specs)
 	r.last = next
 }
 
 // announceDrains tells the peers of targets that began to leave.
 func (r *reconciler) announceDrains(s specs) {
-	for name := range s.pools {
+	for name := range s.direct {
 		for _, target := range s.targets[name].Drain {
 			if !lo.Contains(r.last.specs.targets[name].Drain, target) {
 				r.parts.node.AnnounceDrain(target)
--- a/host/run.go
+++ b/host/run.go
@@ -34,6 +34,7 @@
 		{"configuration", h.parts.keeper.Run},
 		{"snapshots", h.parts.keeper.RunSnapshots},
 		{"resolver", h.parts.resolver.Run},
+		{"prober", func(ctx context.Context) error { h.parts.prober.Run(ctx); return nil }},
 		{"ledger", h.parts.ledger.Run},
 		{"idle connections", h.closeIdle},
 		{"reconciler", h.reconciler.run},
--- a/host/specs.go
+++ b/host/specs.go
@@ -9,6 +9,7 @@
 	"github.com/chestnutfield/chestnutfield/handoff"
 	"github.com/chestnutfield/chestnutfield/limit"
 	"github.com/chestnutfield/chestnutfield/owner"
+	"github.com/chestnutfield/chestnutfield/probe"
 	"github.com/chestnutfield/chestnutfield/table"
 )
 
@@ -23,6 +24,8 @@
 	groups map[string]limit.Capacity
 	// slots are the slots of each group's targets that take new work.
 	slots map[string]int
+	// probes are the targets that may be probed.
+	probes []probe.Target
 }
 
 // resolveFunc returns the targets of a pool and those of them that leave.
@@ -42,13 +45,21 @@
 }
 
 func (s *specs) add(name string, pool table.Pool, targets []table.Target, drain []netip.AddrPort, usable map[netip.AddrPort]bool) {
-	s.targets[name] = balance.PoolSpec{Targets: targets, Drain: drain, Slots: pool.Slots, Policy: pool.Policy}
+	direct := pool.Policy
+	if pool.Owned() {
+		direct = ""
+	}
+	s.targets[name] = balance.PoolSpec{Targets: targets, Drain: drain, Slots: pool.Slots, Policy: direct}
 	open := lo.Filter(targets, func(t table.Target, _ int) bool {
 		taking, known := usable[t.Addr]
 		return (taking || !known) && !lo.Contains(drain, t.Addr)
 	})
-	s.pools[name] = handoff.PoolSpec{Targets: open, Slots: pool.Slots}
 	s.direct[name] = limit.Capacity{Targets: len(open), Slots: pool.Slots}
+	s.probes = append(s.probes, probeTargets(pool, targets)...)
+	if !pool.Owned() {
+		return
+	}
+	s.pools[name] = handoff.PoolSpec{Targets: open, Slots: pool.Slots}
 	opened := owner.Split(name, open)
 	for g, members := range owner.Split(name, targets) {
 		s.targets[g.String()] = balance.PoolSpec{
@@ -59,6 +70,15 @@
 	}
 }
 
-// groupPolicy chooses among the targets of an owned group, whose load the
-// owner knows exactly.
-const groupPolicy = balance.LeastOutstanding
+// groupPolicy chooses among the targets of an owned group.
+const groupPolicy = balance.Completion
+
+// probeTargets are the targets of a pool as the prober sees them.
+func probeTargets(pool table.Pool, targets []table.Target) []probe.Target {
+	return lo.Map(targets, func(t table.Target, _ int) probe.Target {
+		return probe.Target{
+			Pool: pool.Name, Addr: t.Addr, Budget: pool.ProbeBudget,
+			LoadPath: pool.LoadPath, HealthPath: pool.HealthPath,
+		}
+	})
+}
--- a/table/parse_test.go
+++ b/table/parse_test.go
@@ -103,6 +103,7 @@
 		Entry("target twice", "targets = 127.0.0.1:1@a, 127.0.0.1:1@b", "targets", "each address once"),
 		Entry("mapped form of the same target", "targets = 127.0.0.1:1@a, [::ffff:127.0.0.1]:1@a", "targets", "once"),
 		Entry("neither targets nor service", "slots = 2", "targets", "targets or service"),
+		Entry("policy", "targets = 127.0.0.1:1@a\npolicy = fastest", "policy", "one of owned"),
 		Entry("both targets and service", "targets = 127.0.0.1:1@a\nservice = s", "service", "not both"),
 		Entry("drain of a stranger", "targets = 127.0.0.1:1@a\ndrain = 127.0.0.1:2", "drain", "that targets lists"),
 		Entry("budget not a number", "service = s\nprobe_budget = NaN", "probe_budget", "a number from 0"),
--- a/table/pools.go
+++ b/table/pools.go
@@ -31,8 +31,8 @@
 		Connections: s.integer("connections", DefaultConnections, 1, MaxConnections),
 	}
 	p.Policy, _ = s.raw("policy")
-	if p.Policy != "" && !validName(p.Policy) {
-		s.fault("policy", p.Policy, "the name of a selection policy")
+	if p.Policy != "" && !validPolicy(p.Policy) {
+		s.fault("policy", p.Policy, "one of "+strings.Join(Policies, ", "))
 	}
 	s.finish()
 	checkSource(s, p)
--- a/table/roundtrip_test.go
+++ b/table/roundtrip_test.go
@@ -44,7 +44,7 @@
 		Connections: rapid.IntRange(1, table.MaxConnections).Draw(t, "connections"),
 		LoadPath:    rapid.OneOf(rapid.Just(""), paths).Draw(t, "load"),
 		HealthPath:  rapid.OneOf(rapid.Just(""), paths).Draw(t, "health"),
-		Policy:      rapid.OneOf(rapid.Just(""), names).Draw(t, "policy"),
+		Policy:      rapid.SampledFrom(append([]string{""}, table.Policies...)).Draw(t, "policy"),
 	}
 	if rapid.Bool().Draw(t, "service?") {
 		p.Service = names.Draw(t, "service")
