admin, ctl, chestnutctl: the operators' side

Cause: operators need to change the two tables, see what is in force where, and wait for it, with answers that are true when the store or the host fails. Change: admin serves the JSON API, metrics, health and readiness over fiber handlers. Reads fall back to what is in force while the table service does not answer, and say so. A file over the limit is refused by name; the HTTP server's own log of unreadable requests is off, as it repeats headers. Conclusion: whole sessions stand as golden files (set-up, refusals, a race, a lost acknowledgement with the store down, a wrong token).

--- /dev/null
+++ b/admin/handlers.go
@@ -0,0 +1,176 @@
+package admin
+
+import (
+	"strconv"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+
+	"github.com/chestnutfield/chestnutfield/admin/api"
+	"github.com/chestnutfield/chestnutfield/config/command"
+	"github.com/chestnutfield/chestnutfield/config/rows"
+	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/table"
+)
+
+const defaultHistory = 50
+
+// statusOf is the HTTP status of a command's result.
+var statusOf = map[command.State]int{
+	command.Accepted:    fiber.StatusOK,
+	command.Unchanged:   fiber.StatusOK,
+	command.Refused:     fiber.StatusUnprocessableEntity,
+	command.NotFound:    fiber.StatusNotFound,
+	command.Conflict:    fiber.StatusConflict,
+	command.Unavailable: fiber.StatusServiceUnavailable,
+	command.Unknown:     fiber.StatusGatewayTimeout,
+}
+
+// answerError answers with api.Failure.
+func answerError(c fiber.Ctx, err error) error {
+	status := fiber.StatusInternalServerError
+	var known *fiber.Error
+	switch {
+	case errors.As(err, &known):
+		status = known.Code
+	case errors.Is(err, platform.ErrUnavailable):
+		status = fiber.StatusServiceUnavailable
+	}
+	return c.Status(status).JSON(api.Failure{Error: err.Error()})
+}
+
+func (s *Server) readiness(c fiber.Ctx) error {
+	switch {
+	case s.opts.Status.Stopping():
+		return c.Status(fiber.StatusServiceUnavailable).SendString("stopping\n")
+	case !s.opts.Config.Status().Ready:
+		return c.Status(fiber.StatusServiceUnavailable).SendString("no configuration in force\n")
+	}
+	return c.SendString("ready\n")
+}
+
+func (s *Server) status(c fiber.Ctx) error {
+	out := api.Status{
+		Host: s.opts.Status.Self(), Config: s.opts.Config.Status(),
+		Peers: s.opts.Status.Peers(), Pools: s.opts.Status.Pools(),
+	}
+	out.Host.Live, out.Host.Version, out.Host.VersionAge = true, out.Config.Version, 0
+	return c.JSON(out)
+}
+
+// listing reads the accepted tables, or those in force here while the table
+// service does not answer.
+func (s *Server) listing(c fiber.Ctx, kind rows.Kind) (api.Listing, error) {
+	t, err := s.opts.Queries.Tables(c.Context())
+	stale := errors.Is(err, platform.ErrUnavailable) && s.opts.Config.Status().Ready
+	switch {
+	case stale:
+		t = s.opts.Config.Current()
+	case err != nil:
+		return api.Listing{}, err
+	}
+	l := api.Listing{Version: t.Version, Stale: stale}
+	if kind == rows.Pools {
+		l.Pools = t.Pools
+	} else {
+		l.Routes = t.Routes
+	}
+	return l, nil
+}
+
+func (s *Server) list(kind rows.Kind) fiber.Handler {
+	return func(c fiber.Ctx) error {
+		l, err := s.listing(c, kind)
+		if err != nil {
+			return err
+		}
+		return c.JSON(l)
+	}
+}
+
+func (s *Server) get(kind rows.Kind) fiber.Handler {
+	return func(c fiber.Ctx) error {
+		l, err := s.listing(c, kind)
+		if err != nil {
+			return err
+		}
+		name := c.Params("name")
+		l.Pools = lo.PickByKeys(l.Pools, []string{name})
+		l.Routes = lo.PickByKeys(l.Routes, []string{name})
+		if len(l.Pools)+len(l.Routes) == 0 {
+			message := string(kind) + ": no row named " + strconv.Quote(name) + " in version " + strconv.FormatUint(l.Version, 10)
+			if l.Stale {
+				message += ", which is in force here; the table service does not answer"
+			}
+			return fiber.NewError(fiber.StatusNotFound, message)
+		}
+		return c.JSON(l)
+	}
+}
+
+func (s *Server) history(kind rows.Kind) fiber.Handler {
+	return func(c fiber.Ctx) error {
+		limit, err := number(c, api.LimitArg, defaultHistory)
+		if err != nil {
+			return err
+		}
+		changes, err := s.opts.Queries.History(c.Context(), int(min(limit, table.MaxRoutes)))
+		if err != nil {
+			return err
+		}
+		return c.JSON(api.History{Changes: lo.Filter(changes, func(ch rows.Change, _ int) bool { return ch.Table == kind })})
+	}
+}
+
+func (s *Server) apply(kind rows.Kind) fiber.Handler {
+	return func(c fiber.Ctx) error {
+		r := command.Request{Table: kind, Operation: rows.Apply, Data: c.Body()}
+		r.File = c.Query(api.FileArg, string(kind)+".ini")
+		return s.change(c, r)
+	}
+}
+
+func (s *Server) remove(kind rows.Kind) fiber.Handler {
+	return func(c fiber.Ctx) error {
+		return s.change(c, command.Request{Table: kind, Operation: rows.Delete, Name: c.Params("name"), File: string(kind)})
+	}
+}
+
+func (s *Server) change(c fiber.Ctx, r command.Request) error {
+	r.ChangeID = c.Query(api.ChangeArg)
+	r.Author = author(c, c.Query(api.AuthorArg))
+	if c.Query(api.IfVersionArg) != "" {
+		version, err := number(c, api.IfVersionArg, 0)
+		if err != nil {
+			return err
+		}
+		r.IfVersion = &version
+	}
+	return answer(c, s.opts.Commands.Do(c.Context(), r))
+}
+
+func (s *Server) ask(c fiber.Ctx) error {
+	base, err := number(c, api.BaseArg, 0)
+	if err != nil {
+		return err
+	}
+	return answer(c, s.opts.Commands.Ask(c.Context(), c.Params("id"), base))
+}
+
+func answer(c fiber.Ctx, r command.Result) error {
+	return c.Status(statusOf[r.State]).JSON(r)
+}
+
+// number reads a query argument that is a whole number.
+func number(c fiber.Ctx, name string, def uint64) (uint64, error) {
+	v := c.Query(name)
+	if v == "" {
+		return def, nil
+	}
+	n, err := strconv.ParseUint(v, 10, 64)
+	if err != nil {
+		return 0, fiber.NewError(fiber.StatusBadRequest, name+": found "+strconv.Quote(v)+", expected a whole number")
+	}
+	return n, nil
+}
--- /dev/null
+++ b/admin/server_test.go
@@ -0,0 +1,243 @@
+package admin_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"fmt"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/chestnutfield/chestnutfield/admin"
+	"github.com/chestnutfield/chestnutfield/admin/api"
+	"github.com/chestnutfield/chestnutfield/admin/client"
+	"github.com/chestnutfield/chestnutfield/config"
+	"github.com/chestnutfield/chestnutfield/config/command"
+	"github.com/chestnutfield/chestnutfield/config/query"
+	"github.com/chestnutfield/chestnutfield/config/rows"
+	"github.com/chestnutfield/chestnutfield/platform/fake"
+	"github.com/chestnutfield/chestnutfield/table"
+)
+
+// self is a host whose readiness a test sets.
+type self struct{ ready, stopping bool }
+
+func (s *self) Self() api.HostStatus    { return api.HostStatus{Name: "entry-1"} }
+func (s *self) Peers() []api.HostStatus { return nil }
+func (s *self) Pools() []api.PoolStatus { return nil }
+func (s *self) Stopping() bool          { return s.stopping }
+
+// inForce is the configuration of that host.
+type inForce struct{ *self }
+
+func (f inForce) Current() *table.Tables { return table.Empty() }
+func (f inForce) Status() config.Status  { return config.Status{Ready: f.ready} }
+
+func options(s *self, token string) admin.Options {
+	store := fake.NewTable()
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(prometheus.NewCounter(prometheus.CounterOpts{Name: "chestnut_sample_total"}))
+	return admin.Options{Token: token, Config: inForce{s}, Status: s, Metrics: registry,
+		Commands: command.New(command.Options{Store: store}), Queries: query.New(store)}
+}
+
+// serve starts a server on loopback and returns its address.
+func serve(o admin.Options) string {
+	GinkgoHelper()
+	server, err := admin.New(o)
+	Expect(err).NotTo(HaveOccurred())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	go func() { _ = server.Serve(l) }()
+	DeferCleanup(func() { _ = server.Shutdown(context.Background()) })
+	return l.Addr().String()
+}
+
+func get(address, path, authorization string) (int, string) {
+	GinkgoHelper()
+	req, err := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
+	Expect(err).NotTo(HaveOccurred())
+	if authorization != "" {
+		req.Header.Set("Authorization", authorization)
+	}
+	res, err := http.DefaultClient.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return res.StatusCode, string(body)
+}
+
+var _ = Describe("access", func() {
+	DescribeTable("by token",
+		func(path, authorization string, want int) {
+			address := serve(options(&self{ready: true}, "right"))
+			status, body := get(address, path, authorization)
+			Expect(status).To(Equal(want))
+			Expect(body).NotTo(ContainSubstring("right"))
+		},
+		Entry("none", "/v1/pools", "", 401),
+		Entry("wrong", "/v1/pools", "Bearer wrong", 401),
+		Entry("a prefix", "/v1/pools", "Bearer righ", 401),
+		Entry("another scheme", "/v1/pools", "Basic right", 401),
+		Entry("no scheme", "/v1/pools", "right", 401),
+		Entry("right", "/v1/pools", "Bearer right", 200),
+		Entry("metrics without", "/metrics", "", 401),
+		Entry("metrics with", "/metrics", "Bearer right", 200),
+		Entry("health without", "/healthz", "", 200),
+		Entry("unknown path without", "/v1/none", "", 401),
+		Entry("unknown path with", "/v1/none", "Bearer right", 404),
+	)
+
+	It("needs no token on loopback when there is none", func() {
+		address := serve(options(&self{ready: true}, ""))
+		status, body := get(address, "/metrics", "")
+		Expect(status).To(Equal(200))
+		Expect(body).To(ContainSubstring("chestnut_sample_total 0"))
+	})
+
+	It("is refused off loopback without token or client certificates", func() {
+		server, err := admin.New(options(&self{}, ""))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(server.Serve(elsewhere{})).To(MatchError(ContainSubstring("expected a token or TLS with client certificates")))
+	})
+
+	It("writes no token to the standard streams, also from a request it can't read", func() {
+		address := serve(options(&self{ready: true}, "right"))
+		said := captured(func() {
+			c, err := net.Dial("tcp", address)
+			Expect(err).NotTo(HaveOccurred())
+			fmt.Fprintf(c, "GET /v1/pools HTTP/1.1\r\nAuthorization: Bearer hidden\r\nX: %s\r\n\r\n", strings.Repeat("x", 9000))
+			_, _ = io.ReadAll(c)
+			c.Close()
+		})
+		Expect(said).NotTo(ContainSubstring("hidden"))
+	})
+})
+
+// elsewhere is a listener off loopback that must not be served.
+type elsewhere struct{}
+
+func (elsewhere) Accept() (net.Conn, error) { return nil, net.ErrClosed }
+func (elsewhere) Close() error              { return nil }
+func (elsewhere) Addr() net.Addr            { return &net.TCPAddr{IP: net.IPv4(10, 0, 0, 1), Port: 7002} }
+
+// captured returns what f had written to the standard error stream.
+func captured(f func()) string {
+	GinkgoHelper()
+	r, w, err := os.Pipe()
+	Expect(err).NotTo(HaveOccurred())
+	old := os.Stderr
+	os.Stderr = w
+	f()
+	os.Stderr = old
+	w.Close()
+	b, err := io.ReadAll(r)
+	Expect(err).NotTo(HaveOccurred())
+	return string(b)
+}
+
+var _ = DescribeTable("readiness",
+	func(s self, want int) {
+		status, _ := get(serve(options(&s, "t")), "/readyz", "")
+		Expect(status).To(Equal(want))
+	},
+	Entry("before any configuration", self{}, 503),
+	Entry("with a configuration", self{ready: true}, 200),
+	Entry("during a planned stop", self{ready: true, stopping: true}, 503),
+)
+
+var _ = Describe("TLS with client certificates", func() {
+	It("lets in the holder of a certificate, whose name is the author", func() {
+		ca, pool := newAuthority()
+		o := options(&self{ready: true}, "")
+		o.TLS = &tls.Config{Certificates: []tls.Certificate{ca.issue("host")}, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert}
+		address := "https://" + serve(o)
+		ctx := context.Background()
+		config := &tls.Config{RootCAs: pool, Certificates: []tls.Certificate{ca.issue("kirsty")}}
+		c := client.New(client.Options{Address: address, TLS: config})
+		res, err := c.Apply(ctx, client.Edit{Table: rows.Pools, ChangeID: "change-01", Author: "forged"}, "p", []byte("[a]\nservice = a\n"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(res.State).To(Equal(command.Accepted))
+		h, err := c.History(ctx, rows.Pools, 1)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(h.Changes[0].Author).To(Equal("kirsty"))
+
+		_, err = client.New(client.Options{Address: address, TLS: &tls.Config{RootCAs: pool}}).List(ctx, rows.Pools)
+		Expect(err).To(HaveOccurred())
+	})
+})
+
+// authority issues certificates for a test.
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority() (authority, *x509.CertPool) {
+	GinkgoHelper()
+	a := authority{}
+	own := a.issue("authority")
+	cert, err := x509.ParseCertificate(own.Certificate[0])
+	Expect(err).NotTo(HaveOccurred())
+	pool := x509.NewCertPool()
+	pool.AddCert(cert)
+	return authority{cert: cert, key: own.PrivateKey.(*ecdsa.PrivateKey)}, pool
+}
+
+// issue makes a certificate, signed by itself when there is no authority yet.
+func (a authority) issue(name string) tls.Certificate {
+	GinkgoHelper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	Expect(err).NotTo(HaveOccurred())
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: a.cert == nil, BasicConstraintsValid: true,
+		KeyUsage:    x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	parent, signer := a.cert, a.key
+	if parent == nil {
+		parent, signer = template, key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, signer)
+	Expect(err).NotTo(HaveOccurred())
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}
+}
+
+var _ = Describe("a file that is too large", func() {
+	It("is refused by name", func() {
+		address := serve(options(&self{ready: true}, ""))
+		body := bytes.Repeat([]byte(";"), table.MaxFileBytes+1)
+		res, err := http.Post("http://"+address+"/v1/pools/apply?change=change-01&file=big.ini", "text/plain", bytes.NewReader(body))
+		Expect(err).NotTo(HaveOccurred())
+		defer res.Body.Close()
+		Expect(res.StatusCode).To(Equal(http.StatusUnprocessableEntity))
+		Expect(io.ReadAll(res.Body)).To(ContainSubstring("big.ini: found \\\"1048577 bytes\\\": expected at most 1048576 bytes"))
+	})
+
+	It("is refused by its announced length when it is far too large", func() {
+		c, err := net.Dial("tcp", serve(options(&self{ready: true}, "")))
+		Expect(err).NotTo(HaveOccurred())
+		defer c.Close()
+		fmt.Fprintf(c, "POST /v1/pools/apply HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", 100*table.MaxFileBytes)
+		answer, err := io.ReadAll(c)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(answer)).To(HavePrefix("HTTP/1.1 413 "))
+	})
+})
--- /dev/null
+++ b/ctl/run.go
@@ -0,0 +1,129 @@
+package ctl
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/alecthomas/kong"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"github.com/chestnutfield/chestnutfield/admin/client"
+	"github.com/chestnutfield/chestnutfield/config/rows"
+)
+
+// Streams are what the tool reads and writes.
+type Streams struct {
+	In  io.Reader
+	Out io.Writer
+	Err io.Writer
+}
+
+// Options configures Run beyond the command line.
+type Options struct {
+	Streams
+	// Clock paces wait; nil is the real clock.
+	Clock clockwork.Clock
+	// NewChangeID makes change ids; nil makes random ones.
+	NewChangeID func() string
+}
+
+// session is one run of the tool.
+type session struct {
+	Options
+	flags  *grammar
+	client *client.Client
+	kind   rows.Kind
+	code   int
+}
+
+// Run carries out one command line, without the program's name, and returns
+// the exit code.
+func Run(ctx context.Context, args []string, o Options) int {
+	if o.Clock == nil {
+		o.Clock = clockwork.NewRealClock()
+	}
+	if o.NewChangeID == nil {
+		o.NewChangeID = newChangeID
+	}
+	var g grammar
+	s := &session{Options: o, flags: &g}
+	exit := -1
+	parser, err := kong.New(&g, kong.Name("chestnutctl"), kong.Description("Edits the two tables of chestnutfield and shows its state."),
+		kong.Writers(o.Out, o.Err), kong.Exit(func(code int) { exit = code }), kong.Bind(s), kong.BindTo(ctx, (*context.Context)(nil)))
+	if err != nil {
+		panic(err)
+	}
+	parsed, err := parser.Parse(args)
+	switch {
+	case exit >= 0:
+		return exit
+	case err != nil:
+		fmt.Fprintf(o.Err, "chestnutctl: %v\n", err)
+		return ExitRefused
+	}
+	if s.client, err = connect(g); err != nil {
+		fmt.Fprintf(o.Err, "chestnutctl: %v\n", err)
+		return ExitRefused
+	}
+	s.kind = kindOf(parsed.Command())
+	if err := parsed.Run(); err != nil {
+		fmt.Fprintf(o.Err, "chestnutctl: %v\n", err)
+		return max(s.code, ExitFailed)
+	}
+	return s.code
+}
+
+// kindOf is the table that a command such as "pools list" is about.
+func kindOf(command string) rows.Kind {
+	table, _, _ := strings.Cut(command, " ")
+	return rows.Kind(table)
+}
+
+func connect(g grammar) (*client.Client, error) {
+	config, err := tlsConfig(g)
+	if err != nil {
+		return nil, err
+	}
+	return client.New(client.Options{Address: g.Admin, Token: g.Token, TLS: config}), nil
+}
+
+func tlsConfig(g grammar) (*tls.Config, error) {
+	config := &tls.Config{MinVersion: tls.VersionTLS12}
+	if g.CA != "" {
+		pem, err := os.ReadFile(g.CA)
+		if err != nil {
+			return nil, errors.Wrap(err, "--ca")
+		}
+		config.RootCAs = x509.NewCertPool()
+		if !config.RootCAs.AppendCertsFromPEM(pem) {
+			return nil, errors.Errorf("--ca: %s: expected certificates in PEM form", g.CA)
+		}
+	}
+	if (g.Cert == "") != (g.Key == "") {
+		return nil, errors.New("--cert and --key: expected both or neither")
+	}
+	if g.Cert != "" {
+		pair, err := tls.LoadX509KeyPair(g.Cert, g.Key)
+		if err != nil {
+			return nil, errors.Wrap(err, "--cert")
+		}
+		config.Certificates = []tls.Certificate{pair}
+	}
+	return config, nil
+}
+
+const changeIDBytes = 12
+
+func newChangeID() string {
+	b := make([]byte, changeIDBytes)
+	_, _ = rand.Read(b)
+	return hex.EncodeToString(b)
+}
--- /dev/null
+++ b/ctl/session_test.go
@@ -0,0 +1,152 @@
+package ctl_test
+
+import (
+	"context"
+	"net"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/chestnutfield/chestnutfield/ctl"
+)
+
+const (
+	poolsFile = `[catalogue]
+targets = 127.0.0.1:9001@scot-central-a, 127.0.0.1:9002@scot-central-b
+probe_budget = 20          ; probes a second
+load_path = /load
+[booking]
+service = booking`
+	routesFile = `[lookup]
+path_prefix = /specs/
+methods = GET
+callers = *
+pool = catalogue
+class = lookup
+idempotent = true
+timeout = 2s
+[order]
+path_prefix = /orders/
+pool = booking
+class = order`
+	badRoutes = `[order]
+path_prefix = orders
+pool = booking
+class = orders
+retries = 2
+[lookup]
+path_prefix = /specs/
+pool = catalogue
+class = lookup
+colour = blue`
+)
+
+var _ = Describe("an operator's session", func() {
+	golden := func(d *deployment, name string) {
+		GinkgoHelper()
+		goldie.New(GinkgoTB()).Assert(GinkgoTB(), name, []byte(d.log.String()))
+	}
+
+	It("sets up a deployment and looks at it", func() {
+		d := deploy()
+		d.run("", "pools list")
+		d.run(poolsFile, "pools apply - --author kirsty")
+		d.run(routesFile, "routes apply - --author kirsty")
+		d.run(routesFile, "routes apply - --author dorj")
+		d.run("", "pools list")
+		d.run("", "routes list")
+		d.run("", "routes get lookup")
+		d.run("", "pools get booking --output json")
+		d.run("", "pools get none")
+		d.run("", "pools history")
+		d.run("", "routes history --output json")
+		d.peers, d.pools = somePeers, somePools
+		d.run("", "status")
+		d.run("", "wait --version 2 --timeout 5s")
+		d.run("", "wait --version 3 --timeout 0s")
+		d.run("", "wait --version 3 --timeout 0s --output json")
+		golden(d, "set_up")
+	})
+
+	It("is refused what is wrong, and told why", func() {
+		d := deploy()
+		d.run(poolsFile, "pools apply - --author kirsty")
+		d.run(badRoutes, "routes apply -")
+		d.run("[x]\npath_prefix = /\npool = none\nclass = batch", "routes apply -")
+		d.run(routesFile, "routes apply - --author kirsty")
+		d.run("", "pools delete booking")
+		d.run("", "routes delete nothing")
+		d.run("", "routes delete order --author kirsty")
+		d.run("", "pools delete booking --author kirsty")
+		d.run("", "pools paint")
+		golden(d, "refused")
+	})
+
+	It("races another operator", func() {
+		d := deploy()
+		d.run(poolsFile, "pools apply - --author kirsty")
+		d.run("[booking]\nservice = orders", "pools apply - --if-version 1 --author dorj")
+		d.run("[booking]\nservice = bookings", "pools apply - --if-version 1 --author kirsty")
+		d.run("", "pools get booking")
+		golden(d, "race")
+	})
+
+	It("meets a store that loses an acknowledgement, then goes down", func() {
+		d := deploy()
+		d.note("the next acknowledgement is lost")
+		d.store.LoseAcks(1)
+		d.run(poolsFile, "pools apply - --author kirsty")
+		d.note("every acknowledgement is lost")
+		d.store.LoseAcks(100)
+		d.run("[lost]\nservice = lost", "pools apply - --author kirsty")
+		d.store.LoseAcks(0)
+		d.note("the table service is down")
+		d.store.SetDown(true)
+		d.run("[late]\nservice = late", "pools apply - --output json")
+		d.run("", "pools get booking")
+		d.run("", "change change-02 --base 1")
+		d.note("it is back")
+		d.store.SetDown(false)
+		d.run("", "change change-02 --base 1")
+		d.run("[late]\nservice = late", "pools apply - --change-id change-03 --author kirsty")
+		d.run("[late]\nservice = late", "pools apply - --change-id change-03 --author kirsty")
+		golden(d, "store_down")
+	})
+
+	It("never shows the tables without the token", func() {
+		d := deploy()
+		Expect(d.run("", "--token wrong pools list")).To(Equal(ctl.ExitFailed))
+		Expect(d.run(poolsFile, "--token wrong pools apply -")).To(Equal(ctl.ExitFailed))
+		golden(d, "token")
+	})
+})
+
+var _ = Describe("a host that can't be reached", func() {
+	run := func(address string) int {
+		return ctl.Run(context.Background(), []string{"--admin", address, "pools", "delete", "x"},
+			ctl.Options{Streams: ctl.Streams{Out: GinkgoWriter, Err: GinkgoWriter}})
+	}
+	It("has changed nothing when no connection was opened", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(l.Close()).To(Succeed())
+		Expect(run("http://" + l.Addr().String())).To(Equal(ctl.ExitFailed))
+	})
+	It("leaves the end unknown when the connection is cut", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(l.Close)
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = c.Read(make([]byte, 1))
+				_ = c.Close()
+			}
+		}()
+		Expect(run("http://" + l.Addr().String())).To(Equal(ctl.ExitUnknown))
+	})
+})
--- /dev/null
+++ b/ctl/tables.go
@@ -0,0 +1,191 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chestnutfield/chestnutfield/admin/api"
+	"github.com/chestnutfield/chestnutfield/admin/client"
+	"github.com/chestnutfield/chestnutfield/config/command"
+	"github.com/chestnutfield/chestnutfield/config/rows"
+	"github.com/chestnutfield/chestnutfield/table"
+)
+
+// Run lists a table.
+func (listGrammar) Run(ctx context.Context, s *session) error {
+	l, err := s.client.List(ctx, s.kind)
+	if err != nil {
+		return err
+	}
+	return s.print(l, func(w io.Writer) {
+		s.heading(w, l)
+		if s.kind == rows.Pools {
+			writePools(w, l.Pools)
+			return
+		}
+		writeRoutes(w, l.Routes)
+	})
+}
+
+// Run shows a row as a section of its file.
+func (g getGrammar) Run(ctx context.Context, s *session) error {
+	l, err := s.client.Get(ctx, s.kind, g.Name)
+	if err != nil {
+		return err
+	}
+	return s.print(l, func(w io.Writer) {
+		s.heading(w, l)
+		text := table.FormatPools(l.Pools)
+		if s.kind == rows.Routes {
+			text = table.FormatRoutes(l.Routes)
+		}
+		_, _ = w.Write(text)
+	})
+}
+
+func (s *session) heading(w io.Writer, l api.Listing) {
+	if l.Stale {
+		fmt.Fprintf(w, "; the table service does not answer: version %d as in force on the asked host\n", l.Version)
+		return
+	}
+	fmt.Fprintf(w, "; version %d\n", l.Version)
+}
+
+func writePools(w io.Writer, pools map[string]table.Pool) {
+	t := newTable(w, "POOL", "TARGETS", "DRAINED", "PROBES/S")
+	for _, name := range sorted(pools) {
+		p := pools[name]
+		source := fmt.Sprint(len(p.Targets))
+		if p.Service != "" {
+			source = "service " + p.Service
+		}
+		t.row(name, source, fmt.Sprint(len(p.Drain)), fmt.Sprint(p.ProbeBudget))
+	}
+	t.flush()
+}
+
+func writeRoutes(w io.Writer, routes map[string]table.Route) {
+	t := newTable(w, "ROUTE", "PREFIX", "METHODS", "CALLERS", "POOL", "CLASS", "TIMEOUT")
+	for _, name := range sorted(routes) {
+		r := routes[name]
+		t.row(name, r.Host+r.PathPrefix, orAny(r.Methods), orAny(r.Callers), r.Pool, string(r.Class), r.Timeout.String())
+	}
+	t.flush()
+}
+
+func orAny(items []string) string {
+	if len(items) == 0 {
+		return table.Any
+	}
+	return strings.Join(items, ",")
+}
+
+func sorted[V any](m map[string]V) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Run applies a file.
+func (g applyGrammar) Run(ctx context.Context, s *session) error {
+	data, name, err := s.readFile(g.File)
+	if err != nil {
+		s.code = ExitRefused
+		return err
+	}
+	res, err := s.client.Apply(ctx, s.edit(g.changeFlags), name, data)
+	if err != nil {
+		return err
+	}
+	return s.report(res)
+}
+
+// Run deletes a row.
+func (g deleteGrammar) Run(ctx context.Context, s *session) error {
+	res, err := s.client.Delete(ctx, s.edit(g.changeFlags), g.Name)
+	if err != nil {
+		return err
+	}
+	return s.report(res)
+}
+
+// Run asks what became of a change.
+func (g changeGrammar) Run(ctx context.Context, s *session) error {
+	res, err := s.client.Ask(ctx, g.ID, g.Base)
+	if err != nil {
+		return err
+	}
+	return s.report(res)
+}
+
+func (s *session) edit(f changeFlags) client.Edit {
+	if f.ChangeID == "" {
+		f.ChangeID = s.NewChangeID()
+	}
+	return client.Edit{Table: s.kind, ChangeID: f.ChangeID, Author: f.Author, IfVersion: f.IfVersion}
+}
+
+// readFile reads at most one byte more than a file may have.
+func (s *session) readFile(path string) (data []byte, name string, err error) {
+	in, name := s.In, "standard input"
+	if path != "-" {
+		f, err := os.Open(path)
+		if err != nil {
+			return nil, "", errors.Wrap(err, "apply")
+		}
+		defer f.Close()
+		in, name = f, filepath.Base(path)
+	}
+	data, err = io.ReadAll(io.LimitReader(in, table.MaxFileBytes+1))
+	if err == nil && len(data) > table.MaxFileBytes {
+		err = errors.Errorf("%s: expected at most %d bytes", name, table.MaxFileBytes)
+	}
+	return data, name, err
+}
+
+// report prints the result of a change and sets the exit code.
+func (s *session) report(r command.Result) error {
+	s.code = exitOf[r.State]
+	if s.flags.Output == outputJSON {
+		return s.printJSON(r)
+	}
+	switch r.State {
+	case command.Accepted, command.Unchanged:
+		fmt.Fprintf(s.Out, "%s version %d\n", r.State, r.Version)
+	case command.Refused:
+		fmt.Fprintf(s.Err, "refused, nothing changed:\n%s\n", r.Detail)
+	case command.Conflict:
+		fmt.Fprintf(s.Err, "conflict, nothing changed: %s; the accepted version is %d\n", r.Detail, r.Version)
+	case command.Unknown:
+		fmt.Fprintf(s.Err, "unknown: %s\nask again with: change %s --base %d\n", r.Detail, r.ChangeID, r.Base)
+	default:
+		fmt.Fprintf(s.Err, "%s, nothing changed: %s\n", r.State, r.Detail)
+	}
+	return nil
+}
+
+// Run lists changes.
+func (g historyGrammar) Run(ctx context.Context, s *session) error {
+	h, err := s.client.History(ctx, s.kind, g.Limit)
+	if err != nil {
+		return err
+	}
+	return s.print(h, func(w io.Writer) {
+		t := newTable(w, "VERSION", "TIME", "AUTHOR", "OPERATION", "ROWS", "CHANGE")
+		for _, c := range h.Changes {
+			t.row(fmt.Sprint(c.Version), c.Time.Format(time.RFC3339), c.Author, string(c.Operation), strings.Join(c.Sections, ","), c.ID)
+		}
+		t.flush()
+	})
+}
