peer, membership: spread, byte budget and cuts measured; fuzzed messages

Heartbeats of the last 4 s and at most 64 of them go into a message: at 300 hosts all of the last 12 s would have filled the budget.

--- a/membership/digest.go
+++ b/membership/digest.go
@@ -36,12 +36,13 @@
 	return out
 }
 
-// Beats returns up to limit heartbeats that grew lately, the own one first and
-// then the latest.
+// Beats returns up to limit heartbeats that grew within the last third of
+// Spread, the own one first and then the latest.
 func (c *Core) Beats(now time.Time, limit int) []Beat {
+	const spreadPart = 3
 	var fresh []*entry
 	for _, e := range c.peers {
-		if e.Heartbeat > 0 && now.Sub(e.advanced) <= c.opt.Timing.Spread {
+		if e.Heartbeat > 0 && now.Sub(e.advanced) <= c.opt.Timing.Spread/spreadPart {
 			fresh = append(fresh, e)
 		}
 	}
--- /dev/null
+++ b/peer/bench_test.go
@@ -0,0 +1,120 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"github.com/chestnutfield/chestnutfield/membership"
+	"github.com/chestnutfield/chestnutfield/platform/fake"
+)
+
+// listedMembers is the membership of a host that has known hosts others for a
+// while, of which as many beat lately as would in a deployment.
+func listedMembers(b *testing.B, hosts int, addr netip.AddrPort) (*membership.Service, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClock()
+	s, err := membership.New(membership.Options{
+		Self:  membership.Member{Name: "entry-" + addr.String(), Addr: addr, FailureDomain: "scot-central-a"},
+		Table: fake.NewTable(), Clock: clock,
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	var others []membership.Member
+	for i := range hosts - 2 {
+		others = append(others, membership.Member{
+			Name: fmt.Sprintf("entry-%03d", i), Addr: addr, FailureDomain: "scot-central-a",
+			Incarnation: uint64(clock.Now().UnixMilli()), Heartbeat: 1000, State: membership.Live,
+		})
+	}
+	s.Heard(membership.Hearing{Members: others})
+	return s, clock
+}
+
+// settle makes two hosts know each other and lets their news grow old.
+func settle(b *testing.B, near, far *benchHost, hosts int) {
+	near.exchange(context.Background(), far.members.Self().Addr)
+	timing := membership.DefaultTiming()
+	for _, h := range []*benchHost{near, far} {
+		h.clock.Advance(timing.Spread + time.Second)
+		var beats []membership.Beat
+		lately := float64(hosts) * (timing.Spread / 3).Seconds() / timing.Heartbeat(hosts).Seconds()
+		for _, m := range h.members.Members()[:min(int(lately), hosts-1)] {
+			beats = append(beats, membership.Beat{ID: m.ID(), Heartbeat: 2000})
+		}
+		h.members.Heard(membership.Hearing{Beats: beats})
+	}
+	if near.members.Digest(0).Hash != far.members.Digest(0).Hash {
+		b.Fatal("hosts disagree about the members")
+	}
+}
+
+type benchHost struct {
+	*Node
+	members *membership.Service
+	clock   *clockwork.FakeClock
+}
+
+func benchNode(b *testing.B, hosts, figures int) *benchHost {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	addr := netip.MustParseAddrPort(ln.Addr().String())
+	members, clock := listedMembers(b, hosts, addr)
+	n, err := NewNode(Options{
+		Members: members, Figures: &load{figures: targets(figures)},
+		Token: "0123456789abcdef", BytesPerSecond: 1 << 40, FiguresPerMessage: figures,
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	go func() { _ = n.Serve(ln) }()
+	b.Cleanup(func() {
+		n.clients.close()
+		_ = n.server.Close()
+	})
+	return &benchHost{Node: n, members: members, clock: clock}
+}
+
+// BenchmarkSync measures one exchange with its answer: processor time of both
+// sides, and the bytes that the connection carried.
+func BenchmarkSync(b *testing.B) {
+	for _, hosts := range []int{2, 19, 100, 300} {
+		for _, figures := range []int{12, 60, 300, 1200} {
+			b.Run(fmt.Sprintf("hosts=%d/figures=%d", hosts, figures), func(b *testing.B) {
+				near, far := benchNode(b, hosts, figures), benchNode(b, hosts, figures)
+				settle(b, near, far, hosts)
+				addr := far.members.Self().Addr
+				near.exchange(context.Background(), addr)
+				sent := testutil.ToFloat64(near.metrics.bytesOut) + testutil.ToFloat64(near.metrics.bytesIn)
+				busy := cpuTime(b)
+				b.ReportAllocs()
+				b.ResetTimer()
+				for range b.N {
+					near.exchange(context.Background(), addr)
+				}
+				b.StopTimer()
+				carried := testutil.ToFloat64(near.metrics.bytesOut) + testutil.ToFloat64(near.metrics.bytesIn) - sent
+				b.ReportMetric(carried/float64(b.N), "B/exchange")
+				b.ReportMetric(float64((cpuTime(b)-busy).Microseconds())/float64(b.N), "cpu-µs/exchange")
+			})
+		}
+	}
+}
+
+// cpuTime returns the processor time of this process.
+func cpuTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- /dev/null
+++ b/peer/fuzz_test.go
@@ -0,0 +1,69 @@
+package peer
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chestnutfield/chestnutfield/membership"
+	"github.com/chestnutfield/chestnutfield/peer/peerpb"
+)
+
+// FuzzMessage checks that whatever bytes a peer sends are refused or decode to
+// values within bounds that survive another trip.
+func FuzzMessage(f *testing.F) {
+	sampleWire, err := proto.Marshal((&message{from: "entry-1", version: 3}).encode())
+	if err != nil {
+		f.Fatal(err)
+	}
+	full := sample()
+	fullWire, err := proto.Marshal(full.encode())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(sampleWire)
+	f.Add(fullWire)
+	f.Add([]byte{0x0a, 0x00})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var in peerpb.SyncMessage
+		if proto.Unmarshal(raw, &in) != nil {
+			return
+		}
+		m, err := decode(&in)
+		if err != nil {
+			return
+		}
+		checkBounds(t, m)
+		again, err := decode(m.encode())
+		if err != nil {
+			t.Fatalf("a decoded message is refused: %v", err)
+		}
+		if len(again.figures) != len(m.figures) || len(again.members) != len(m.members) || len(again.drains) != len(m.drains) {
+			t.Fatal("entries lost on another trip")
+		}
+	})
+}
+
+func checkBounds(t *testing.T, m message) {
+	if len(m.from) == 0 || len(m.from) > maxNameBytes || m.figuresWanted > maxEntries {
+		t.Fatalf("name of %d bytes, %d figures wanted", len(m.from), m.figuresWanted)
+	}
+	for _, e := range m.members {
+		if e.Name == "" || !e.Addr.IsValid() || e.State < membership.Live || e.State > membership.Gone {
+			t.Fatalf("member %+v", e)
+		}
+	}
+	for _, f := range m.figures {
+		if f.InFlight < 0 || f.InFlight > maxInFlight || f.Reported < -1 || f.Reported > maxInFlight {
+			t.Fatalf("figure %+v", f)
+		}
+		if f.Latency < 0 || f.Latency > maxLatency || f.Age < 0 || f.Age > maxFigureAge {
+			t.Fatalf("figure %+v", f)
+		}
+	}
+	for _, d := range m.drains {
+		if d.age < 0 || d.age > maxDrainAge {
+			t.Fatalf("drain %+v", d)
+		}
+	}
+}
--- a/peer/message_test.go
+++ b/peer/message_test.go
@@ -102,6 +102,7 @@
 		later := now.Add(drainSpread + time.Second)
 		Expect(b.current(later)).To(BeEmpty())
 		Expect(b.learn(later, drain{target: target("127.0.0.1:1"), age: drainSpread + time.Second})).To(BeFalse())
+		Expect(newDrainBook().learn(later, drain{target: target("127.0.0.1:1"), age: drainSpread + time.Second})).To(BeFalse())
 		Expect(b.learn(later, drain{target: target("127.0.0.1:1")})).To(BeTrue())
 	})
 })
--- a/peer/node.go
+++ b/peer/node.go
@@ -154,7 +154,7 @@
 // compose returns the message to send now with up to figures figures; full
 // adds all members.
 func (n *Node) compose(now time.Time, figures int, full bool) message {
-	const beatsPerMessage = 512
+	const beatsPerMessage = 64
 	digest := n.opt.Members.Digest(beatsPerMessage)
 	m := message{
 		from: digest.Self.Name, membersHash: digest.Hash,
--- a/peer/wire_member.go
+++ b/peer/wire_member.go
@@ -71,7 +71,7 @@
 	}
 	host, port := b[:len(b)-2], b[len(b)-2:]
 	addr, _ := netip.AddrFromSlice(host)
-	return netip.AddrPortFrom(addr, binary.BigEndian.Uint16(port)), nil
+	return netip.AddrPortFrom(addr.Unmap(), binary.BigEndian.Uint16(port)), nil
 }
 
 func checkName(what, name string) error {
