balance, load: memory of reports by service time, rarer trials

Cause: reports lose their say as fast as queues change, which is a matter of service times, not of a fixed time; trials by 18 hosts every few seconds sent about one call in a hundred to a slow target.

Change: a report keeps its say for three service times; a target set aside by many hosts is tried less often by each; one very slow call ends a trial.

--- a/balance/candidates.go
+++ b/balance/candidates.go
@@ -22,6 +22,9 @@
 	if p.typicalAt.IsZero() || now.Sub(p.typicalAt) >= typicalInterval {
 		p.typicalAt = now
 		p.typical = p.deriveTypical()
+		for _, t := range p.targets {
+			t.know.Remember(p.typical.service)
+		}
 	}
 	if p.subset && (p.mineAt.IsZero() || now.Sub(p.mineAt) >= subsetInterval) {
 		p.mineAt = now
--- a/balance/health.go
+++ b/balance/health.go
@@ -17,6 +17,8 @@
 	// the latency from which a target is set aside.
 	slowFactor = 4
 	slowFloor  = 20 * time.Millisecond
+	// trialSlowFactor is slowFactor for a single call of a trial.
+	trialSlowFactor = 6
 	// slowSamples is the number of calls before a target counts as slow.
 	slowSamples = 3
 	// stuckFactor times the median latency, and at least stuckFloor, is the
@@ -27,7 +29,7 @@
 	// host adds so that the hosts together try seldom, asideLongest the
 	// longest.
 	asideFirst   = time.Second
-	asidePerHost = 200 * time.Millisecond
+	asidePerHost = 400 * time.Millisecond
 	asideLongest = 30 * time.Second
 	// trialSuccesses is the number of calls that end a trial.
 	trialSuccesses = slowSamples
@@ -85,9 +87,15 @@
 	return h.fails >= max(failShare, pool.fails+failMargin)
 }
 
-func slow(latency time.Duration, samples int, pool typical) bool {
-	return samples >= slowSamples && pool.latency > 0 &&
-		latency > max(slowFactor*pool.latency, slowFloor)
+// slow reports whether calls take far longer than in the pool. In a trial one
+// very slow call is enough.
+func (h *health) slow(latency time.Duration, samples int, pool typical) bool {
+	factor, needed := slowFactor, slowSamples
+	if h.phase == trial {
+		factor, needed = trialSlowFactor, 1
+	}
+	return samples >= needed && pool.latency > 0 &&
+		latency > max(time.Duration(factor)*pool.latency, slowFloor)
 }
 
 func stuck(oldest time.Duration, pool typical) bool {
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -148,7 +148,7 @@
 	if t.health.phase == aside {
 		return
 	}
-	slowNow := slow(t.know.Latency(), t.know.Samples(), p.typical)
+	slowNow := t.health.slow(t.know.Latency(), t.know.Samples(), p.typical)
 	if t.health.failing(p.typical) || slowNow || stuck(t.oldest(now), p.typical) {
 		p.setAside(now, t)
 		return
--- a/load/knowledge.go
+++ b/load/knowledge.go
@@ -6,8 +6,11 @@
 )
 
 const (
-	// reportMemory is the age at which a report has lost 1-1/e of its say.
-	reportMemory = 100 * time.Millisecond
+	// memoryServices is the age, in service times, at which a report has lost
+	// 1-1/e of its say, within shortestMemory and longestMemory.
+	memoryServices = 3
+	shortestMemory = 20 * time.Millisecond
+	longestMemory  = time.Second
 	// maxPeerAge is the age above which a peer's report is left aside.
 	maxPeerAge = 2 * time.Second
 	// meanWeight is the weight of a report in the mean.
@@ -26,6 +29,8 @@
 	Slots int
 	// Own is the number of this host's requests in flight.
 	Own int
+	// memory is the age at which a report has lost 1-1/e of its say.
+	memory time.Duration
 
 	// reported is the number at the target that was last reported, of which
 	// ownThen were this host's; valid when reportedAt is set.
@@ -45,7 +50,15 @@
 
 // NewKnowledge returns the knowledge of a target that nothing is known of.
 func NewKnowledge(slots int) *Knowledge {
-	return &Knowledge{Slots: slots, trust: fullTrust()}
+	return &Knowledge{Slots: slots, memory: longestMemory, trust: fullTrust()}
+}
+
+// Remember sets how long reports keep their say from the service time of the
+// pool: a queue changes within a few of them.
+func (k *Knowledge) Remember(service time.Duration) {
+	if service > 0 {
+		k.memory = min(max(memoryServices*service, shortestMemory), longestMemory)
+	}
 }
 
 // Report takes a load report that the target gave at now. arrived is the
@@ -123,7 +136,7 @@
 		return 0
 	}
 	age := max(now.Sub(k.reportedAt), 0)
-	return k.Trust() * math.Exp(-float64(age)/float64(reportMemory))
+	return k.Trust() * math.Exp(-float64(age)/float64(k.memory))
 }
 
 // Estimate returns the expected number of requests at the target: this host's
@@ -140,7 +153,7 @@
 // report claims for it, the attempt left out; Absent without a report.
 func (k *Knowledge) Sent(now time.Time) (claimed int) {
 	claimed = Absent
-	if !k.reportedAt.IsZero() && now.Sub(k.reportedAt) <= reportMemory {
+	if !k.reportedAt.IsZero() && now.Sub(k.reportedAt) <= k.memory {
 		claimed = k.Own + max(k.reported-k.ownThen, 0)
 	}
 	k.Own++
