balance: choices keep to this host's share of a target's connections

Change: PoolSpec.Connections; a target where this host's share is in use is chosen only when every other is, and the forwarding path then refuses.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -46,6 +46,9 @@
 	// Slots is the number of requests that a target serves at once; 0 means
 	// DefaultSlots.
 	Slots int
+	// Connections is the number of connections that a target accepts, shared
+	// by all entry hosts; 0 sets no limit.
+	Connections int
 	// Policy names the policy; "" selects that of the Options.
 	Policy string
 }
--- a/balance/candidates.go
+++ b/balance/candidates.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -22,6 +23,7 @@
 	if p.typicalAt.IsZero() || now.Sub(p.typicalAt) >= typicalInterval {
 		p.typicalAt = now
 		p.typical = p.deriveTypical()
+		p.share = connectionShare(p.connections, p.owner.hosts())
 		for _, t := range p.targets {
 			t.know.Remember(p.typical.service)
 		}
@@ -32,6 +34,14 @@
 	}
 }
 
+// connectionShare is the number of connections that one host may open.
+func connectionShare(connections, hosts int) int {
+	if connections <= 0 {
+		return math.MaxInt
+	}
+	return max(connections/hosts, 1)
+}
+
 func (p *pool) deriveTypical() typical {
 	var latencies, services []time.Duration
 	var fails []float64
@@ -133,32 +143,36 @@
 	return nil
 }
 
-// collect fills p.candidates with the targets that may take the request. The
-// subset and a ramping target's share are left aside when nothing else is.
+// collect fills p.candidates with the targets that may take the request. When
+// there is none, the subset and the share of ramping targets are left aside,
+// then the share of connections, which the caller of Pick then meets itself.
 func (p *pool) collect(q ports.PickQuery) {
-	p.fill(q, true)
-	if len(p.candidates) == 0 {
-		p.fill(q, false)
+	steps := []func(int, *target) bool{
+		func(i int, t *target) bool { return p.narrowed(q.Now, i, t) },
+		func(_ int, t *target) bool { return t.know.Own < p.share },
+		func(int, *target) bool { return true },
+	}
+	for _, accept := range steps {
+		if p.fill(q, accept); len(p.candidates) > 0 {
+			return
+		}
 	}
 }
 
-func (p *pool) fill(q ports.PickQuery, narrow bool) {
+func (p *pool) fill(q ports.PickQuery, accept func(int, *target) bool) {
 	p.candidates = p.candidates[:0]
 	for i, t := range p.targets {
-		if !p.usable[i] || slices.Contains(q.Exclude, t.addr) {
-			continue
-		}
-		if narrow && !p.narrowed(q.Now, i, t) {
+		if !p.usable[i] || slices.Contains(q.Exclude, t.addr) || !accept(i, t) {
 			continue
 		}
 		p.candidates = append(p.candidates, p.candidate(q.Now, i, t))
 	}
 }
 
-// narrowed reports whether a target is in the subset and, while it ramps, is
-// drawn for this request.
+// narrowed reports whether a target is in the subset, has a connection left
+// for this host and, while it ramps, is drawn for this request.
 func (p *pool) narrowed(now time.Time, i int, t *target) bool {
-	if p.mine != nil && !p.mine[i] {
+	if p.mine != nil && !p.mine[i] || t.know.Own >= p.share {
 		return false
 	}
 	w := t.health.weight(now)
--- a/balance/faults_test.go
+++ b/balance/faults_test.go
@@ -197,6 +197,22 @@
 	})
 })
 
+var _ = Describe("Connections", func() {
+	for _, policy := range balance.PolicyNames() {
+		It(policy+" keeps to this host's share at each target while others have room", func() {
+			b := newBalancer(balance.Options{Membership: trialHosts{"entry-1", "entry-2"}},
+				balance.PoolSpec{Targets: targets(6), Connections: 4, Policy: policy})
+			for range 12 {
+				pick(b, start)
+			}
+			for _, s := range b.States(start, "p") {
+				Expect(s.InFlight).To(Equal(2))
+			}
+			pick(b, start)
+		})
+	}
+})
+
 var _ = Describe("Probes", func() {
 	It("are wanted only where they teach", func() {
 		b := newBalancer(balance.Options{}, balance.PoolSpec{Targets: targets(3), Drain: []netip.AddrPort{addr(2)}})
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -22,8 +22,11 @@
 	owner *Balancer
 	ended map[ports.Verdict]prometheus.Counter
 
-	mu         sync.Mutex
-	slots      int
+	mu    sync.Mutex
+	slots int
+	// connections is that of the spec, and share this host's part of it.
+	connections, share int
+
 	policyName string
 	subset     bool
 	policy     Policy
@@ -70,6 +73,7 @@
 	if p.slots <= 0 {
 		p.slots = DefaultSlots
 	}
+	p.connections = spec.Connections
 	if p.policyName != policyName {
 		p.policyName, p.policy, p.subset = policyName, d.build(), d.subset
 	}
