host: direct pools tell the balancer their connections

Cause: direct dispatch met the connection limit of single targets while others had room.

Change: PoolSpec.Connections is filled from the pool.

--- a/host/specs.go
+++ b/host/specs.go
@@ -49,7 +49,9 @@
 	if pool.Owned() {
 		direct = ""
 	}
-	s.targets[name] = balance.PoolSpec{Targets: targets, Drain: drain, Slots: pool.Slots, Policy: direct}
+	s.targets[name] = balance.PoolSpec{
+		Targets: targets, Drain: drain, Slots: pool.Slots, Connections: pool.Connections, Policy: direct,
+	}
 	open := lo.Filter(targets, func(t table.Target, _ int) bool {
 		taking, known := usable[t.Addr]
 		return (taking || !known) && !lo.Contains(drain, t.Addr)
