owner: groups are filled by what all hosts send; ledger rates by live hosts

Keyed orders took 400 ms at 50%: the ledger's rates were divided by the share count, which counts a starting host eightfold, and each host was left 1.4 calls a second. Change: Chooser draws among the groups so that what all hosts send within the age of the reports fills them to one level (Dahlin 2000). The ledger's rates are divided by the live hosts: going over them costs the store a little, staying far below costs callers.

--- a/host/reconciler.go
+++ b/host/reconciler.go
@@ -23,7 +23,7 @@
 // The calls a second of all hosts together by which the ledger uses the table
 // service.
 const (
-	claimCallsPerSecond   = 200
+	claimCallsPerSecond   = 300
 	outcomeCallsPerSecond = 100
 )
 
@@ -56,7 +56,7 @@
 type input struct {
 	tables *table.Tables
 	peers  []handoff.Peer
-	shares int
+	hosts  int
 	specs  specs
 }
 
@@ -86,7 +86,7 @@
 func (r *reconciler) look() {
 	now := r.clock.Now()
 	t := r.parts.keeper.Current()
-	next := input{tables: t, peers: r.peers(), shares: r.parts.members.ShareCount()}
+	next := input{tables: t, peers: r.peers(), hosts: len(r.parts.members.Hosts())}
 	next.specs = buildSpecs(t, r.resolve, func(pool string) map[netip.AddrPort]bool {
 		return usable(r.parts.balancer.States(now, pool))
 	})
@@ -97,7 +97,7 @@
 		r.log.Error("pools refused", zap.Uint64("version", t.Version), zap.Error(err))
 		return
 	}
-	hosts := float64(next.shares)
+	hosts := float64(max(1, next.hosts))
 	r.parts.ledger.SetCallRates(claimCallsPerSecond/hosts, outcomeCallsPerSecond/hosts)
 	r.parts.direct.Update(next.specs.direct)
 	r.parts.groups.Update(next.specs.groups)
--- a/owner/chooser.go
+++ b/owner/chooser.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 // The constants of the choice.
@@ -12,6 +14,8 @@
 	// reportHalfLife is the age at which a report of backlog has lost half of
 	// its say.
 	reportHalfLife = 200 * time.Millisecond
+	// maxAge bounds the time over which coming requests are reckoned.
+	maxAge = time.Second
 	// initialService stands for the service time of a group with no samples.
 	initialService = 10 * time.Millisecond
 	// suspendFor is how long a group is passed over after its owner could not
@@ -93,26 +97,50 @@
 // Pick chooses a group for a request and counts it as in flight. Groups in
 // exclude are passed over, as are groups without slots and groups whose owner
 // could not be reached a moment ago. ok is false when none is left.
+//
+// Every host knows about the same, and all of it is old by the time of use: if
+// each sent its requests to the group that seems best, the group would be
+// flooded until news of that came round. Pick therefore draws among the
+// groups, such that the requests which all hosts send within the age of what
+// is known fill the groups up to one level.
 func (c *Chooser) Pick(now time.Time, exclude []Group) (g Group, ok bool) {
-	var best *groupState
-	bestWait := math.Inf(1)
+	open := lo.Filter(c.groups, func(s *groupState, _ int) bool {
+		return s.open(now) && !slices.Contains(exclude, s.spec.Group)
+	})
+	if len(open) == 0 {
+		return Group{}, false
+	}
+	chosen := open[c.draw(c.shares(now, open))]
+	chosen.inFlight++
+	chosen.sentSince++
+	return chosen.spec.Group, true
+}
+
+// shares returns the part of the coming requests that each group should get.
+func (c *Chooser) shares(now time.Time, open []*groupState) []float64 {
 	mean := c.mean(now)
-	offset := c.rng.IntN(max(1, len(c.groups)))
-	for i := range c.groups {
-		state := c.groups[(i+offset)%len(c.groups)]
-		if !state.open(now) || slices.Contains(exclude, state.spec.Group) {
-			continue
-		}
-		if wait := state.expectedWait(now, mean); wait < bestWait {
-			best, bestWait = state, wait
-		}
+	levels := make([]level, len(open))
+	var rate, age, slots float64
+	for i, s := range open {
+		levels[i] = level{load: s.load(now, mean), slots: float64(s.slots())}
+		rate += s.throughput(mean)
+		age += s.age(now).Seconds() * levels[i].slots
+		slots += levels[i].slots
 	}
-	if best == nil {
-		return Group{}, false
+	coming := max(1, rate*age/slots)
+	return fill(levels, coming)
+}
+
+// draw returns an index with the probability of its share.
+func (c *Chooser) draw(shares []float64) int {
+	at := c.rng.Float64()
+	for i, share := range shares {
+		if at < share {
+			return i
+		}
+		at -= share
 	}
-	best.inFlight++
-	best.sentSince++
-	return best.spec.Group, true
+	return len(shares) - 1
 }
 
 // Done ends a request that Pick counted.
@@ -208,10 +236,10 @@
 	return float64(s.report.Backlog) / float64(max(1, s.slots()))
 }
 
-// expectedWait estimates, in seconds, the time until an answer: the queue
-// ahead, one service time and the way there and back. A group that has never
+// load estimates the requests a slot at the group's owner now. The way there
+// counts as the load whose service would take as long. A group that has never
 // reported is taken to be free but for this host's own requests.
-func (s *groupState) expectedWait(now time.Time, mean average) float64 {
+func (s *groupState) load(now time.Time, mean average) float64 {
 	slots := float64(s.slots())
 	load, service := 0.0, mean.service
 	if !s.reportedAt.IsZero() {
@@ -222,6 +250,21 @@
 	load += float64(s.sentSince) / slots
 	// The host's own requests in flight are a lower bound of the load.
 	load = max(load, float64(s.inFlight)/slots)
-	queued := max(0, load-1+1/slots)
-	return (1+queued)*service + 2*s.spec.Distance.Seconds()
+	return load + 2*s.spec.Distance.Seconds()/service
+}
+
+// throughput estimates the requests a second that the group ends.
+func (s *groupState) throughput(mean average) float64 {
+	if s.reportedAt.IsZero() {
+		return 0
+	}
+	return min(s.reportedLoad(), 1) * float64(s.slots()) / mean.service
+}
+
+// age is the time since the group's report, at most maxAge.
+func (s *groupState) age(now time.Time) time.Duration {
+	if s.reportedAt.IsZero() {
+		return 0
+	}
+	return min(max(0, now.Sub(s.reportedAt)), maxAge)
 }
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -89,6 +89,24 @@
 		Expect(got[far]).To(BeNumerically(">", 8))
 	})
 
+	It("does not flood the group that seemed best a while ago", func() {
+		c := newChooser(0)
+		service := 20 * time.Millisecond
+		c.Learn(start, near, owner.Report{Backlog: 8, Slots: 8, Service: service})
+		c.Learn(start, far, owner.Report{Backlog: 2, Slots: 8, Service: service})
+		at := start.Add(50 * time.Millisecond)
+		got := map[owner.Group]int{}
+		for range 1000 {
+			g, _ := c.Pick(at, nil)
+			got[g]++
+			c.Done(g)
+			c.Learn(start, near, owner.Report{Backlog: 8, Slots: 8, Service: service})
+			c.Learn(start, far, owner.Report{Backlog: 2, Slots: 8, Service: service})
+		}
+		Expect(got[far]).To(BeNumerically(">", got[near]))
+		Expect(got[near]).To(BeNumerically(">", 330))
+	})
+
 	It("avoids the group that reports a long queue", func() {
 		c := newChooser(0)
 		Expect(c.Learn(start, near, owner.Report{Backlog: 40, Slots: 8, Service: 10 * time.Millisecond})).To(BeTrue())
