--- a/limit/fixed_test.go
+++ b/limit/fixed_test.go
@@ -12,12 +12,12 @@
 )
 
 var _ = Describe("Fixed", func() {
-	It("admits as many requests as the pool has slots", func() {
+	It("admits the slots of the pool and half as many again", func() {
 		a, err := New(Options{NewLimiter: func(_, _ float64) Limiter { return NewFixed() }})
 		Expect(err).NotTo(HaveOccurred())
 		a.Update(map[string]Capacity{"p": {Targets: 4, Slots: 2}})
 		q := ports.AdmitQuery{Pool: "p", Class: table.Lookup}
-		for range 8 {
+		for range 12 {
 			permit, refusal := a.Admit(context.Background(), q)
 			Expect(refusal).To(BeNil())
 			Expect(permit).NotTo(BeNil())
