admin: the captured standard error stream is given back also after a panic

Cause: with the silent logger taken out the spec panicked while it held the stream, and the report was lost. Change: the stream is restored by a deferred call. Conclusion: with the logger taken out the run now shows the failed spec.

--- a/admin/server_test.go
+++ b/admin/server_test.go
@@ -140,10 +140,14 @@
 	kept, err := unix.Dup(unix.Stderr)
 	Expect(err).NotTo(HaveOccurred())
 	Expect(unix.Dup3(int(w.Fd()), unix.Stderr, 0)).To(Succeed())
-	f()
-	Expect(unix.Dup3(kept, unix.Stderr, 0)).To(Succeed())
-	Expect(unix.Close(kept)).To(Succeed())
-	w.Close()
+	func() {
+		defer func() {
+			Expect(unix.Dup3(kept, unix.Stderr, 0)).To(Succeed())
+			Expect(unix.Close(kept)).To(Succeed())
+			Expect(w.Close()).To(Succeed())
+		}()
+		f()
+	}()
 	b, err := io.ReadAll(r)
 	Expect(err).NotTo(HaveOccurred())
 	return string(b)
