--- a/table/codec.go
+++ b/table/codec.go
@@ -13,20 +13,28 @@
 const (
 	// MaxEncodedBytes is what one row of the table service holds.
 	MaxEncodedBytes = 300 << 10
-	// maxDecodedBytes bounds what a reader unpacks.
-	maxDecodedBytes = 8 << 20
+	// MaxDecodedBytes bounds what a reader unpacks.
+	MaxDecodedBytes = 8 << 20
 )
 
 // Encode packs a version for the table service, peers and the object store:
-// gzip over JSON. The error says when the result exceeds MaxEncodedBytes.
+// gzip over JSON. The error says when the result exceeds MaxEncodedBytes, or
+// would exceed MaxDecodedBytes for its readers.
 func Encode(t *Tables) ([]byte, error) {
+	plain, err := json.Marshal(t)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode tables")
+	}
+	if len(plain) > MaxDecodedBytes {
+		return nil, errors.Errorf("tables take %d bytes, at most %d are read", len(plain), MaxDecodedBytes)
+	}
 	var b bytes.Buffer
 	z, err := gzip.NewWriterLevel(&b, gzip.BestCompression)
 	if err != nil {
 		return nil, errors.Wrap(err, "gzip")
 	}
-	if err := json.NewEncoder(z).Encode(t); err != nil {
-		return nil, errors.Wrap(err, "encode tables")
+	if _, err := z.Write(plain); err != nil {
+		return nil, errors.Wrap(err, "gzip")
 	}
 	if err := z.Close(); err != nil {
 		return nil, errors.Wrap(err, "gzip")
@@ -47,12 +55,12 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "gunzip tables")
 	}
-	plain, err := io.ReadAll(io.LimitReader(z, maxDecodedBytes+1))
+	plain, err := io.ReadAll(io.LimitReader(z, MaxDecodedBytes+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "gunzip tables")
 	}
-	if len(plain) > maxDecodedBytes {
-		return nil, errors.Errorf("unpacked tables exceed %d bytes", maxDecodedBytes)
+	if len(plain) > MaxDecodedBytes {
+		return nil, errors.Errorf("unpacked tables exceed %d bytes", MaxDecodedBytes)
 	}
 	t := Empty()
 	if err := json.Unmarshal(plain, t); err != nil {
