config/command: many operators at once

Cause: the race was tested for two operators with the second one placed by hand. Change: eight operators apply five changes each at the same time; each ends as accepted or as a conflict, and the versions count the accepted ones. Conclusion: fails with the conditions on the version and history rows taken out; passes under the race detector with them.

--- a/config/command/command_test.go
+++ b/config/command/command_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -126,6 +127,36 @@
 		Expect(tables().Pools).To(And(HaveLen(1), HaveKey("w")))
 	})
 
+	It("lets one of many at a time through, and every winner's edit stays", func() {
+		const operators, each = 8, 5
+		var wg sync.WaitGroup
+		results := make([][each]command.Result, operators)
+		for o := range operators {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				own := commander(store)
+				for i := range each {
+					name := fmt.Sprintf("pool-%d-%d", o, i)
+					results[o][i] = own.Do(ctx, applyPools(name, name))
+				}
+			}()
+		}
+		wg.Wait()
+		accepted := 0
+		for o := range results {
+			for i, res := range results[o] {
+				Expect(res.State).To(BeElementOf(command.Accepted, command.Conflict))
+				if res.State == command.Accepted {
+					accepted++
+					Expect(tables().Pools).To(HaveKey(fmt.Sprintf("pool-%d-%d", o, i)))
+				}
+			}
+		}
+		Expect(tables().Version).To(BeEquivalentTo(accepted))
+		Expect(tables().Pools).To(HaveLen(accepted))
+	})
+
 	It("settles a lost acknowledgement and applies once", func() {
 		store.LoseAcks(1)
 		Expect(c.Do(ctx, applyPools("one", "a")).State).To(Equal(command.Accepted))
