host: the operators' side is served; tables in force are told to peers at once

Cause: the host answered metrics alone. Change: admin.Server with commands, queries, status and readiness; a version that comes into force is pushed to peers; status shows a planned stop.

--- a/host/admin.go
+++ b/host/admin.go
@@ -1,30 +1,113 @@
 package host
 
 import (
-	"context"
-	"net"
-	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/samber/do/v2"
+	"github.com/samber/lo"
+
+	"github.com/chestnutfield/chestnutfield/admin"
+	"github.com/chestnutfield/chestnutfield/admin/api"
+	"github.com/chestnutfield/chestnutfield/balance"
+	"github.com/chestnutfield/chestnutfield/config"
+	"github.com/chestnutfield/chestnutfield/config/command"
+	"github.com/chestnutfield/chestnutfield/config/query"
+	"github.com/chestnutfield/chestnutfield/membership"
+	"github.com/chestnutfield/chestnutfield/peer"
+	"github.com/chestnutfield/chestnutfield/settings"
 )
 
-// adminServer serves the operators' address.
-type adminServer struct{ http *http.Server }
+// provideAdmin gives the operators' side.
+func provideAdmin(i do.Injector) {
+	do.Provide(i, newStatus)
+	do.Provide(i, func(i do.Injector) (*admin.Server, error) {
+		s := do.MustInvoke[*settings.Settings](i)
+		serverTLS, err := s.Admin.TLS()
+		if err != nil {
+			return nil, err
+		}
+		return admin.New(admin.Options{
+			Token:    s.Admin.Token,
+			TLS:      serverTLS,
+			Commands: do.MustInvoke[*command.Commander](i),
+			Queries:  do.MustInvoke[*query.Reader](i),
+			Config:   do.MustInvoke[*config.Keeper](i),
+			Status:   do.MustInvoke[*status](i),
+			Metrics:  do.MustInvoke[*prometheus.Registry](i),
+		})
+	})
+}
 
-// Serve answers operators until Shutdown.
-func (a adminServer) Serve(ln net.Listener) error { return a.http.Serve(ln) }
+// status is what the host knows of itself, its peers and its targets.
+type status struct {
+	members  *membership.Service
+	node     *peer.Node
+	balancer *balance.Balancer
+	keeper   *config.Keeper
+	clock    clockwork.Clock
+	stopping atomic.Bool
+}
 
-// Shutdown ends the server at once.
-func (a adminServer) Shutdown(context.Context) error { return a.http.Close() }
+var _ admin.StatusSource = (*status)(nil)
 
-// provideAdmin gives the operators' side.
-func provideAdmin(i do.Injector) {
-	do.Provide(i, func(i do.Injector) (adminServer, error) {
-		registry := do.MustInvoke[*prometheus.Registry](i)
-		mux := http.NewServeMux()
-		mux.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
-		return adminServer{&http.Server{Handler: mux}}, nil
+func newStatus(i do.Injector) (*status, error) {
+	return &status{
+		members:  do.MustInvoke[*membership.Service](i),
+		node:     do.MustInvoke[*peer.Node](i),
+		balancer: do.MustInvoke[*balance.Balancer](i),
+		keeper:   do.MustInvoke[*config.Keeper](i),
+		clock:    do.MustInvoke[clockwork.Clock](i),
+	}, nil
+}
+
+// Self describes this host.
+func (s *status) Self() api.HostStatus { return hostStatus(s.members.Self()) }
+
+// Stopping is true once a planned stop has begun.
+func (s *status) Stopping() bool { return s.stopping.Load() }
+
+// Peers describes the other hosts by what was last heard of them.
+func (s *status) Peers() []api.HostStatus {
+	now := s.clock.Now()
+	self := s.members.Self().Name
+	live := lo.Keyify(s.members.Hosts())
+	heard := lo.KeyBy(s.node.Versions(), func(v peer.HostVersion) string { return v.Host })
+	others := lo.Filter(s.members.Members(), func(m membership.Member, _ int) bool { return m.Name != self })
+	return lo.Map(others, func(m membership.Member, _ int) api.HostStatus {
+		h := hostStatus(m)
+		_, h.Live = live[m.Name]
+		if v, ok := heard[m.Name]; ok {
+			h.Version, h.VersionAge = v.Version, age(now, v.HeardAt)
+		}
+		return h
+	})
+}
+
+func age(now, then time.Time) time.Duration { return max(now.Sub(then), 0) }
+
+func hostStatus(m membership.Member) api.HostStatus {
+	return api.HostStatus{
+		Name: m.Name, FailureDomain: m.FailureDomain,
+		State: m.State.String(),
+	}
+}
+
+// Pools describes the pools in force and the states of their targets.
+func (s *status) Pools() []api.PoolStatus {
+	now := s.clock.Now()
+	t := s.keeper.Current()
+	names := lo.Keys(t.Pools)
+	slices.Sort(names)
+	return lo.Map(names, func(name string, _ int) api.PoolStatus {
+		return api.PoolStatus{
+			Name: name, Service: t.Pools[name].Service,
+			Targets: lo.Map(s.balancer.States(now, name), func(ts balance.TargetState, _ int) api.TargetStatus {
+				return api.TargetStatus{Addr: ts.Addr, FailureDomain: ts.FailureDomain, State: ts.State, InFlight: ts.InFlight}
+			}),
+		}
 	})
 }
--- a/host/host.go
+++ b/host/host.go
@@ -94,7 +94,7 @@
 func (h *Host) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
-	h.parts.keeper.Subscribe(func(*table.Tables) { h.reconciler.changed() })
+	h.parts.keeper.Subscribe(func(*table.Tables) { h.reconciler.changed(); h.parts.node.Push() })
 	h.runLoops(ctx)
 	h.runServers()
 	h.log.Info("started",
@@ -108,6 +108,7 @@
 // and the context's error returned. Stop must be called once, after Start.
 func (h *Host) Stop(ctx context.Context) error {
 	h.log.Info("planned stop")
+	h.parts.status.stopping.Store(true)
 	h.announceLeave(ctx, false)
 	err := h.parts.callers.Shutdown(ctx)
 	if e := h.parts.owner.Shutdown(ctx); err == nil {
--- a/host/providers.go
+++ b/host/providers.go
@@ -4,6 +4,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/samber/do/v2"
 
+	"github.com/chestnutfield/chestnutfield/admin"
 	"github.com/chestnutfield/chestnutfield/balance"
 	"github.com/chestnutfield/chestnutfield/config"
 	"github.com/chestnutfield/chestnutfield/handoff"
@@ -50,7 +51,8 @@
 	meter    *handoff.Meter
 	callers  *proxy.Server
 	owner    *proxy.Server
-	admin    adminServer
+	admin    *admin.Server
+	status   *status
 }
 
 // assemble makes the parts and ties the ones that need each other.
@@ -59,7 +61,7 @@
 		take(i, &p.members), take(i, &p.keeper), take(i, &p.resolver), take(i, &p.ledger),
 		take(i, &p.balancer), take(i, &p.handoff),
 		take(i, &p.prober), take(i, &p.direct), take(i, &p.groups), take(i, &p.meter), take(i, &p.node),
-		take(i, &p.admin),
+		take(i, &p.admin), take(i, &p.status),
 	)
 	if err != nil {
 		return parts{}, err
