Connections to upstreams age; an answer without a reason can't occur

Cause: nothing closed connections to upstreams that stayed idle; an admission that refused without a reason would have become an empty 200; an upstream that answered below 400 and then stopped reading a streamed body had its answer dropped.

Change: Serve closes idle connections now and then; a refusal without a reason counts as a passed deadline; only a failure of the caller's own body drops an early answer. upstream/ has a suite of its own: freshness for orders, idle time, limit, abandoned exchanges.

--- a/proxy/call.go
+++ b/proxy/call.go
@@ -217,7 +217,11 @@
 		c.permit = permit
 		return nil
 	}
-	act := c.step(attempt.Event{Kind: attempt.Refused, Reason: refusal.Reason})
+	reason := refusal.Reason
+	if reason == 0 {
+		reason = outcome.DeadlinePassed
+	}
+	act := c.step(attempt.Event{Kind: attempt.Refused, Reason: reason})
 	end := act.End
 	if act.Kind != attempt.Finish {
 		end = c.end()
--- a/proxy/golden_test.go
+++ b/proxy/golden_test.go
@@ -58,10 +58,11 @@
 	}
 	if s.stop {
 		done := b.stop(context.Background())
-		Expect(clock.BlockUntilContext(context.Background(), 1)).To(Succeed())
 		fmt.Fprintf(&out, "== planned stop\n== caller sends\n%s\n== caller gets\n%s\n", s.requests[0], c.exchange(s.requests[0]))
-		clock.Advance(b.server.limits.LastRequests)
-		Eventually(done, "10s").Should(Receive(BeNil()))
+		Eventually(func() chan error {
+			clock.Advance(b.server.limits.LastRequests)
+			return done
+		}, "10s").Should(Receive(BeNil()))
 	}
 	c.Close()
 	Eventually(b.balancer.inFlight, "10s").Should(BeZero())
--- a/proxy/outcome_test.go
+++ b/proxy/outcome_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -21,7 +22,14 @@
 	u.waitClosed()
 }
 
-// closedAddr is an address that refuses connections.
+// refuseAll admits nothing.
+type refuseAll struct{ refusal *ports.Refusal }
+
+func (r refuseAll) Admit(context.Context, ports.AdmitQuery) (ports.Permit, *ports.Refusal) {
+	return nil, r.refusal
+}
+
+// closedUpstream is an address that refuses connections.
 func closedUpstream() *rawUpstream {
 	up := newUpstream(lose)
 	up.ln.Close()
@@ -158,6 +166,18 @@
 		Eventually(b.balancer.inFlight, "10s").Should(BeZero())
 	})
 
+	It("answers 503 not-run with the time to come back when it is not admitted", func() {
+		refusal := &ports.Refusal{Reason: outcome.QueueFull, RetryAfter: 2500 * time.Millisecond}
+		b := newBed(nil, func(o *Options, _ *table.Tables) { o.Admission = refuseAll{refusal} })
+		resp, _ := b.ask(keyedOrder)
+		expectOwn(resp, 503, outcome.NotRun)
+		Expect(resp.Header.Get("Retry-After")).To(Equal("3"))
+		Expect(b.ledger.settled).To(Equal([]outcome.Outcome{outcome.NotRun}))
+		*refusal = ports.Refusal{}
+		resp, _ = b.ask(postOrder)
+		expectOwn(resp, 503, outcome.NotRun)
+	})
+
 	It("keeps to its share of a target's connections", func() {
 		release := make(chan struct{})
 		up := newUpstream(func(u *rawConn) {
--- a/proxy/problem.go
+++ b/proxy/problem.go
@@ -21,6 +21,8 @@
 	retryAfter time.Duration
 	// closes is true when the caller's connection ends with the answer.
 	closes bool
+	// written is true when the answer stands already, as a replay does.
+	written bool
 }
 
 const minRetryAfter = time.Second
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/pkg/errors"
@@ -133,6 +134,9 @@
 	}
 	s.listener = ln
 	s.mu.Unlock()
+	done := make(chan struct{})
+	defer close(done)
+	go s.closeIdle(done)
 	err := s.http.Serve(&callerListener{Listener: ln, server: s})
 	if s.stopping.Load() {
 		return nil
@@ -140,6 +144,23 @@
 	return errors.Wrap(err, "proxy: serve")
 }
 
+// idleSweep is the time between closings of idle connections to upstreams.
+const idleSweep = 5 * time.Second
+
+// closeIdle closes idle connections to upstreams now and then.
+func (s *Server) closeIdle(done <-chan struct{}) {
+	ticker := s.opts.Clock.NewTicker(idleSweep)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.Chan():
+			s.upstream.CloseIdle(false)
+		case <-done:
+			return
+		}
+	}
+}
+
 // callerListener wraps accepted connections.
 type callerListener struct {
 	net.Listener
--- a/proxy/settle.go
+++ b/proxy/settle.go
@@ -49,7 +49,7 @@
 
 // answer writes p, unless the answer was written already.
 func (c *call) answer(p *problem) {
-	if p.status == 0 {
+	if p.written {
 		return
 	}
 	if p.closes {
@@ -91,7 +91,7 @@
 		resp.Header.Add(line[0], line[1])
 	}
 	resp.SetBody(claim.Answer.Body)
-	return &problem{outcome: outcome.Ran}
+	return &problem{outcome: outcome.Ran, written: true}
 }
 
 // record keeps a held answer with its order, when it is small enough.
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -39,7 +39,8 @@
 	}
 	sendErr := <-sent
 	t.sentWhole = sendErr == nil
-	if accepted && sendErr != nil {
+	if accepted && errors.Is(sendErr, errCallerBody) {
+		c.refusal = c.bodyFailed.Load()
 		return sendErr
 	}
 	if headerErr != nil {
--- /dev/null
+++ b/upstream/upstream_test.go
@@ -0,0 +1,168 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
+)
+
+func TestUpstream(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "upstream")
+}
+
+const (
+	request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	minute  = time.Minute
+)
+
+// listen starts a target that answers every request, and returns its address.
+func listen() netip.AddrPort {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	s := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("done") }}
+	go s.Serve(ln)
+	return netip.MustParseAddrPort(ln.Addr().String())
+}
+
+// ask runs a whole exchange.
+func ask(c *Client, q OpenQuery) (*Exchange, error) {
+	x, err := c.Open(context.Background(), q)
+	if err != nil {
+		return nil, err
+	}
+	if err := x.SendWhole([]byte(request), nil); err != nil {
+		return nil, err
+	}
+	if err := x.ReadHeader(false); err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, x)
+	return x, err
+}
+
+var _ = Describe("connections", func() {
+	var (
+		clock  *clockwork.FakeClock
+		client *Client
+		query  OpenQuery
+	)
+	BeforeEach(func() {
+		clock = clockwork.NewFakeClock()
+		client = New(Options{Clock: clock})
+		query = OpenQuery{Target: listen(), Limit: 2, Deadline: time.Now().Add(minute), Idempotent: true}
+	})
+
+	reused := func(q OpenQuery) bool {
+		x, err := ask(client, q)
+		Expect(err).NotTo(HaveOccurred())
+		defer x.Close()
+		return x.Reused()
+	}
+
+	It("are kept, for orders only while they are fresh", func() {
+		Expect(reused(query)).To(BeFalse())
+		Expect(reused(query)).To(BeTrue())
+		order := query
+		order.Idempotent = false
+		Expect(reused(order)).To(BeTrue())
+		clock.Advance(DefaultFreshIdle + 1)
+		Expect(reused(order)).To(BeFalse())
+	})
+
+	It("are closed after their idle time", func() {
+		reused(query)
+		clock.Advance(DefaultIdleTimeout + 1)
+		Expect(client.CloseIdle(false)).To(Equal(1))
+		Expect(client.CloseIdle(true)).To(BeZero())
+	})
+
+	It("keep to the limit, also with idle ones that are too old", func() {
+		var open []*Exchange
+		for range query.Limit {
+			x, err := client.Open(context.Background(), query)
+			Expect(err).NotTo(HaveOccurred())
+			open = append(open, x)
+		}
+		_, err := client.Open(context.Background(), query)
+		Expect(err).To(MatchError(ErrConnectionLimit))
+		for _, x := range open {
+			x.Close()
+		}
+		Expect(reused(query)).To(BeFalse())
+		query.Limit, query.Idempotent = 1, false
+		clock.Advance(DefaultFreshIdle + 1)
+		Expect(reused(query)).To(BeFalse())
+		Expect(client.CloseIdle(true)).To(Equal(1))
+	})
+
+	It("are not kept after an abandoned or cancelled exchange", func() {
+		x, err := ask(client, query)
+		Expect(err).NotTo(HaveOccurred())
+		x.Cancel()
+		x.Close()
+		Expect(reused(query)).To(BeFalse())
+		x, err = client.Open(context.Background(), query)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(x.SendWhole([]byte(request), nil)).To(Succeed())
+		x.Close()
+		Expect(reused(query)).To(BeFalse())
+	})
+
+	It("that can't be opened say so", func() {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		query.Target = netip.MustParseAddrPort(ln.Addr().String())
+		ln.Close()
+		_, err = client.Open(context.Background(), query)
+		Expect(err).To(MatchError(ErrConnect))
+		Expect(client.target(query.Target).unused()).To(BeTrue())
+	})
+})
+
+// BenchmarkOpen compares the ways to a connection that an order may use: a
+// kept one after a look, and a new one.
+func BenchmarkOpen(b *testing.B) {
+	client := New(Options{})
+	q := OpenQuery{Target: listen(), Limit: 4, Deadline: time.Now().Add(minute)}
+	for name, kept := range map[string]bool{"kept": true, "new": false} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				x, err := ask(client, q)
+				if err != nil {
+					b.Fatal(err)
+				}
+				x.Close()
+				if !kept {
+					client.CloseIdle(true)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkLook is the look at a kept connection alone.
+func BenchmarkLook(b *testing.B) {
+	client := New(Options{})
+	x, err := ask(client, OpenQuery{Target: listen(), Limit: 1, Deadline: time.Now().Add(minute)})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if !x.conn.live() {
+			b.Fatal("connection is not live")
+		}
+	}
+}
