--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -57,8 +57,9 @@
 	const (
 		retryPause   = 20 * time.Millisecond
 		burstSeconds = 0.5
+		leastBurst   = 5
 	)
-	burst := max(int(callsPerSecond*burstSeconds), 1)
+	burst := max(int(callsPerSecond*burstSeconds), leastBurst)
 	return &lane{
 		name: name, table: l.opt.Table, clock: l.opt.Clock, callTimeout: l.opt.CallTimeout, pause: retryPause,
 		limiter: rate.NewLimiter(rate.Limit(callsPerSecond), burst), breaker: l.breaker, metrics: l.metrics,
@@ -116,9 +117,14 @@
 func (l *Ledger) Pending() int { return int(l.pending.Load()) }
 
 // SetCallRates bounds the calls a second of this host for claims and for
-// outcomes, for instance by its share among the hosts.
+// outcomes, for instance by its share among the hosts. Claims keep enough calls
+// for two within ClaimTimeout, outcomes one in two seconds.
 func (l *Ledger) SetCallRates(claims, outcomes float64) {
+	const (
+		callsPerTimeout = 2
+		leastOutcomes   = 0.5
+	)
 	now := l.opt.Clock.Now()
-	l.claims.limiter.SetLimitAt(now, rate.Limit(claims))
-	l.outcomes.limiter.SetLimitAt(now, rate.Limit(outcomes))
+	l.claims.limiter.SetLimitAt(now, rate.Limit(max(claims, callsPerTimeout/l.opt.ClaimTimeout.Seconds())))
+	l.outcomes.limiter.SetLimitAt(now, rate.Limit(max(outcomes, leastOutcomes)))
 }
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -341,3 +341,44 @@
 		g.Expect(d.table.Counts().Writes).To(BeNumerically("<", 20))
 	})
 }
+
+func TestStoreSlowerThanItsTimeoutBlocksNoKey(t *testing.T) {
+	deploy(t, 2, func(g *WithT, d *deployment) {
+		d.table.SetDelay(2 * time.Second)
+		for range 20 {
+			start := time.Now()
+			c := d.claim(0)
+			g.Expect(c.State).To(Equal(ports.ClaimUnavailable))
+			g.Expect(time.Since(start)).To(BeNumerically("<=", d.hosts[0].opt.ClaimTimeout))
+			time.Sleep(100 * time.Millisecond)
+		}
+		d.table.SetDelay(0)
+		time.Sleep(5 * time.Second)
+		g.Expect(d.hosts[0].Pending()).To(BeZero())
+		g.Expect(d.claim(1).State).To(Equal(ports.ClaimGranted))
+	})
+}
+
+func TestTooManyUnrecordedEndsRefuseClaims(t *testing.T) {
+	deploy(t, 1, func(g *WithT, d *deployment) {
+		d.hosts[0].opt.PendingLimit = 1
+		c := d.claim(0)
+		d.table.SetDown(true)
+		d.settle(0, c, outcome.Ran, nil)
+		other := ports.OrderKey{Caller: "ministry", Key: "k2"}
+		g.Expect(d.hosts[0].Claim(context.Background(), other).State).To(Equal(ports.ClaimUnavailable))
+		d.table.SetDown(false)
+		time.Sleep(5 * time.Second)
+		g.Expect(d.hosts[0].Claim(context.Background(), other).State).To(Equal(ports.ClaimGranted))
+	})
+}
+
+func TestLargeAnswersAreNotKept(t *testing.T) {
+	deploy(t, 2, func(g *WithT, d *deployment) {
+		d.settle(0, d.claim(0), outcome.Ran, &ports.RecordedAnswer{Status: 201, Body: make([]byte, 17<<10)})
+		synctest.Wait()
+		c := d.claim(1)
+		g.Expect(c.State).To(Equal(ports.ClaimDone))
+		g.Expect(c.Answer).To(BeNil())
+	})
+}
--- a/ledger/options.go
+++ b/ledger/options.go
@@ -26,7 +26,8 @@
 	// CallTimeout bounds one call of the table service.
 	CallTimeout time.Duration
 	// ClaimCallsPerSecond and OutcomeCallsPerSecond bound the calls of this
-	// host; below them nothing waits to be batched.
+	// host; below them nothing waits to be batched. Outcomes are recorded after
+	// the answer and gather for longer.
 	ClaimCallsPerSecond, OutcomeCallsPerSecond float64
 	// ClaimCallsInFlight is the number of claim calls open at once.
 	ClaimCallsInFlight int
@@ -58,8 +59,8 @@
 		retention          = 24 * time.Hour
 		claimTimeout       = 800 * time.Millisecond
 		callTimeout        = 400 * time.Millisecond
-		claimCalls         = 20
-		outcomeCalls       = 10
+		claimCalls         = 15
+		outcomeCalls       = 2
 		claimCallsInFlight = 2
 		answerBytes        = 16 << 10
 		pendingLimit       = 10_000
--- a/ledger/rules_test.go
+++ b/ledger/rules_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/chestnutfield/chestnutfield/outcome"
 	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/platform/fake"
 	"github.com/chestnutfield/chestnutfield/ports"
 )
 
@@ -78,3 +79,15 @@
 		Expect(open).To(BeFalse())
 	})
 })
+
+var _ = Describe("the call rates", func() {
+	It("never fall so low that claims time out for want of calls", func() {
+		l, err := New(Options{Table: fake.NewTable(), Host: "entry-1"})
+		Expect(err).NotTo(HaveOccurred())
+		l.SetCallRates(0.01, 0.01)
+		Expect(float64(l.claims.limiter.Limit())).To(BeNumerically("~", 2/l.opt.ClaimTimeout.Seconds()))
+		Expect(float64(l.outcomes.limiter.Limit())).To(Equal(0.5))
+		l.SetCallRates(40, 9)
+		Expect(float64(l.claims.limiter.Limit())).To(Equal(40.0))
+	})
+})
