ports: Lease, asked before acts on limits that must never be exceeded

Cause: ShareCount errs on the high side but can't tell a host that was paused or cut off that others have dropped it. Change: an interface of one method, which membership.Service provides. Conclusion: additive; probers should ask it before each probe.

--- a/membership/query.go
+++ b/membership/query.go
@@ -6,7 +6,10 @@
 	"github.com/chestnutfield/chestnutfield/ports"
 )
 
-var _ ports.Membership = (*Service)(nil)
+var (
+	_ ports.Membership = (*Service)(nil)
+	_ ports.Lease      = (*Service)(nil)
+)
 
 // Hosts returns the names of the hosts believed live, sorted.
 func (s *Service) Hosts() []string {
--- a/ports/peers.go
+++ b/ports/peers.go
@@ -43,3 +43,11 @@
 	// errs on the high side, so that disagreement leads to less load.
 	ShareCount() int
 }
+
+// Lease says whether this host may act on a share of a limit that must never
+// be exceeded, such as the probe budget of a target.
+type Lease interface {
+	// Holds is asked right before each act; it turns false on its own when
+	// the lease runs out, also while the process was paused.
+	Holds() bool
+}
