peer: a later version of the tables is passed on at once; membership: seeds apart

A new version waited for rounds, which a spent budget leaves out; nobody called Push for it. The node now looks at the version each round and tells three peers when it grew.

Hosts given one seed made the same choices in step; the name is mixed in.

--- a/membership/service.go
+++ b/membership/service.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -23,7 +24,7 @@
 	Table  platform.Table
 	// Clock defaults to the real one.
 	Clock clockwork.Clock
-	// Seed drives the choice of peers; 0 takes the incarnation.
+	// Seed and the name drive the choice of peers and the jitter.
 	Seed uint64
 	// AssumedHosts is the least share count before anything is known of other
 	// hosts; it defaults to 64.
@@ -44,9 +45,8 @@
 	if o.Self.Incarnation == 0 {
 		o.Self.Incarnation = uint64(o.Clock.Now().UnixMilli())
 	}
-	if o.Seed == 0 {
-		o.Seed = o.Self.hash()
-	}
+	// Hosts that share a seed must not act in step.
+	o.Seed ^= xxhash.Sum64String(o.Self.Name)
 	if o.AssumedHosts == 0 {
 		o.AssumedHosts = assumedHosts
 	}
--- a/membership/service_test.go
+++ b/membership/service_test.go
@@ -117,3 +117,20 @@
 		Expect(a.rows.badRows.Load()).To(BeEquivalentTo(1))
 	})
 })
+
+var _ = Describe("hosts that share a seed", func() {
+	It("choose their peers apart", func() {
+		choices := map[string]bool{}
+		for i := 1; i <= 8; i++ {
+			s, err := New(Options{Self: hostNamed(i), Table: fake.NewTable(), Clock: clockwork.NewFakeClockAt(epoch), Seed: 5})
+			Expect(err).NotTo(HaveOccurred())
+			var others []Member
+			for j := 20; j < 40; j++ {
+				others = append(others, beatOf(hostNamed(j), 1))
+			}
+			s.Heard(Hearing{Members: others})
+			choices[s.Peers(1)[0].Name] = true
+		}
+		Expect(len(choices)).To(BeNumerically(">", 2))
+	})
+})
--- a/peer/node.go
+++ b/peer/node.go
@@ -30,6 +30,8 @@
 	metrics  *metrics
 	wake     chan struct{}
 	slots    chan struct{}
+	// version is that of the tables when it was last looked at.
+	version atomic.Uint64
 	// lastFull is when all members were last sent, in nanoseconds.
 	lastFull atomic.Int64
 	// lastRound is when a round last met a peer, in nanoseconds.
@@ -72,15 +74,27 @@
 		case <-n.wake:
 			n.meet(ctx, &open, n.opt.PushFanOut)
 		case <-ticker.Chan():
-			if n.roundDue(n.opt.Clock.Now()) {
+			if n.versionGrew() {
+				n.meet(ctx, &open, n.opt.PushFanOut)
+			} else if n.roundDue(n.opt.Clock.Now()) {
 				n.meet(ctx, &open, n.opt.FanOut)
 			}
 		}
 	}
 }
 
+// versionGrew reports whether the tables have a later version than when it was
+// last asked, which is news to pass on.
+func (n *Node) versionGrew() bool {
+	if n.opt.Config == nil {
+		return false
+	}
+	_, version := n.opt.Config.Encoded()
+	return n.version.Swap(version) < version
+}
+
 // Push passes on what this host knows at once, in place of waiting for the
-// next round. Call it when a new version came into force.
+// next round. A later version of the tables is noticed without it.
 func (n *Node) Push() {
 	select {
 	case n.wake <- struct{}{}:
--- a/peer/spread_test.go
+++ b/peer/spread_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -111,6 +112,19 @@
 	return true
 }
 
+// adopter puts every later version that it hears of in force.
+type adopter struct{ version atomic.Uint64 }
+
+func (a *adopter) Heard(_ string, version uint64) {
+	for {
+		own := a.version.Load()
+		if version <= own || a.version.CompareAndSwap(own, version) {
+			return
+		}
+	}
+}
+func (a *adopter) Encoded() ([]byte, uint64) { return nil, a.version.Load() }
+
 // load is a fixed set of figures, sent in turn.
 type load struct {
 	mu      sync.Mutex
@@ -146,6 +160,7 @@
 // fleet is some hosts with their real membership over one fake table.
 type fleet struct {
 	ctx     context.Context
+	configs []*adopter
 	change  []func(*Options)
 	table   *fake.Table
 	members []*membership.Service
@@ -180,8 +195,10 @@
 		t.Fatal(err)
 	}
 	drains := &drainLog{at: map[netip.AddrPort]time.Time{}}
+	config := &adopter{}
+	f.configs = append(f.configs, config)
 	opt := Options{
-		Members: members, Drains: drains, Figures: &load{figures: targets(figures)}, Token: "0123456789abcdef",
+		Members: members, Drains: drains, Config: config, Figures: &load{figures: targets(figures)}, Token: "0123456789abcdef",
 		Dial: f.net.dial(addr.String()), Seeds: func() []netip.AddrPort { return []netip.AddrPort{addrOf(0)} },
 	}
 	for _, change := range f.change {
@@ -264,6 +281,13 @@
 		defer f.close()
 		time.Sleep(time.Minute)
 		t.Logf("19 hosts: %v", f.spread(t, 2*time.Second))
+		f.configs[3].version.Store(7)
+		time.Sleep(3 * time.Second)
+		for i, c := range f.configs {
+			if c.version.Load() != 7 {
+				t.Errorf("host %d has not heard of the version after 3 s", i)
+			}
+		}
 	})
 }
 
