membership: a renewal on its way does not undo a leave row

Cause: a heartbeat write that waited behind the leave write put the live row back, and hosts without gossip counted the host again. Change: rows are written in the order of their heartbeats. With the check out the new spec fails.

--- a/membership/rowstore.go
+++ b/membership/rowstore.go
@@ -28,6 +28,8 @@
 	mu       sync.Mutex
 	revision uint64
 	writes   uint64
+	// newest is the highest heartbeat that was written or tried.
+	newest uint64
 
 	ok, failed, badRows atomic.Uint64
 }
@@ -49,6 +51,10 @@
 func (r *rowStore) write(ctx context.Context, m Member) (found *Member, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if m.Heartbeat < r.newest {
+		return nil, errors.Errorf("member row of heartbeat %d is older than %d", m.Heartbeat, r.newest)
+	}
+	r.newest = m.Heartbeat
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err = r.writeOnce(ctx, m)
--- a/membership/service_test.go
+++ b/membership/service_test.go
@@ -104,6 +104,19 @@
 		Expect(b.Members()).To(HaveLen(1))
 	})
 
+	It("is not undone by a renewal that was on its way when the host left", func() {
+		a := start(1)
+		gone := beatOf(hostNamed(1), 5)
+		gone.State = Gone
+		_, err := a.rows.write(ctx, gone)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = a.rows.write(ctx, beatOf(hostNamed(1), 4))
+		Expect(err).To(HaveOccurred())
+		members, err := a.rows.readAll(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(members).To(ConsistOf(gone))
+	})
+
 	It("skips rows that ran out or can't be read", func() {
 		old, err := encodeRow(hostNamed(3), "w", epoch)
 		Expect(err).NotTo(HaveOccurred())
