--- /dev/null
+++ b/ledger/bench_test.go
@@ -0,0 +1,34 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+
+	"github.com/chestnutfield/chestnutfield/outcome"
+	"github.com/chestnutfield/chestnutfield/platform/fake"
+	"github.com/chestnutfield/chestnutfield/ports"
+)
+
+// BenchmarkOrder measures the processor time that a claim and its outcome take
+// on the host, with a table service that answers at once.
+func BenchmarkOrder(b *testing.B) {
+	hosts, stop := hostsOver(fake.NewTable(), 1, func(o *Options) {
+		o.ClaimCallsPerSecond, o.OutcomeCallsPerSecond = 1e6, 1e6
+	})
+	defer stop()
+	answer := &ports.RecordedAnswer{Status: 201, Body: make([]byte, 200)}
+	var n atomic.Int64
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			k := ports.OrderKey{Caller: "ministry", Key: fmt.Sprint(n.Add(1)), Fingerprint: 1}
+			c := hosts[0].Claim(context.Background(), k)
+			hosts[0].Settle(context.Background(), k, c.Token, outcome.Ran, answer)
+		}
+	})
+	if err := hosts[0].Flush(context.Background()); err != nil {
+		b.Fatal(err)
+	}
+}
--- /dev/null
+++ b/ledger/published_test.go
@@ -0,0 +1,88 @@
+package ledger_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnutfield/chestnutfield/lab/platformd"
+	"github.com/chestnutfield/chestnutfield/ledger"
+	"github.com/chestnutfield/chestnutfield/outcome"
+	"github.com/chestnutfield/chestnutfield/platform/dynamo"
+	"github.com/chestnutfield/chestnutfield/ports"
+)
+
+// Two hosts over the published protocol of the table service.
+var _ = Describe("the ledger over the published protocol", func() {
+	var (
+		ctx    context.Context
+		server *platformd.Server
+		hosts  []*ledger.Ledger
+	)
+	BeforeEach(func() {
+		ctx = context.Background()
+		server = platformd.New(platformd.Options{})
+		Expect(server.Start("127.0.0.1:0")).To(Succeed())
+		run, stop := context.WithCancel(ctx)
+		var runs sync.WaitGroup
+		hosts = nil
+		for i := range 2 {
+			l, err := ledger.New(ledger.Options{
+				Table: dynamo.New(dynamo.Options{Endpoint: server.URL()}), Host: fmt.Sprintf("entry-%d", i),
+				// A busy machine must not decide the outcome.
+				ClaimTimeout: time.Minute, CallTimeout: time.Minute,
+			})
+			Expect(err).NotTo(HaveOccurred())
+			hosts = append(hosts, l)
+			runs.Go(func() { _ = l.Run(run) })
+		}
+		DeferCleanup(func() {
+			stop()
+			runs.Wait()
+			Expect(server.Close()).To(Succeed())
+		})
+	})
+
+	It("grants each key once when both hosts race", func() {
+		var mu sync.Mutex
+		var claims sync.WaitGroup
+		granted := map[string]int{}
+		for i := range 40 {
+			for _, l := range hosts {
+				claims.Go(func() {
+					defer GinkgoRecover()
+					k := ports.OrderKey{Caller: "c", Key: fmt.Sprint(i), Fingerprint: 1}
+					c := l.Claim(ctx, k)
+					mu.Lock()
+					defer mu.Unlock()
+					if c.State == ports.ClaimGranted {
+						granted[k.Key]++
+					}
+				})
+			}
+		}
+		claims.Wait()
+		Expect(granted).NotTo(BeEmpty())
+		for key, n := range granted {
+			Expect(n).To(Equal(1), "key %s", key)
+		}
+	})
+
+	It("settles a lost acknowledgement and gives the recorded answer elsewhere", func() {
+		k := ports.OrderKey{Caller: "c", Key: "k", Fingerprint: 1}
+		server.SetFaults(platformd.Faults{AckLost: 1})
+		c := hosts[0].Claim(ctx, k)
+		Expect(c.State).To(Equal(ports.ClaimGranted))
+		Expect(hosts[1].Claim(ctx, k).State).To(Equal(ports.ClaimInFlight))
+		answer := &ports.RecordedAnswer{Status: 201, Body: []byte("booked")}
+		hosts[0].Settle(ctx, k, c.Token, outcome.Ran, answer)
+		Expect(hosts[0].Flush(ctx)).To(Succeed())
+		again := hosts[1].Claim(ctx, k)
+		Expect(again.State).To(Equal(ports.ClaimDone))
+		Expect(again.Answer).To(Equal(answer))
+	})
+})
