lab: the p99 of all sent, and table items over the measured window

Table reads and writes a second were over ten seconds, longer than a run. The platform counts items since its start, and costs take the difference over the window. Conclusion: ratios of p99 are to be read with the refusals beside them.

--- a/lab/experiment/run.go
+++ b/lab/experiment/run.go
@@ -10,6 +10,7 @@
 	"github.com/samber/lo"
 
 	"github.com/chestnutfield/chestnutfield/lab/loadgen"
+	"github.com/chestnutfield/chestnutfield/lab/platformd"
 	"github.com/chestnutfield/chestnutfield/lab/upstreamd"
 )
 
@@ -193,9 +194,10 @@
 
 // snapshot is all counts at one moment.
 type snapshot struct {
-	cpu     cpuSample
-	targets upstreamd.Stats
-	hosts   HostStats
+	cpu      cpuSample
+	targets  upstreamd.Stats
+	platform platformd.Stats
+	hosts    HostStats
 }
 
 func (m *measured) snapshot() (s snapshot, err error) {
@@ -203,6 +205,7 @@
 		return s, err
 	}
 	s.targets = m.deployment.targetStats()
+	s.platform = m.deployment.platform.Stats()
 	s.cpu, err = sampleCPU()
 	return s, err
 }
@@ -262,12 +265,11 @@
 	targets := lo.SumBy(spec.Services, func(s Service) int { return s.Targets })
 	probes := float64(b.targets.LoadProbes + b.targets.HealthProbes - a.targets.LoadProbes - a.targets.HealthProbes)
 	work := (b.targets.Busy - a.targets.Busy).Seconds() + probes*spec.ProbeCost.Seconds()
-	stats := m.deployment.platform.Stats()
 	costs := Costs{
 		ProbesPerTarget: probes / seconds / float64(targets),
 		ControlBytes:    (b.hosts.ControlBytes - a.hosts.ControlBytes) / seconds / float64(spec.Hosts),
-		TableReads:      stats.ReadsPerSecond,
-		TableWrites:     stats.WritesPerSecond,
+		TableReads:      float64(b.platform.Reads-a.platform.Reads) / seconds,
+		TableWrites:     float64(b.platform.Writes-a.platform.Writes) / seconds,
 	}
 	for _, s := range spec.Services {
 		costs.ProbeBudget = max(costs.ProbeBudget, s.ProbeBudget)
--- a/lab/loadgen/loadgen_test.go
+++ b/lab/loadgen/loadgen_test.go
@@ -181,6 +181,23 @@
 	})
 })
 
+var _ = It("counts requests without an answer last in the p99 of all sent", func() {
+	cs := []loadgen.Class{class(table.Lookup)}
+	var records []loadgen.Record
+	for i := range 1000 {
+		records = append(records, loadgen.Record{End: loadgen.Answered, Latency: time.Duration(i+1) * time.Millisecond})
+	}
+	p99Sent := func(refused int) time.Duration {
+		for i := range refused {
+			records[i].End = loadgen.NotRun
+		}
+		return loadgen.Summarize(cs, records, nil, loadgen.Window{To: time.Second})[0].P99Sent
+	}
+	Expect(p99Sent(0)).To(BeNumerically("~", 990*time.Millisecond, 2*time.Millisecond))
+	Expect(p99Sent(5)).To(BeNumerically("~", 995*time.Millisecond, 2*time.Millisecond))
+	Expect(p99Sent(11)).To(BeZero())
+})
+
 var _ = Describe("the check against the run log", func() {
 	It("finds orders that ran twice when a balancer keeps no ledger", func() {
 		log := runlog.New()
--- a/lab/loadgen/summary.go
+++ b/lab/loadgen/summary.go
@@ -61,6 +61,9 @@
 	P50  time.Duration `json:"p50_ns"`
 	P99  time.Duration `json:"p99_ns"`
 	P999 time.Duration `json:"p999_ns"`
+	// P99Sent is over all requests sent but copies of orders in flight, with
+	// those that got no whole answer last; 0 says that it falls among those.
+	P99Sent time.Duration `json:"p99_sent_ns"`
 	// Retries counts the arrivals at targets beyond the first of a request.
 	Retries int `json:"retries"`
 }
@@ -96,6 +99,7 @@
 		out[i].P50 = quantile(hist[i], 50)
 		out[i].P99 = quantile(hist[i], 99)
 		out[i].P999 = quantile(hist[i], 99.9)
+		out[i].P99Sent = quantileOfSent(hist[i], 99, out[i].Sent-out[i].Ends[InFlight.String()])
 	}
 	return out
 }
@@ -103,3 +107,14 @@
 func quantile(h *hdrhistogram.Histogram, percent float64) time.Duration {
 	return time.Duration(h.ValueAtQuantile(percent)) * time.Microsecond
 }
+
+// quantileOfSent is a quantile over all requests sent, of which the histogram
+// holds the answered ones; 0 when it falls among the others.
+func quantileOfSent(h *hdrhistogram.Histogram, percent float64, sent int) time.Duration {
+	rank := percent / 100 * float64(sent)
+	answered := float64(h.TotalCount())
+	if answered == 0 || rank > answered {
+		return 0
+	}
+	return quantile(h, 100*rank/answered)
+}
--- a/lab/platformd/faults_test.go
+++ b/lab/platformd/faults_test.go
@@ -99,6 +99,7 @@
 		st := s.Stats()
 		Expect(st.WritesPerSecond).To(Equal(0.2))
 		Expect(st.ReadsPerSecond).To(Equal(0.1))
+		Expect([]uint64{st.Reads, st.Writes}).To(Equal([]uint64{1, 2}))
 		Expect(st.PeakWritesPerSecond).To(BeEquivalentTo(2))
 		Expect(st.Operations["PutItem"].Calls).To(BeEquivalentTo(2))
 	})
--- a/lab/platformd/stats.go
+++ b/lab/platformd/stats.go
@@ -23,6 +23,9 @@
 // Stats is what the platform was asked to do since it started.
 type Stats struct {
 	Operations map[string]OperationStats `json:"operations"`
+	// Reads and Writes are items since the start.
+	Reads  uint64 `json:"reads"`
+	Writes uint64 `json:"writes"`
 	// ReadsPerSecond and WritesPerSecond are items over the last ten full
 	// seconds, the peaks the highest single second seen.
 	ReadsPerSecond      float64 `json:"reads_per_second"`
@@ -49,6 +52,8 @@
 	mu         sync.Mutex
 	operations map[string]OperationStats
 	ring       [rateWindow + 1]second
+	reads      uint64
+	writes     uint64
 	peakReads  uint64
 	peakWrites uint64
 }
@@ -76,6 +81,8 @@
 	}
 	slot.reads += uint64(a.reads)
 	slot.writes += uint64(a.writes)
+	r.reads += uint64(a.reads)
+	r.writes += uint64(a.writes)
 	r.peakReads = max(r.peakReads, slot.reads)
 	r.peakWrites = max(r.peakWrites, slot.writes)
 }
@@ -86,6 +93,8 @@
 	defer r.mu.Unlock()
 	st := Stats{
 		Operations:          make(map[string]OperationStats, len(r.operations)),
+		Reads:               r.reads,
+		Writes:              r.writes,
 		PeakReadsPerSecond:  r.peakReads,
 		PeakWritesPerSecond: r.peakWrites,
 	}
--- a/lab/report/figures.go
+++ b/lab/report/figures.go
@@ -44,11 +44,14 @@
 // classFigures are the figures of a class over the repeats; times are in
 // milliseconds, shares in percent of the requests sent.
 type classFigures struct {
-	p50, p99, p999        Spread
-	goodput               Spread
-	refused, lost, retry  Spread
-	toBaseline, toBound   Spread
-	boundP99              Spread
+	p50, p99, p999       Spread
+	goodput              Spread
+	refused, lost, retry Spread
+	toBaseline, toBound  Spread
+	boundP99, p99Sent    Spread
+	// unanswered is true when the p99 of all sent falls among the requests
+	// without an answer, in any repeat.
+	unanswered            bool
 	hasBaseline, hasBound bool
 }
 
@@ -132,6 +135,10 @@
 		f.hasBound = f.hasBound || ok
 		return ratio(s.P99, bound), ok
 	})
+	f.p99Sent = plain(func(s loadgen.Summary) float64 {
+		f.unanswered = f.unanswered || s.P99Sent == 0
+		return millis(s.P99Sent)
+	})
 	f.boundP99 = p.samples(k, func(r experiment.Result, _ loadgen.Summary) (float64, bool) {
 		bound, ok := boundOf(r, k)
 		return millis(bound), ok
--- a/lab/report/markdown.go
+++ b/lab/report/markdown.go
@@ -17,7 +17,9 @@
 	fmt.Fprintf(w, "# %s: %d runs, %d repeats\n\n", p.name, len(p.results), repeats)
 	fmt.Fprint(w, "Times are in milliseconds from the intended start, as callers see them. Each figure is the median\n"+
 		"over the repeats, with the lowest and the highest. *bound* is computed, not measured: an all-knowing\n"+
-		"central queue with the same arrivals and service times and free knowledge and travel.\n\n")
+		"central queue with the same arrivals and service times and free knowledge and travel.\n"+
+		"p50, p99 and p99.9 are of whole answers; *p99 of all sent* counts requests without one last, and says\n"+
+		"*unanswered* when more than one in a hundred got none in some repeat.\n\n")
 	p.writePromises(w)
 	p.writeAims(w)
 	for _, s := range p.scenarios {
@@ -64,7 +66,7 @@
 
 func (p *page) writeScenario(w io.Writer, scenario string) {
 	fmt.Fprintf(w, "## %s\n\n", scenario)
-	writeHead(w, "service", "class", "load %", "policy", "p50", "p99", "p99.9", "goodput/s",
+	writeHead(w, "service", "class", "load %", "policy", "p50", "p99", "p99.9", "p99 of all sent", "goodput/s",
 		"refused %", "unknown, failed, lost %", "retries %", "p99 to p2c", "p99 to bound", "bound p99")
 	for _, k := range p.keys {
 		if k.scenario != scenario {
@@ -72,13 +74,20 @@
 		}
 		f := p.figures[k]
 		writeRow(w, k.service, string(k.class), fmt.Sprint(k.cell.Load), k.cell.Policy,
-			f.p50.String(), f.p99.String(), f.p999.String(), fmt.Sprintf("%.0f", f.goodput.Median),
+			f.p50.String(), f.p99.String(), f.p999.String(), sentText(f), fmt.Sprintf("%.0f", f.goodput.Median),
 			fmt.Sprintf("%.2f", f.refused.Median), fmt.Sprintf("%.2f", f.lost.Median), fmt.Sprintf("%.2f", f.retry.Median),
 			ratioText(f.toBaseline, f.hasBaseline), ratioText(f.toBound, f.hasBound), fmt.Sprintf("%.1f", f.boundP99.Median))
 	}
 	fmt.Fprintln(w)
 }
 
+func sentText(f classFigures) string {
+	if f.unanswered {
+		return "unanswered"
+	}
+	return f.p99Sent.String()
+}
+
 func ratioText(s Spread, ok bool) string {
 	if !ok {
 		return "–"
