balance, host, proxy: an owner's view of its targets is whole

Cause: make demo (one target x10 slow, one drained, 60% load) kept its promises but gave lookups p50 404 ms, p99 2.56 s and 125 refusals. Traced: healthy targets of two-target groups stood set aside for 8 to 16 s. (1) Three samples of an exponential service time were enough to be called slow; (2) the time set aside, the connection share and the ramp were divided among 40 sharing hosts, though one host alone sends to the group; (3) an owner might open 4 connections to a target while admission allows more, and refused the rest as over the limit; (4) targets set aside counted as slots in admission and in reports. Ruled out: the choice of group (backlogs were even). Change: PoolSpec.Exclusive; ten samples and factor 5 before a target counts as slow (a trial still ends by one call); half of a target's connections are its owner's, hosts share the other half; slots count ready targets, at least half of a group, as the balancer uses. The connection spec asks for the stricter half now.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -51,6 +51,9 @@
 	Connections int
 	// Policy names the policy; "" selects that of the Options.
 	Policy string
+	// Exclusive is true when all requests to the targets pass this host, as
+	// those of a group pass its owner. Shared limits aren't divided then.
+	Exclusive bool
 }
 
 // DefaultSlots is the number of slots of a target whose pool names none.
--- a/balance/candidates.go
+++ b/balance/candidates.go
@@ -23,7 +23,7 @@
 	if p.typicalAt.IsZero() || now.Sub(p.typicalAt) >= typicalInterval {
 		p.typicalAt = now
 		p.typical = p.deriveTypical()
-		p.share = connectionShare(p.connections, p.owner.hosts())
+		p.share = connectionShare(p.connections, p.hosts())
 		for _, t := range p.targets {
 			t.know.Remember(p.typical.service)
 		}
@@ -34,12 +34,14 @@
 	}
 }
 
-// connectionShare is the number of connections that one host may open.
+// connectionShare is the number of connections that one host may open. Half
+// of a target's connections are its owner's, the other half is divided among
+// all hosts for direct dispatch.
 func connectionShare(connections, hosts int) int {
 	if connections <= 0 {
 		return math.MaxInt
 	}
-	return max(connections/hosts, 1)
+	return max(connections/2/hosts, 1)
 }
 
 func (p *pool) deriveTypical() typical {
@@ -170,12 +172,16 @@
 }
 
 // narrowed reports whether a target is in the subset, has a connection left
-// for this host and, while it ramps, is drawn for this request.
+// for this host and, while it ramps, is drawn for this request. Where all
+// requests pass this host, a ramping target takes a growing number at once.
 func (p *pool) narrowed(now time.Time, i int, t *target) bool {
 	if p.mine != nil && !p.mine[i] || t.know.Own >= p.share {
 		return false
 	}
 	w := t.health.weight(now)
+	if p.exclusive {
+		return float64(t.know.Own) < max(1, w*float64(2*p.slots)) || w >= 1
+	}
 	return w >= 1 || p.rng.Float64() < w
 }
 
--- a/balance/health.go
+++ b/balance/health.go
@@ -15,12 +15,12 @@
 	failShare, failMargin = 0.5, 0.4
 	// slowFactor times the pool's median latency, and at least slowFloor, is
 	// the latency from which a target is set aside.
-	slowFactor = 4
+	slowFactor = 5
 	slowFloor  = 20 * time.Millisecond
 	// trialSlowFactor is slowFactor for a single call of a trial.
 	trialSlowFactor = 6
 	// slowSamples is the number of calls before a target counts as slow.
-	slowSamples = 3
+	slowSamples = 10
 	// stuckFactor times the median latency, and at least stuckFloor, is the
 	// age of an unanswered call from which a target is set aside.
 	stuckFactor = 10
@@ -32,7 +32,7 @@
 	asidePerHost = 400 * time.Millisecond
 	asideLongest = 30 * time.Second
 	// trialSuccesses is the number of calls that end a trial.
-	trialSuccesses = slowSamples
+	trialSuccesses = 3
 	// rampTime is the time from a first call to a full share, and rampStart
 	// the share at its start.
 	rampTime  = 5 * time.Second
@@ -142,10 +142,10 @@
 func (h *health) String() string {
 	switch h.phase {
 	case aside:
-		return "set-aside"
+		return StateSetAside
 	case trial:
-		return "trial"
+		return StateTrial
 	default:
-		return "ready"
+		return StateReady
 	}
 }
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -27,6 +27,7 @@
 	// connections is that of the spec, and share this host's part of it.
 	connections, share int
 
+	exclusive  bool
 	policyName string
 	subset     bool
 	policy     Policy
@@ -73,7 +74,7 @@
 	if p.slots <= 0 {
 		p.slots = DefaultSlots
 	}
-	p.connections = spec.Connections
+	p.connections, p.exclusive = spec.Connections, spec.Exclusive
 	if p.policyName != policyName {
 		p.policyName, p.policy, p.subset = policyName, d.build(), d.subset
 	}
@@ -96,6 +97,14 @@
 	p.typicalAt, p.mineAt = time.Time{}, time.Time{}
 }
 
+// hosts is the number of hosts that share the targets.
+func (p *pool) hosts() int {
+	if p.exclusive {
+		return 1
+	}
+	return p.owner.hosts()
+}
+
 func (p *pool) pick(q ports.PickQuery) (*attempt, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -161,7 +170,7 @@
 }
 
 func (p *pool) setAside(now time.Time, t *target) {
-	t.health.setAside(now, p.owner.hosts(), p.rng)
+	t.health.setAside(now, p.hosts(), p.rng)
 	t.know.ForgetLatency()
 	p.owner.metrics.setAside.WithLabelValues(p.name).Inc()
 }
@@ -190,7 +199,7 @@
 	return lo.Map(p.targets, func(t *target, _ int) TargetState {
 		state := t.stateName(now)
 		if p.leaving(now, t) {
-			state = "leaving"
+			state = StateLeaving
 		}
 		return TargetState{
 			Addr: t.addr, FailureDomain: t.domain, State: state, InFlight: t.know.Own,
--- a/balance/probing.go
+++ b/balance/probing.go
@@ -78,7 +78,7 @@
 		return
 	}
 	if a.Failed && t.health.phase == aside {
-		t.health.setAside(now, p.owner.hosts(), p.rng)
+		t.health.setAside(now, p.hosts(), p.rng)
 	}
 	if a.Report != "" {
 		t.report(now, a.Report)
--- a/balance/target.go
+++ b/balance/target.go
@@ -73,10 +73,24 @@
 	return lo.CountBy(t.open, func(a *attempt) bool { return now.Sub(a.sent) >= arrivalTime })
 }
 
+// The states of a target on status pages.
+const (
+	// StateReady: takes its full share.
+	StateReady = "ready"
+	// StateRamping: takes a share that grows.
+	StateRamping = "ramping"
+	// StateSetAside: takes nothing for a while.
+	StateSetAside = "set-aside"
+	// StateTrial: takes one request at a time until some succeed.
+	StateTrial = "trial"
+	// StateLeaving: takes nothing new.
+	StateLeaving = "leaving"
+)
+
 // stateName describes the target for status pages.
 func (t *target) stateName(now time.Time) string {
 	if t.health.phase == ready && t.health.weight(now) < 1 {
-		return "ramping"
+		return StateRamping
 	}
 	return t.health.String()
 }
--- a/host/reconciler.go
+++ b/host/reconciler.go
@@ -87,8 +87,10 @@
 	now := r.clock.Now()
 	t := r.parts.keeper.Current()
 	next := input{tables: t, peers: r.peers(), hosts: len(r.parts.members.Hosts())}
-	next.specs = buildSpecs(t, r.resolve, func(pool string) map[netip.AddrPort]bool {
-		return usable(r.parts.balancer.States(now, pool))
+	next.specs = buildSpecs(t, r.resolve, func(pool string) map[netip.AddrPort]string {
+		return lo.SliceToMap(r.parts.balancer.States(now, pool), func(s balance.TargetState) (netip.AddrPort, string) {
+			return s.Addr, s.State
+		})
 	})
 	if reflect.DeepEqual(next, r.last) {
 		return
@@ -131,13 +133,3 @@
 		return handoff.Peer{Member: owner.Member{Name: m.Name, FailureDomain: m.FailureDomain}, Addr: m.Addr}
 	})
 }
-
-// leavingState is the state of targets that get nothing new.
-const leavingState = "leaving"
-
-// usable maps the targets of a pool to whether they take new work.
-func usable(states []balance.TargetState) map[netip.AddrPort]bool {
-	return lo.SliceToMap(states, func(s balance.TargetState) (netip.AddrPort, bool) {
-		return s.Addr, s.State != leavingState
-	})
-}
--- a/host/specs.go
+++ b/host/specs.go
@@ -31,45 +31,63 @@
 // resolveFunc returns the targets of a pool and those of them that leave.
 type resolveFunc func(p table.Pool) (targets []table.Target, leaving []netip.AddrPort)
 
+// statesFunc returns the states of the targets of a pool or group.
+type statesFunc func(pool string) map[netip.AddrPort]string
+
 // buildSpecs derives the specs of all parts from one version of the tables.
-func buildSpecs(t *table.Tables, resolve resolveFunc, usable func(pool string) map[netip.AddrPort]bool) specs {
+func buildSpecs(t *table.Tables, resolve resolveFunc, states statesFunc) specs {
 	s := specs{
 		targets: map[string]balance.PoolSpec{}, pools: map[string]handoff.PoolSpec{},
 		direct: map[string]limit.Capacity{}, groups: map[string]limit.Capacity{}, slots: map[string]int{},
 	}
-	for name, pool := range t.Pools {
+	for _, pool := range t.Pools {
 		targets, leaving := resolve(pool)
-		s.add(name, pool, targets, append(leaving, pool.Drain...), usable(name))
+		s.add(pool, targets, append(leaving, pool.Drain...), states)
 	}
 	return s
 }
 
-func (s *specs) add(name string, pool table.Pool, targets []table.Target, drain []netip.AddrPort, usable map[netip.AddrPort]bool) {
+func (s *specs) add(pool table.Pool, targets []table.Target, drain []netip.AddrPort, states statesFunc) {
 	direct := pool.Policy
 	if pool.Owned() {
 		direct = ""
 	}
-	s.targets[name] = balance.PoolSpec{
+	s.targets[pool.Name] = balance.PoolSpec{
 		Targets: targets, Drain: drain, Slots: pool.Slots, Connections: pool.Connections, Policy: direct,
 	}
-	open := lo.Filter(targets, func(t table.Target, _ int) bool {
-		taking, known := usable[t.Addr]
-		return (taking || !known) && !lo.Contains(drain, t.Addr)
-	})
-	s.direct[name] = limit.Capacity{Targets: len(open), Slots: pool.Slots}
+	open := staying(targets, drain, states(pool.Name))
+	s.direct[pool.Name] = limit.Capacity{Targets: len(open), Slots: pool.Slots}
 	s.probes = append(s.probes, probeTargets(pool, targets)...)
 	if !pool.Owned() {
 		return
 	}
-	s.pools[name] = handoff.PoolSpec{Targets: open, Slots: pool.Slots}
-	opened := owner.Split(name, open)
-	for g, members := range owner.Split(name, targets) {
-		s.targets[g.String()] = balance.PoolSpec{
-			Targets: members, Drain: drain, Slots: pool.Slots, Policy: groupPolicy,
-		}
-		s.groups[g.String()] = limit.Capacity{Targets: len(opened[g]), Slots: pool.Slots}
-		s.slots[g.String()] = len(opened[g]) * max(1, pool.Slots)
+	s.pools[pool.Name] = handoff.PoolSpec{Targets: open, Slots: pool.Slots}
+	for g, members := range owner.Split(pool.Name, targets) {
+		s.addGroup(g, pool, members, drain, states(g.String()))
+	}
+}
+
+func (s *specs) addGroup(g owner.Group, pool table.Pool, members []table.Target, drain []netip.AddrPort, states map[netip.AddrPort]string) {
+	name := g.String()
+	s.targets[name] = balance.PoolSpec{
+		Targets: members, Drain: drain, Slots: pool.Slots, Connections: pool.Connections,
+		Policy: groupPolicy, Exclusive: true,
 	}
+	open := staying(members, drain, states)
+	working := lo.CountBy(open, func(t table.Target) bool {
+		return states[t.Addr] != balance.StateSetAside && states[t.Addr] != balance.StateTrial
+	})
+	// The balancer uses half of the targets whatever their state.
+	working = max(working, (len(open)+1)/2)
+	s.groups[name] = limit.Capacity{Targets: working, Slots: pool.Slots}
+	s.slots[name] = working * max(1, pool.Slots)
+}
+
+// staying returns the targets that may take new work.
+func staying(targets []table.Target, drain []netip.AddrPort, states map[netip.AddrPort]string) []table.Target {
+	return lo.Filter(targets, func(t table.Target, _ int) bool {
+		return states[t.Addr] != balance.StateLeaving && !lo.Contains(drain, t.Addr)
+	})
 }
 
 // groupPolicy chooses among the targets of an owned group.
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -49,26 +49,27 @@
 		return maxPeerConnections
 	}
 	if c.server.opts.PeerSide != nil {
-		return max(c.share(), ownerConnections*c.match.Pool.Slots)
+		return max(1, c.targetConnections()/2)
 	}
 	return c.share()
 }
 
-// ownerConnections is what the owner of a target may open for each slot,
-// however many hosts there are.
-const ownerConnections = 2
-
-// share is this host's part of the connections of one target.
+// share is this host's part of the connections of one target. Half of them
+// are the owner's; all hosts share the other half for direct dispatch.
 func (c *call) share() int {
 	hosts := 1
 	if m := c.server.opts.Membership; m != nil {
 		hosts = max(1, m.ShareCount())
 	}
-	connections := c.match.Pool.Connections
-	if connections <= 0 {
-		connections = defaultConnections
+	return max(1, c.targetConnections()/2/hosts)
+}
+
+// targetConnections is the number that a target of the pool accepts.
+func (c *call) targetConnections() int {
+	if n := c.match.Pool.Connections; n > 0 {
+		return n
 	}
-	return max(1, connections/hosts)
+	return defaultConnections
 }
 
 // defaultConnections is for pools that name no number.
