--- a/proxy/outcome_test.go
+++ b/proxy/outcome_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 
 	"github.com/chestnutfield/chestnutfield/outcome"
 	"github.com/chestnutfield/chestnutfield/ports"
@@ -86,6 +89,32 @@
 		Expect(b.balancer.feedback()[1].Verdict).To(Or(Equal(ports.Shed), Equal(ports.Succeeded)))
 	})
 
+	It("believes Chestnut-Not-Run on a 429 or 503 only", func() {
+		first := newUpstream(always("HTTP/1.1 500 Oops\r\nChestnut-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"))
+		second := newUpstream(always(okAnswer))
+		b := newBed([]*rawUpstream{first, second})
+		resp, _ := b.ask(keyedOrder)
+		Expect(resp.StatusCode).To(Equal(500))
+		Expect(second.read()).To(BeEmpty())
+		Expect(b.ledger.settled).To(Equal([]outcome.Outcome{outcome.Ran}))
+	})
+
+	It("counts how requests end, with a bounded number of callers", func() {
+		registry := prometheus.NewRegistry()
+		b := newBed([]*rawUpstream{newUpstream(always(okAnswer))}, func(o *Options, _ *table.Tables) {
+			o.Registerer, o.Limits.CallerLabels = registry, 1
+		})
+		for _, caller := range []string{"c1", "c2", "c3"} {
+			b.ask(strings.Replace(getSpec, "c1", caller, 1))
+		}
+		b.ask("GET / HTTP/1.1\r\n\r\n")
+		Expect(testutil.ToFloat64(b.server.metrics.requests.WithLabelValues("lookup", "catalogue", "lookup", "ran", "answered"))).To(Equal(3.0))
+		Expect(testutil.ToFloat64(b.server.metrics.refusals.WithLabelValues("bad-request"))).To(Equal(1.0))
+		Expect(testutil.ToFloat64(b.server.metrics.attempts.WithLabelValues("catalogue", "succeeded"))).To(Equal(3.0))
+		Expect(testutil.GatherAndCount(registry, "chestnut_request_seconds")).To(Equal(2))
+		Expect(testutil.GatherAndCount(registry, "chestnut_added_seconds")).To(Equal(1))
+	})
+
 	It("sends a lookup again", func() {
 		first, second := newUpstream(lose), newUpstream(always(okAnswer))
 		resp, _ := newBed([]*rawUpstream{first, second}).ask(getSpec)
