--- a/membership/service_test.go
+++ b/membership/service_test.go
@@ -104,6 +104,19 @@
 		Expect(b.Members()).To(HaveLen(1))
 	})
 
+	It("is not undone by a renewal that was on its way when the host left", func() {
+		a := start(1)
+		gone := beatOf(hostNamed(1), 5)
+		gone.State = Gone
+		_, err := a.rows.write(ctx, gone)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = a.rows.write(ctx, beatOf(hostNamed(1), 4))
+		Expect(err).To(HaveOccurred())
+		members, err := a.rows.readAll(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(members).To(ConsistOf(gone))
+	})
+
 	It("skips rows that ran out or can't be read", func() {
 		old, err := encodeRow(hostNamed(3), "w", epoch)
 		Expect(err).NotTo(HaveOccurred())
@@ -117,3 +130,20 @@
 		Expect(a.rows.badRows.Load()).To(BeEquivalentTo(1))
 	})
 })
+
+var _ = Describe("hosts that share a seed", func() {
+	It("choose their peers apart", func() {
+		choices := map[string]bool{}
+		for i := 1; i <= 8; i++ {
+			s, err := New(Options{Self: hostNamed(i), Table: fake.NewTable(), Clock: clockwork.NewFakeClockAt(epoch), Seed: 5})
+			Expect(err).NotTo(HaveOccurred())
+			var others []Member
+			for j := 20; j < 40; j++ {
+				others = append(others, beatOf(hostNamed(j), 1))
+			}
+			s.Heard(Hearing{Members: others})
+			choices[s.Peers(1)[0].Name] = true
+		}
+		Expect(len(choices)).To(BeNumerically(">", 2))
+	})
+})
