Callers that wait with their body are refused by their header

Cause: a caller that expects 100-continue was told to go on before its route was known, and sent a body for nothing.

Change: the header is checked and the route found before 100 Continue is said. A linter finding in proxy/promise_test.go is mended as well.

--- a/proxy/bodies_test.go
+++ b/proxy/bodies_test.go
@@ -232,6 +232,15 @@
 		Expect(up.read()).NotTo(ContainSubstring("xpect"))
 	})
 
+	It("are not asked for when their header is refused", func() {
+		c := newBed(nil).dial()
+		c.send("POST /none HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\n")
+		resp, _, err := c.answer("POST")
+		Expect(err).NotTo(HaveOccurred())
+		expectOwn(resp, 404, outcome.NotRun)
+		Expect(resp.Close).To(BeTrue())
+	})
+
 	It("stop when the upstream refuses before they are complete", func() {
 		up := newUpstream(func(u *rawConn) {
 			_, _ = http.ReadRequest(u.br)
--- a/proxy/promise_test.go
+++ b/proxy/promise_test.go
@@ -109,7 +109,8 @@
 						raw, id = postOrder, fmt.Sprintf("/orders/%d-%d", n, i)
 					}
 					method, rest, _ := strings.Cut(raw, " ")
-					c.send(method + " " + id + rest[strings.Index(rest, " "):])
+					_, rest, _ = strings.Cut(rest, " ")
+					c.send(method + " " + id + " " + rest)
 					resp, body, err := c.answer(method)
 					if wrong := promiseKept(r, id, resp, body, err); wrong != "" {
 						broken.Store(wrong, true)
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -80,6 +80,7 @@
 			}
 		},
 		ErrorHandler:                 s.refuseMalformed,
+		ExpectHandler:                s.expect,
 		ConnState:                    connState,
 		StreamRequestBody:            true,
 		DisablePreParseMultipartForm: true,
@@ -261,25 +262,40 @@
 
 // handle serves one request.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	conn, in, m, p := s.check(ctx)
+	if p != nil {
+		s.refuse(ctx, p)
+		return
+	}
+	s.serve(newCall(s, ctx, conn, in, m))
+}
+
+// expect answers a caller that waits with its body. What is refused by its
+// header alone is refused before the body is sent.
+func (s *Server) expect(ctx *fasthttp.RequestCtx) int {
+	if _, _, _, p := s.check(ctx); p != nil {
+		p.closes = true
+		s.refuse(ctx, p)
+		return p.status
+	}
+	return fasthttp.StatusContinue
+}
+
+// check reads the header and finds the route.
+func (s *Server) check(ctx *fasthttp.RequestCtx) (*callerConn, *inbound, router.Match, *problem) {
 	conn, ok := ctx.Conn().(*callerConn)
 	if !ok {
 		panic("proxy: connection did not come from the listener")
 	}
 	if conn.bareLF {
-		s.refuse(ctx, malformed("request line does not end in CRLF"))
-		return
+		return conn, nil, router.Match{}, malformed("request line does not end in CRLF")
 	}
 	in, p := parseInbound(&ctx.Request.Header)
 	if p != nil {
-		s.refuse(ctx, p)
-		return
+		return conn, nil, router.Match{}, p
 	}
 	m, p := s.match(&ctx.Request.Header, in)
-	if p != nil {
-		s.refuse(ctx, p)
-		return
-	}
-	s.serve(newCall(s, ctx, conn, in, m))
+	return conn, in, m, p
 }
 
 // match says what the request is and where it goes.
