No retry budget means no retries of what may have run

Cause: without a budget the forwarding path retried as the route said, against its own documentation.

Change: without Options.Retries only attempts that certainly did not run are followed by another. Specs for that, for bodies that are slow to arrive (408 not-run) and for answers that the caller does not take.

Conclusion: the option does what it says; the spec without a budget failed before.

--- a/proxy/bodies_test.go
+++ b/proxy/bodies_test.go
@@ -158,6 +158,24 @@
 		Entry("the end of the stream", func(u *rawConn) { u.Close() }),
 	)
 
+	It("that the caller does not take are given up", func() {
+		closed := make(chan struct{})
+		up := newUpstream(func(u *rawConn) {
+			u.request()
+			u.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+			for {
+				if _, err := fmt.Fprintf(u, "%x\r\n%s\r\n", len(big), big); err != nil {
+					break
+				}
+			}
+			close(closed)
+		})
+		b := newBed([]*rawUpstream{up}, withLimits(func(l *Limits) { l.WriteStall = 30 * time.Millisecond }))
+		b.dial().send(getSpec)
+		Eventually(closed, "15s").Should(BeClosed())
+		Eventually(b.balancer.inFlight, "10s").Should(BeZero())
+	})
+
 	It("do not reach another caller when they are late", func() {
 		release := make(chan struct{})
 		up := newUpstream(func(u *rawConn) {
@@ -232,6 +250,14 @@
 		Expect(up.read()).NotTo(ContainSubstring("xpect"))
 	})
 
+	It("that are slow to arrive are given up before dispatch", func() {
+		up := newUpstream(always(okAnswer))
+		b := newBed([]*rawUpstream{up}, withRoute("order", func(r *table.Route) { r.Timeout = 30 * time.Millisecond }))
+		resp, _ := b.ask("POST /orders/a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhe")
+		expectOwn(resp, 408, outcome.NotRun)
+		Expect(up.read()).To(BeEmpty())
+	})
+
 	It("are not asked for when their header is refused", func() {
 		c := newBed(nil).dial()
 		c.send("POST /none HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\n")
--- a/proxy/drive.go
+++ b/proxy/drive.go
@@ -100,12 +100,8 @@
 func (c *call) pick(act attempt.Action) attempt.Action {
 	now, pool := c.now(), c.match.Pool.Name
 	none := attempt.Event{Kind: attempt.NoTarget, Attempt: act.Attempt, Reason: outcome.NoTarget}
-	if budget := c.server.opts.Retries; budget != nil {
-		if !act.Budgeted {
-			budget.Deposit(pool, now)
-		} else if !budget.Withdraw(pool, now) {
-			return c.step(none)
-		}
+	if !c.mayMake(act, pool, now) {
+		return c.step(none)
 	}
 	q := ports.PickQuery{Pool: pool, Class: c.match.Route.Class, Now: now, Exclude: c.tried()}
 	a, ok := c.server.opts.Balancer.Pick(q)
@@ -127,6 +123,21 @@
 	return next
 }
 
+// mayMake asks the retry budget about an attempt. Without a budget, nothing
+// follows an attempt that may have run.
+func (c *call) mayMake(act attempt.Action, pool string, now time.Time) bool {
+	budget := c.server.opts.Retries
+	switch {
+	case budget == nil:
+		return !act.Budgeted || c.end().Outcome == outcome.NotRun
+	case act.Budgeted:
+		return budget.Withdraw(pool, now)
+	default:
+		budget.Deposit(pool, now)
+		return true
+	}
+}
+
 // lastWasStale says that the last attempt was lost on a kept connection, so
 // that its target may be tried again.
 func (c *call) lastWasStale() bool {
--- a/proxy/outcome_test.go
+++ b/proxy/outcome_test.go
@@ -131,6 +131,7 @@
 			Expect(second.read()).To(BeEmpty())
 		},
 		Entry("when the budget is spent", getSpec, func(b *bed) { b.budget.left.Store(0) }),
+		Entry("without a budget", getSpec, func(b *bed) { b.server.opts.Retries = nil }),
 		Entry("when the caller withdrew retries",
 			"GET /specs/a HTTP/1.1\r\nHost: h\r\nChestnut-Retries: 0\r\n\r\n", func(*bed) {}),
 	)
