peer, membership: a start of all hosts at once stays within the byte budget

Cause: each new host was news that three peers were told at once, and messages carried every member that changed within 12 s.

Digest takes the number of changes.

--- a/membership/bench_test.go
+++ b/membership/bench_test.go
@@ -54,7 +54,7 @@
 			c, _ := coreOf(hosts)
 			now := epoch.Add(time.Minute)
 			for range b.N {
-				_, _, _ = c.Hash(), c.Changes(now), c.Beats(now, 64)
+				_, _, _ = c.Hash(), c.Changes(now, 16), c.Beats(now, 64)
 			}
 		})
 	}
--- a/membership/core_test.go
+++ b/membership/core_test.go
@@ -228,13 +228,13 @@
 		c := newTestCore(hostNamed(2))
 		leaving, gone := hostNamed(2), hostNamed(2)
 		leaving.State, gone.State = Leaving, Gone
-		Expect(c.Heard(epoch, time.Time{}, []Member{leaving}, nil).Changed).To(BeTrue())
+		Expect(c.Heard(epoch, time.Time{}, []Member{leaving}, nil).Urgent).To(BeTrue())
 		Expect(c.Hosts(epoch)).To(Equal([]string{"entry-01"}))
 		Expect(c.Members()).To(HaveLen(2))
-		Expect(c.Heard(epoch, time.Time{}, []Member{gone}, nil).Changed).To(BeTrue())
+		Expect(c.Heard(epoch, time.Time{}, []Member{gone}, nil).Urgent).To(BeTrue())
 		Expect(c.Members()).To(HaveLen(1))
-		Expect(c.Changes(epoch)).To(ContainElement(gone))
-		Expect(c.Heard(epoch, time.Time{}, []Member{beatOf(hostNamed(2), 99), gone}, nil).Changed).To(BeFalse())
+		Expect(c.Changes(epoch, 9)).To(ContainElement(gone))
+		Expect(c.Heard(epoch, time.Time{}, []Member{beatOf(hostNamed(2), 99), gone}, nil).Urgent).To(BeFalse())
 		Expect(c.Members()).To(HaveLen(1))
 	})
 
@@ -242,11 +242,22 @@
 		c := newTestCore(hostNamed(2))
 		again := hostNamed(2)
 		again.Incarnation += 5000
-		Expect(c.Heard(epoch, time.Time{}, []Member{again}, nil).Changed).To(BeTrue())
-		Expect(c.Heard(epoch, time.Time{}, []Member{beatOf(hostNamed(2), 50)}, nil).Changed).To(BeFalse())
+		c.Heard(epoch, time.Time{}, []Member{again}, nil)
+		c.Heard(epoch, time.Time{}, []Member{beatOf(hostNamed(2), 50)}, nil)
+		Expect(c.Changes(epoch, 9)).To(ConsistOf(c.Self(), again))
 		Expect(c.Members()).To(HaveLen(2))
 	})
 
+	It("tells of those who leave and of itself first", func() {
+		leaving := hostNamed(9)
+		leaving.State = Leaving
+		c := newTestCore(hostNamed(2), hostNamed(3), hostNamed(4))
+		c.Heard(at(time.Second), time.Time{}, []Member{leaving, hostNamed(5)}, nil)
+		told := c.Changes(at(2*time.Second), 3)
+		Expect(told).To(Equal([]Member{leaving, c.Self(), hostNamed(5)}))
+		Expect(c.Changes(at(time.Hour), 3)).To(BeEmpty())
+	})
+
 	It("refuses entries of the far future or without an address", func() {
 		absurd := hostNamed(2)
 		absurd.Incarnation = uint64(at(48 * time.Hour).UnixMilli())
--- a/membership/digest.go
+++ b/membership/digest.go
@@ -1,8 +1,11 @@
 package membership
 
 import (
+	"cmp"
 	"slices"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 // Hash covers the names, incarnations and states of all counted hosts; equal
@@ -15,25 +18,40 @@
 	return h
 }
 
-// Changes returns full entries whose life or state changed lately, those of
-// hosts that are gone included.
-func (c *Core) Changes(now time.Time) []Member {
-	var out []Member
+// Changes returns up to limit full entries whose life or state changed lately:
+// those that leave or are gone first, then the own one, then the latest.
+func (c *Core) Changes(now time.Time, limit int) []Member {
+	var found []change
+	note := func(m Member, at time.Time) {
+		if now.Sub(at) <= c.opt.Timing.Spread {
+			found = append(found, change{Member: m, at: at})
+		}
+	}
 	if now.Sub(c.selfChanged) <= c.opt.Timing.Spread {
-		out = append(out, c.self)
+		note(c.self, now)
 	}
 	for _, e := range c.peers {
-		if now.Sub(e.learned) <= c.opt.Timing.Spread {
-			out = append(out, e.Member)
-		}
+		note(e.Member, e.learned)
 	}
 	for _, t := range c.tombs {
-		if t.State == Gone && now.Sub(t.at) <= c.opt.Timing.Spread {
-			out = append(out, t.Member)
+		if t.State == Gone {
+			note(t.Member, t.at)
 		}
 	}
-	slices.SortFunc(out, func(a, b Member) int { return compareNames(a.Name, b.Name) })
-	return out
+	slices.SortFunc(found, change.compare)
+	found = found[:min(limit, len(found))]
+	return lo.Map(found, func(f change, _ int) Member { return f.Member })
+}
+
+// change is an entry with the time of its last change.
+type change struct {
+	Member
+	at time.Time
+}
+
+// compare puts what is more urgent first.
+func (a change) compare(b change) int {
+	return cmp.Or(cmp.Compare(b.State, a.State), b.at.Compare(a.at), cmp.Compare(a.Name, b.Name))
 }
 
 // Beats returns up to limit heartbeats that grew within the last third of
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -16,8 +16,9 @@
 
 // News is what a host learned from a message or from rows.
 type News struct {
-	// Changed is true when a life or state was news and is worth passing on.
-	Changed bool
+	// Urgent is true when a host was said to leave or to be gone, which is
+	// worth passing on at once.
+	Urgent  bool
 	Actions []Action
 }
 
@@ -68,7 +69,7 @@
 		case m.Name == c.self.Name:
 			news.Actions = append(news.Actions, c.heardSelf(now, m)...)
 		default:
-			news.Changed = c.mergeOne(now, from, m) || news.Changed
+			news.Urgent = (c.mergeOne(now, from, m) && m.State != Live) || news.Urgent
 		}
 	}
 	return news
--- a/membership/query.go
+++ b/membership/query.go
@@ -61,24 +61,25 @@
 	Beats   []Beat
 }
 
-// Digest returns what is worth telling a peer, with up to beats heartbeats.
-func (s *Service) Digest(beats int) Digest {
+// Digest returns what is worth telling a peer, with up to changes members and
+// beats heartbeats.
+func (s *Service) Digest(changes, beats int) Digest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.opt.Clock.Now()
 	return Digest{
 		Self: s.core.Self(), Hash: s.core.Hash(),
-		Changes: s.core.Changes(now), Beats: s.core.Beats(now, beats),
+		Changes: s.core.Changes(now, changes), Beats: s.core.Beats(now, beats),
 	}
 }
 
-// Heard takes in the entries of a peer's message. It reports whether a life or
-// state was news that is worth passing on.
+// Heard takes in the entries of a peer's message. It reports whether it
+// was news of a leaving host, which is worth passing on at once.
 func (s *Service) Heard(h Hearing) bool {
 	now := s.opt.Clock.Now()
 	s.mu.Lock()
 	news := s.core.Heard(now, h.Since, h.Members, h.Beats)
 	s.mu.Unlock()
 	s.performAll(context.Background(), news.Actions)
-	return news.Changed
+	return news.Urgent
 }
--- a/peer/bench_test.go
+++ b/peer/bench_test.go
@@ -51,7 +51,7 @@
 		}
 		h.members.Heard(membership.Hearing{Beats: beats})
 	}
-	if near.members.Digest(0).Hash != far.members.Digest(0).Hash {
+	if near.members.Digest(0, 0).Hash != far.members.Digest(0, 0).Hash {
 		b.Fatal("hosts disagree about the members")
 	}
 }
--- a/peer/budget.go
+++ b/peer/budget.go
@@ -46,9 +46,9 @@
 	}
 }
 
-// figures returns how many of limit figures fit at the present level: all of
-// them above half, none at zero.
-func (b *budget) figures(now time.Time, limit int) int {
+// part returns how many of limit entries fit at the present level: all of them
+// above half, none at zero.
+func (b *budget) part(now time.Time, limit int) int {
 	const allAbove = 0.5
 	part := min(b.left(now)/allAbove, 1)
 	return int(max(part, 0) * float64(limit))
--- a/peer/message_test.go
+++ b/peer/message_test.go
@@ -112,11 +112,11 @@
 
 	It("shrinks figures before it stops rounds", func() {
 		b := newBudget(1000, now)
-		Expect(b.figures(now, 100)).To(Equal(100))
+		Expect(b.part(now, 100)).To(Equal(100))
 		b.spend(now, 1500)
-		Expect(b.figures(now, 100)).To(Equal(50))
+		Expect(b.part(now, 100)).To(Equal(50))
 		b.spend(now, 600)
-		Expect(b.figures(now, 100)).To(BeZero())
+		Expect(b.part(now, 100)).To(BeZero())
 		Expect(b.left(now)).To(BeNumerically("<", 0))
 		Expect(b.left(now.Add(time.Second))).To(BeNumerically(">", 0))
 	})
--- a/peer/node.go
+++ b/peer/node.go
@@ -168,12 +168,17 @@
 // compose returns the message to send now with up to figures figures; full
 // adds all members.
 func (n *Node) compose(now time.Time, figures int, full bool) message {
-	const beatsPerMessage = 64
-	digest := n.opt.Members.Digest(beatsPerMessage)
+	const (
+		mostChanges     = 16
+		leastChanges    = 4
+		beatsPerMessage = 64
+	)
+	changes := max(n.budget.part(now, mostChanges), leastChanges)
+	digest := n.opt.Members.Digest(changes, beatsPerMessage)
 	m := message{
 		from: digest.Self.Name, membersHash: digest.Hash,
 		members: digest.Changes, beats: digest.Beats, drains: n.drains.current(now),
-		figuresWanted: n.budget.figures(now, n.opt.FiguresPerMessage),
+		figuresWanted: n.budget.part(now, n.opt.FiguresPerMessage),
 	}
 	if full {
 		m.members = n.opt.Members.Members()
@@ -217,7 +222,7 @@
 func (n *Node) answer(m message) *peerpb.SyncMessage {
 	now := n.opt.Clock.Now()
 	n.take(m, time.Time{})
-	own := n.opt.Members.Digest(0)
+	own := n.opt.Members.Digest(0, 0)
 	full := own.Hash != m.membersHash && n.fullDue(now)
 	reply := n.compose(now, m.figuresWanted, full)
 	return reply.encode()
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -31,7 +31,7 @@
 	return append([]membership.Member{f.self}, f.others...)
 }
 func (f *fakeMembers) Peers(k int) []membership.Member { return f.others[:min(k, len(f.others))] }
-func (f *fakeMembers) Digest(int) membership.Digest {
+func (f *fakeMembers) Digest(int, int) membership.Digest {
 	return membership.Digest{Self: f.self, Hash: 1, Beats: []membership.Beat{{ID: f.self.ID(), Heartbeat: 1}}}
 }
 func (f *fakeMembers) Heard(h membership.Hearing) bool {
--- a/peer/options.go
+++ b/peer/options.go
@@ -22,8 +22,8 @@
 	Members() []membership.Member
 	// Peers chooses up to k other hosts.
 	Peers(k int) []membership.Member
-	Digest(beats int) membership.Digest
-	// Heard returns true when the message brought news worth passing on.
+	Digest(changes, beats int) membership.Digest
+	// Heard returns true when the message brought news to pass on at once.
 	Heard(h membership.Hearing) bool
 }
 
--- a/peer/spread_test.go
+++ b/peer/spread_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/samber/lo"
 
 	"github.com/chestnutfield/chestnutfield/membership"
 	"github.com/chestnutfield/chestnutfield/platform/fake"
@@ -161,6 +162,7 @@
 type fleet struct {
 	ctx     context.Context
 	configs []*adopter
+	seeds   []netip.AddrPort
 	change  []func(*Options)
 	table   *fake.Table
 	members []*membership.Service
@@ -174,18 +176,24 @@
 func startFleet(t testing.TB, hosts, figures int, change ...func(*Options)) *fleet {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &fleet{ctx: ctx, table: fake.NewTable(), net: &pipes{listeners: map[string]*pipeListener{}}, stop: cancel, change: change}
+	const hostsPerSeed = 20
+	for i := range 1 + hosts/hostsPerSeed {
+		f.seeds = append(f.seeds, addrOf(i))
+	}
 	for range hosts {
 		f.start(t, figures)
 	}
 	return f
 }
 
-// start adds a host, which knows the address of the first.
+// addrOf returns the address of the i-th host.
+func addrOf(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i >> 8), byte(i)}), 7003)
+}
+
+// start adds a host, which knows the addresses of the seeds.
 func (f *fleet) start(t testing.TB, figures int) {
 	i := len(f.nodes)
-	addrOf := func(i int) netip.AddrPort {
-		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i >> 8), byte(i)}), 7003)
-	}
 	addr := addrOf(i)
 	members, err := membership.New(membership.Options{
 		Self:  membership.Member{Name: fmt.Sprintf("entry-%03d", i), Addr: addr, FailureDomain: "scot-central-a"},
@@ -199,7 +207,7 @@
 	f.configs = append(f.configs, config)
 	opt := Options{
 		Members: members, Drains: drains, Config: config, Figures: &load{figures: targets(figures)}, Token: "0123456789abcdef",
-		Dial: f.net.dial(addr.String()), Seeds: func() []netip.AddrPort { return []netip.AddrPort{addrOf(0)} },
+		Dial: f.net.dial(addr.String()), Seeds: func() []netip.AddrPort { return f.seeds },
 	}
 	for _, change := range f.change {
 		change(&opt)
@@ -226,14 +234,19 @@
 	}
 }
 
-// bytes returns the highest and the mean number of bytes that hosts carried.
-func (f *fleet) bytes() (highest, mean float64) {
-	for _, n := range f.nodes {
-		b := testutil.ToFloat64(n.metrics.bytesIn) + testutil.ToFloat64(n.metrics.bytesOut)
-		highest = max(highest, b)
-		mean += b / float64(len(f.nodes))
+// bytes returns what each host carried since the counts in since, which may be
+// nil: the highest, the mean, and the counts now.
+func (f *fleet) bytes(since []float64) (highest, mean float64, counts []float64) {
+	for i, n := range f.nodes {
+		carried := testutil.ToFloat64(n.metrics.bytesIn) + testutil.ToFloat64(n.metrics.bytesOut)
+		counts = append(counts, carried)
+		if since != nil {
+			carried -= since[i]
+		}
+		highest = max(highest, carried)
+		mean += carried / float64(len(f.nodes))
 	}
-	return highest, mean
+	return highest, mean, counts
 }
 
 // spread announces a leaving target at one host and returns the time until the
@@ -291,6 +304,9 @@
 	})
 }
 
+// bytesLimit is what a host may carry a second for control.
+const bytesLimit = 19_000
+
 func TestBytesStayWithinTheBudget(t *testing.T) {
 	const seconds = 40
 	for _, hosts := range fleetSizes() {
@@ -299,27 +315,40 @@
 				f := startFleet(t, hosts, figures)
 				defer f.close()
 				time.Sleep(20 * time.Second)
-				_, before := f.bytes()
-				highest := make([]float64, len(f.nodes))
-				for i, n := range f.nodes {
-					highest[i] = testutil.ToFloat64(n.metrics.bytesIn) + testutil.ToFloat64(n.metrics.bytesOut)
-				}
+				_, _, before := f.bytes(nil)
 				time.Sleep(seconds * time.Second)
-				_, after := f.bytes()
-				most := 0.0
-				for i, n := range f.nodes {
-					now := testutil.ToFloat64(n.metrics.bytesIn) + testutil.ToFloat64(n.metrics.bytesOut)
-					most = max(most, (now-highest[i])/seconds)
-				}
-				t.Logf("%d hosts, %d targets: mean %.0f B/s, highest host %.0f B/s", hosts, figures, (after-before)/seconds, most)
-				if most > 19_000 {
-					t.Errorf("%d hosts, %d targets: a host carried %.0f bytes a second", hosts, figures, most)
+				highest, mean, _ := f.bytes(before)
+				t.Logf("%d hosts, %d targets: mean %.0f B/s, highest host %.0f B/s", hosts, figures, mean/seconds, highest/seconds)
+				if highest > bytesLimit*seconds {
+					t.Errorf("%d hosts, %d targets: a host carried %.0f bytes a second", hosts, figures, highest/seconds)
 				}
 			})
 		}
 	}
 }
 
+// All hosts start at once and know the addresses of a twentieth of them.
+func TestBytesOfAStartOfAllHosts(t *testing.T) {
+	const seconds = 20
+	for _, hosts := range lo.Uniq(append(fleetSizes(), 60)) {
+		synctest.Test(t, func(t *testing.T) {
+			f := startFleet(t, hosts, 12)
+			defer f.close()
+			time.Sleep(seconds * time.Second)
+			highest, mean, _ := f.bytes(nil)
+			t.Logf("%d hosts: mean %.0f B/s, highest host %.0f B/s", hosts, mean/seconds, highest/seconds)
+			if highest > bytesLimit*seconds {
+				t.Errorf("%d hosts: a host carried %.0f bytes a second", hosts, highest/seconds)
+			}
+			for i, m := range f.members {
+				if n := len(m.Hosts()); n != hosts {
+					t.Errorf("host %d knows %d of %d hosts", i, n, hosts)
+				}
+			}
+		})
+	}
+}
+
 // Two halves lose each other while the table service is down. Both keep every
 // host in their shares, and find each other again.
 func TestHalvesThatLoseEachOtherKeepTheirShares(t *testing.T) {
