--- /dev/null
+++ b/limit/bench_test.go
@@ -0,0 +1,42 @@
+package limit
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/chestnutfield/chestnutfield/ports"
+	"github.com/chestnutfield/chestnutfield/table"
+)
+
+// BenchmarkAdmit is one Admit and Release without a wait, from one thread and
+// from all.
+func BenchmarkAdmit(b *testing.B) {
+	a, err := New(Options{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	a.Update(map[string]Capacity{"p": {Targets: 12, Slots: 200}})
+	once := func() {
+		now := time.Now()
+		p, _ := a.Admit(context.Background(), ports.AdmitQuery{
+			Pool: "p", Class: table.Lookup, Caller: "c", Deadline: now.Add(time.Second),
+		})
+		if p != nil {
+			p.Release(now, ran(20*time.Millisecond))
+		}
+	}
+	b.Run("one", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			once()
+		}
+	})
+	b.Run("parallel", func(b *testing.B) {
+		b.RunParallel(func(pb *testing.PB) {
+			for pb.Next() {
+				once()
+			}
+		})
+	})
+}
