--- a/lab/experiment/run.go
+++ b/lab/experiment/run.go
@@ -10,6 +10,7 @@
 	"github.com/samber/lo"
 
 	"github.com/chestnutfield/chestnutfield/lab/loadgen"
+	"github.com/chestnutfield/chestnutfield/lab/platformd"
 	"github.com/chestnutfield/chestnutfield/lab/upstreamd"
 )
 
@@ -66,12 +67,14 @@
 }
 
 // Run makes all runs, one after the other. The deployment of the next run
-// starts while the load of this one is sent.
+// starts, and that of the run before ends, while the load of this one is sent.
 func (r Runner) Run(ctx context.Context) error {
 	jobs := r.jobs()
 	if len(jobs) == 0 {
 		return errors.Errorf("no scenario is named %v", r.Only)
 	}
+	var closing sync.WaitGroup
+	defer closing.Wait()
 	next := r.prepare(ctx, jobs[0])
 	for i, j := range jobs {
 		current := <-next
@@ -82,6 +85,7 @@
 			r.OnRun(i+1, len(jobs), j.scenario, j.cell, j.repeat)
 		}
 		err := r.runOne(ctx, j, current)
+		closing.Go(current.close)
 		if err != nil {
 			if i+1 < len(jobs) && current.err == nil {
 				(<-next).close()
@@ -104,7 +108,9 @@
 // RunCell makes one run.
 func (r Runner) RunCell(ctx context.Context, sc Scenario, c Cell, repeat int) (Result, error) {
 	j := job{scenario: sc, cell: c, repeat: repeat}
-	return r.measure(ctx, j, <-r.prepare(ctx, j))
+	p := <-r.prepare(ctx, j)
+	defer p.close()
+	return r.measure(ctx, j, p)
 }
 
 // prepared is a deployment that waits for load.
@@ -140,9 +146,8 @@
 
 func (r Runner) seed(j job) uint64 { return r.Spec.Seed + uint64(j.repeat) }
 
-// measure sends the load of a run to its deployment and closes it.
+// measure sends the load of a run to its deployment.
 func (r Runner) measure(ctx context.Context, j job, p prepared) (Result, error) {
-	defer p.close()
 	if p.err != nil {
 		return Result{}, p.err
 	}
@@ -189,9 +194,10 @@
 
 // snapshot is all counts at one moment.
 type snapshot struct {
-	cpu     cpuSample
-	targets upstreamd.Stats
-	hosts   HostStats
+	cpu      cpuSample
+	targets  upstreamd.Stats
+	platform platformd.Stats
+	hosts    HostStats
 }
 
 func (m *measured) snapshot() (s snapshot, err error) {
@@ -199,6 +205,7 @@
 		return s, err
 	}
 	s.targets = m.deployment.targetStats()
+	s.platform = m.deployment.platform.Stats()
 	s.cpu, err = sampleCPU()
 	return s, err
 }
@@ -258,12 +265,11 @@
 	targets := lo.SumBy(spec.Services, func(s Service) int { return s.Targets })
 	probes := float64(b.targets.LoadProbes + b.targets.HealthProbes - a.targets.LoadProbes - a.targets.HealthProbes)
 	work := (b.targets.Busy - a.targets.Busy).Seconds() + probes*spec.ProbeCost.Seconds()
-	stats := m.deployment.platform.Stats()
 	costs := Costs{
 		ProbesPerTarget: probes / seconds / float64(targets),
 		ControlBytes:    (b.hosts.ControlBytes - a.hosts.ControlBytes) / seconds / float64(spec.Hosts),
-		TableReads:      stats.ReadsPerSecond,
-		TableWrites:     stats.WritesPerSecond,
+		TableReads:      float64(b.platform.Reads-a.platform.Reads) / seconds,
+		TableWrites:     float64(b.platform.Writes-a.platform.Writes) / seconds,
 	}
 	for _, s := range spec.Services {
 		costs.ProbeBudget = max(costs.ProbeBudget, s.ProbeBudget)
