--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -79,6 +79,11 @@
 		})
 	}
 
+	It("has the policies that a pool's row may name", func() {
+		named := lo.Without(table.Policies, table.PolicyOwned)
+		Expect(balance.PolicyNames()).To(ConsistOf(named))
+	})
+
 	It("round robin takes turns", func() {
 		b := newBalancer(balance.Options{}, balance.PoolSpec{Targets: targets(5), Policy: balance.RoundRobin})
 		for _, n := range countPicks(b, start, 50, succeeded(0)) {
