host, connmux: callers that go away cancel handed-over requests; TLS between hosts

Cause: connections from the peers address hid their socket behind the sorted connection, so the owner never saw that the receiving host had closed one: a request whose caller went away ran on at the target until its deadline. For the same reason an early answer was closed without letting the other side read it. With [peers] tls_* set, the sorting looked at TLS records: the exchange was never recognised, and requests were handed over in the clear.

Change: sorted connections give access to the socket, below TLS too, and close one direction. The peers address does the TLS handshake before sorting, so that both kinds of connection come inside it and need a certificate of the CA; the upstream client dials peers with the same certificate. Session tickets are off: a ticket arrives unasked and would make the look at a kept connection wrong. A failed handshake counts as a connection that could not be opened: nothing ran.

Bytes of the exchange are counted inside TLS on the answering side.

--- a/connmux/connmux.go
+++ b/connmux/connmux.go
@@ -2,12 +2,15 @@
 // first bytes of each connection. Connections that begin with the prefix go to
 // one listener, all others to the other. A connection stays with its listener
 // for as long as it lives; each client speaks one protocol on a connection.
+// The base listener may be one of TLS: the handshake is then part of sorting,
+// and it is what was sent inside TLS that is sorted.
 package connmux
 
 import (
 	"bytes"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -130,6 +133,30 @@
 // NetConn returns the connection underneath.
 func (c *sortedConn) NetConn() net.Conn { return c.Conn }
 
+// SyscallConn gives access to the socket, below TLS where there is any.
+func (c *sortedConn) SyscallConn() (syscall.RawConn, error) {
+	at := c.Conn
+	for {
+		switch conn := at.(type) {
+		case syscall.Conn:
+			return conn.SyscallConn()
+		case interface{ NetConn() net.Conn }:
+			at = conn.NetConn()
+		default:
+			return nil, errors.Errorf("%T has no socket", at)
+		}
+	}
+}
+
+// CloseWrite ends the stream to the peer; what the peer sends is still read.
+func (c *sortedConn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.Errorf("%T can't be closed for writing alone", c.Conn)
+	}
+	return half.CloseWrite()
+}
+
 // branch is one side of a mux; it implements net.Listener.
 type branch struct {
 	mux   *Mux
--- a/connmux/connmux_test.go
+++ b/connmux/connmux_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -60,6 +61,20 @@
 		Expect(receive(mux.Others(), 3)).To(Equal("POX"))
 	})
 
+	It("gives access to the socket, and closes one direction alone", func() {
+		sent := send("GET / HTTP/1.1")
+		conn, err := mux.Others().Accept()
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		_, err = conn.(syscall.Conn).SyscallConn()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(conn.(interface{ CloseWrite() error }).CloseWrite()).To(Succeed())
+		_, err = sent.Read(make([]byte, 1))
+		Expect(err).To(MatchError(io.EOF))
+		_, err = io.ReadFull(conn, make([]byte, 14))
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	It("ends both sides when one is closed", func() {
 		Expect(mux.Matched().Close()).To(Succeed())
 		_, err := mux.Others().Accept()
--- a/host/deployment_test.go
+++ b/host/deployment_test.go
@@ -33,10 +33,17 @@
 	runs     *runlog.Log
 	hosts    []*host.Host
 	changes  int
+	// access protects the peers addresses.
+	access settings.Access
 }
 
 func newDeployment(hosts, targets int) *deployment {
-	d := &deployment{platform: platformd.New(platformd.Options{}), runs: runlog.New()}
+	return newProtected(hosts, targets, settings.Access{})
+}
+
+// newProtected returns a deployment whose peers addresses are protected.
+func newProtected(hosts, targets int, access settings.Access) *deployment {
+	d := &deployment{platform: platformd.New(platformd.Options{}), runs: runlog.New(), access: access}
 	Expect(d.platform.Start("127.0.0.1:0")).To(Succeed())
 	DeferCleanup(d.platform.Close)
 	for i := range targets {
@@ -76,7 +83,7 @@
 	h, err := host.New(&settings.Settings{
 		Host:     settings.Host{Name: fmt.Sprintf("entry-%d", i), FailureDomain: domain(i), Handoff: true},
 		Listen:   settings.Listen{Callers: anyPort, Admin: anyPort, Peers: anyPort},
-		Peers:    settings.Peers{Seeds: lo.Map(seeds, func(s string, _ int) netip.AddrPort { return netip.MustParseAddrPort(s) })},
+		Peers:    settings.Peers{Access: d.access, Seeds: lo.Map(seeds, func(s string, _ int) netip.AddrPort { return netip.MustParseAddrPort(s) })},
 		Platform: settings.Platform{Table: d.platform.URL(), Objects: d.platform.URL(), Hosts: d.platform.URL()},
 	}, host.Options{})
 	Expect(err).NotTo(HaveOccurred())
--- a/host/forwarding.go
+++ b/host/forwarding.go
@@ -126,6 +126,10 @@
 
 func newCallersSide(i do.Injector) (callersSide, error) {
 	s := do.MustInvoke[*settings.Settings](i)
+	peersTLS, err := s.Peers.TLS()
+	if err != nil {
+		return callersSide{}, err
+	}
 	handover := do.MustInvoke[*handoff.Balancer](i)
 	server, err := proxy.New(proxy.Options{
 		Tables:     do.MustInvoke[ports.Tables](i),
@@ -138,7 +142,7 @@
 		Registerer: side(do.MustInvoke[*prometheus.Registry](i), "callers"),
 		Logger:     do.MustInvoke[*zap.Logger](i).Named("callers"),
 		Limits:     limits(s),
-		Upstream:   upstream.Options{Dial: do.MustInvoke[Options](i).Dial},
+		Upstream:   upstream.Options{Dial: do.MustInvoke[Options](i).Dial, PeerTLS: clientTLS(peersTLS)},
 		PeerToken:  s.Peers.Token,
 	})
 	return callersSide{server}, err
--- a/host/host.go
+++ b/host/host.go
@@ -72,6 +72,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := bound.secure(s.Peers.Access); err != nil {
+		bound.close()
+		return nil, err
+	}
 	injector := do.New()
 	do.ProvideValue(injector, bound.resolve(s))
 	do.ProvideValue(injector, opts)
--- a/host/listeners.go
+++ b/host/listeners.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"crypto/tls"
 	"net"
 	"net/netip"
 
@@ -38,6 +39,19 @@
 	return bound, nil
 }
 
+// secure makes the peers address one of TLS when the settings ask for it; the
+// exchange and requests that are handed over then both come inside TLS.
+func (l *listeners) secure(peers settings.Access) error {
+	config, err := peers.TLS()
+	if err != nil {
+		return errors.Wrap(err, "section [peers]")
+	}
+	if config != nil {
+		l.peers = tls.NewListener(l.peers, config)
+	}
+	return nil
+}
+
 // resolve returns the settings with the addresses that were bound.
 func (l listeners) resolve(s *settings.Settings) *settings.Settings {
 	resolved := *s
--- a/host/members.go
+++ b/host/members.go
@@ -44,7 +44,7 @@
 
 func newNode(i do.Injector) (*peer.Node, error) {
 	s := do.MustInvoke[*settings.Settings](i)
-	serverTLS, err := s.Peers.TLS()
+	peersTLS, err := s.Peers.TLS()
 	if err != nil {
 		return nil, err
 	}
@@ -56,8 +56,7 @@
 		Seeds:      func() []netip.AddrPort { return s.Peers.Seeds },
 		Dial:       do.MustInvoke[Options](i).Dial,
 		Token:      s.Peers.Token,
-		ServerTLS:  serverTLS,
-		ClientTLS:  clientTLS(serverTLS),
+		ClientTLS:  clientTLS(peersTLS),
 		Clock:      do.MustInvoke[clockwork.Clock](i),
 		Logger:     do.MustInvoke[*zap.Logger](i),
 		Registerer: do.MustInvoke[*prometheus.Registry](i),
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -20,11 +20,13 @@
 // exchange runs one attempt until its answer header, and its body when that
 // is held, or its failure; it returns what the machine says then.
 func (c *call) exchange(t *try) attempt.Action {
+	_, peer := groupOf(t.attempt)
 	x, err := c.server.upstream.Open(c.ctx, upstream.OpenQuery{
 		Target:     t.attempt.Target(),
 		Limit:      c.connectionLimit(t.attempt),
 		Deadline:   c.socketDeadline(),
 		Idempotent: c.match.Route.Idempotent,
+		Peer:       peer,
 	})
 	if err != nil {
 		return c.notOpened(t, err)
--- a/settings/tls.go
+++ b/settings/tls.go
@@ -29,5 +29,7 @@
 		ClientCAs:    pool,
 		RootCAs:      pool,
 		ClientAuth:   tls.RequireAndVerifyClientCert,
+		// A ticket would be a record that arrives unasked on a kept connection.
+		SessionTicketsDisabled: true,
 	}, nil
 }
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/netip"
 	"sync"
@@ -39,7 +40,11 @@
 	FreshIdle time.Duration
 	// HeaderBytes bounds the header of an answer.
 	HeaderBytes int
-	Clock       clockwork.Clock
+	// PeerTLS is the configuration of connections to peers; nil is plain TCP.
+	// Peers must send no session tickets: any record that arrives unasked
+	// makes a kept connection unfit.
+	PeerTLS *tls.Config
+	Clock   clockwork.Clock
 	// Dial opens connections in place of a net.Dialer; nil selects one. A
 	// connection that it returns implements syscall.Conn.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
@@ -95,6 +100,8 @@
 	Deadline time.Time
 	// Idempotent allows a kept connection of any permitted idle time.
 	Idempotent bool
+	// Peer is true when the target is another entry host.
+	Peer bool
 }
 
 // Open takes a kept connection that is live or opens one. The error matches
@@ -112,7 +119,7 @@
 	}
 	if cn == nil {
 		var err error
-		if cn, err = c.dial(ctx, t, q.Deadline); err != nil {
+		if cn, err = c.dial(ctx, t, q); err != nil {
 			t.forget()
 			return nil, err
 		}
@@ -124,16 +131,22 @@
 	return newExchange(c, cn), nil
 }
 
-func (c *Client) dial(ctx context.Context, t *target, deadline time.Time) (*conn, error) {
+func (c *Client) dial(ctx context.Context, t *target, q OpenQuery) (*conn, error) {
 	dial := c.opts.Dial
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: c.opts.ConnectTimeout, Deadline: deadline, KeepAlive: -1}).DialContext
+		dial = (&net.Dialer{Timeout: c.opts.ConnectTimeout, Deadline: q.Deadline, KeepAlive: -1}).DialContext
 	}
 	nc, err := dial(ctx, "tcp", t.addr.String())
 	if err != nil {
 		return nil, errors.Wrap(ErrConnect, err.Error())
 	}
 	cn := newConn(nc, t, c.opts.HeaderBytes)
+	if q.Peer && c.opts.PeerTLS != nil {
+		if err := cn.secure(ctx, c.opts.PeerTLS, c.opts.ConnectTimeout); err != nil {
+			nc.Close()
+			return nil, errors.Wrap(ErrConnect, err.Error())
+		}
+	}
 	if !cn.live() {
 		nc.Close()
 		return nil, errors.Wrap(ErrConnect, "the target sent before it was asked")
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -2,9 +2,13 @@
 
 import (
 	"bufio"
+	"context"
+	"crypto/tls"
 	"net"
 	"syscall"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const writeBufferBytes = 4 << 10
@@ -43,6 +47,25 @@
 	return cn
 }
 
+// secure makes a new connection one of TLS. The socket below is still the one
+// that live looks at: it holds whole records, and an idle peer sends none.
+func (cn *conn) secure(ctx context.Context, config *tls.Config, timeout time.Duration) error {
+	config = config.Clone()
+	if config.ServerName == "" {
+		config.ServerName = cn.target.addr.Addr().String()
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	secured := tls.Client(cn.nc, config)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		return errors.Wrap(err, "TLS with peer")
+	}
+	cn.nc = secured
+	cn.br.Reset(secured)
+	cn.bw.Reset(secured)
+	return nil
+}
+
 // live says that a kept connection is open and that nothing has arrived on
 // it. Any byte or the end of the stream makes it unfit for another request.
 func (cn *conn) live() bool {
