--- a/membership/share_property_test.go
+++ b/membership/share_property_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	"pgregory.net/rapid"
 )
 
@@ -73,10 +75,8 @@
 			h.core.Renewed(at(sent), at(w.now))
 		})
 	case ReadRows:
-		var rows []Member
-		for _, m := range w.rows {
-			rows = append(rows, m)
-		}
+		rows := lo.Values(w.rows)
+		slices.SortFunc(rows, func(a, b Member) int { return compareNames(a.Name, b.Name) })
 		h.pending = append(h.pending, func() {
 			if fail {
 				h.core.ReadFailed(at(w.now))
