load, limit: frozen reports lose their say, batch gives way faster

Change: a target that reports the same number four times, well apart and not zero in an idle pool, has no trust until it changes; the share of such targets costs the trust in all reports of the pool. Only the limit of batch is cut deeply; the lowest limit is a full share, so that the hosts together may always use the pool.

--- a/balance/candidates.go
+++ b/balance/candidates.go
@@ -25,7 +25,7 @@
 		p.typical = p.deriveTypical()
 		p.share = connectionShare(p.connections, p.owner.hosts())
 		for _, t := range p.targets {
-			t.know.Remember(p.typical.service)
+			t.know.Remember(p.typical.service, p.typical.trust)
 		}
 	}
 	if p.subset && (p.mineAt.IsZero() || now.Sub(p.mineAt) >= subsetInterval) {
@@ -45,7 +45,7 @@
 func (p *pool) deriveTypical() typical {
 	var latencies, services []time.Duration
 	var fails []float64
-	others, reporting := 0.0, 0
+	others, reporting, frozen := 0.0, 0, 0
 	for _, t := range p.targets {
 		fails = append(fails, t.health.fails)
 		if d := t.know.Latency(); d > 0 {
@@ -57,11 +57,16 @@
 		if n, ok := t.know.MeanOthers(); ok {
 			others += n
 			reporting++
+			if t.know.Frozen() {
+				frozen++
+			}
 		}
 	}
 	out := typical{latency: median(latencies), service: median(services), fails: median(fails)}
+	out.trust = 1
 	if reporting > 0 {
 		out.others = others / float64(reporting)
+		out.trust = max(1-frozenCost*float64(frozen)/float64(reporting), 0)
 	}
 	return out
 }
@@ -208,5 +213,9 @@
 // own counts.
 const serviceMargin = 2
 
+// frozenCost is the cost of trust in all reports of a pool by the share of its
+// targets that repeat themselves: what feeds the reports may be at fault.
+const frozenCost = 2
+
 // maxFailPenalty bounds the failure share by which an expected answer recedes.
 const maxFailPenalty = 0.9
--- a/balance/health.go
+++ b/balance/health.go
@@ -68,6 +68,8 @@
 	fails            float64
 	// others is the mean number of other hosts' requests at a target.
 	others float64
+	// trust is the say of the pool's reports, 0 to 1.
+	trust float64
 }
 
 // ended takes the end of a call.
--- a/balance/probing.go
+++ b/balance/probing.go
@@ -81,7 +81,7 @@
 		t.health.setAside(now, p.owner.hosts(), p.rng)
 	}
 	if a.Report != "" {
-		t.report(now, a.Report)
+		t.report(now, a.Report, p.typical)
 		p.observe(now, t)
 	}
 }
--- a/balance/target.go
+++ b/balance/target.go
@@ -49,11 +49,11 @@
 	case ports.Shed:
 		t.know.Full(now)
 	}
-	t.report(now, d.LoadReport)
+	t.report(now, d.LoadReport, pool)
 }
 
 // report takes a load report, "" when there is none.
-func (t *target) report(now time.Time, s string) {
+func (t *target) report(now time.Time, s string, pool typical) {
 	if s == "" {
 		return
 	}
@@ -62,7 +62,7 @@
 		t.know.BadReport()
 		return
 	}
-	t.know.Report(now, r, t.arrived(now))
+	t.know.Report(now, r, t.arrived(now), pool.others)
 }
 
 // arrivalTime is the time after which an attempt has surely reached its target.
--- a/limit/admission.go
+++ b/limit/admission.go
@@ -23,6 +23,9 @@
 	// NewLimiter makes the limiter of a pool from its starting limit and the
 	// inflation of latency that it tolerates; nil selects AIMD.
 	NewLimiter func(limit, tolerance float64) Limiter
+	// NewBatchLimiter makes the limiter of batch; nil selects NewLimiter, or an
+	// AIMD that gives way faster when that is nil too.
+	NewBatchLimiter func(limit, tolerance float64) Limiter
 	// Registerer takes the metrics; nil keeps none.
 	Registerer prometheus.Registerer
 }
@@ -53,7 +56,11 @@
 	if o.Clock == nil {
 		o.Clock = clockwork.NewRealClock()
 	}
+	if o.NewBatchLimiter == nil {
+		o.NewBatchLimiter = o.NewLimiter
+	}
 	if o.NewLimiter == nil {
+		o.NewBatchLimiter = func(limit, tolerance float64) Limiter { return NewBatchAIMD(limit, tolerance) }
 		o.NewLimiter = func(limit, tolerance float64) Limiter { return NewAIMD(limit, tolerance) }
 	}
 	m, err := newMetrics(o.Registerer)
@@ -98,7 +105,7 @@
 	hosts := a.hosts()
 	fresh := &shard{
 		owner: a, metrics: a.metrics.pool(pool), slots: slots, shared: hosts,
-		core: newCore(newBounds(slots, hosts), a.opts.NewLimiter),
+		core: newCore(newBounds(slots, hosts), a.opts.NewLimiter, a.opts.NewBatchLimiter),
 	}
 	s, _ := a.shards.LoadOrStore(pool, fresh)
 	return s.(*shard)
--- a/limit/aimd.go
+++ b/limit/aimd.go
@@ -9,24 +9,36 @@
 const (
 	// cutOnRefusal is the factor of a shed or timed-out request.
 	cutOnRefusal = 0.9
-	// cutOnInflation is the factor when latency is inflated.
-	cutOnInflation = 0.95
+	// deepestCut and deepestBatchCut are the lowest factors of the limit and
+	// of that of batch when latency is inflated.
+	deepestCut      = 0.95
+	deepestBatchCut = 0.7
 )
 
 // AIMD raises the limit by one for every full round of requests and cuts it
-// by a factor, at most once per latency, when an end speaks of congestion.
+// by a factor, at most once per latency, when an end speaks of congestion: the
+// further latency is above the tolerance, the deeper.
 type AIMD struct {
 	limit, lowest, highest float64
 	// tolerance is the inflation of latency above which the limit is cut.
 	tolerance float64
-	lastCut   time.Time
+	// deepest is the lowest factor of one cut for inflation.
+	deepest float64
+	lastCut time.Time
 }
 
 var _ Limiter = (*AIMD)(nil)
 
 // NewAIMD returns a limiter that starts at limit.
 func NewAIMD(limit, tolerance float64) *AIMD {
-	return &AIMD{limit: limit, lowest: limit, highest: limit, tolerance: tolerance}
+	return &AIMD{limit: limit, lowest: limit, highest: limit, tolerance: tolerance, deepest: deepestCut}
+}
+
+// NewBatchAIMD returns a limiter that gives way faster.
+func NewBatchAIMD(limit, tolerance float64) *AIMD {
+	a := NewAIMD(limit, tolerance)
+	a.deepest = deepestBatchCut
+	return a
 }
 
 // Limit returns the limit.
@@ -45,7 +57,7 @@
 		a.cut(s, cutOnRefusal)
 	case ports.Succeeded:
 		if s.Inflation > a.tolerance {
-			a.cut(s, cutOnInflation)
+			a.cut(s, max(a.tolerance/s.Inflation, a.deepest))
 			return
 		}
 		if float64(s.InFlight)*2 >= a.limit {
--- a/limit/bounds.go
+++ b/limit/bounds.go
@@ -5,8 +5,9 @@
 	startShares = 3
 	// minStart is the lowest starting limit.
 	minStart = 4
-	// lowestShares is the lowest limit in shares.
-	lowestShares = 0.5
+	// lowestShares is the lowest limit in shares: the hosts together may
+	// always use the whole pool.
+	lowestShares = 1
 	// highestPools is the highest limit of one host in pools.
 	highestPools = 1.5
 	// batchFloorShares is what batch may always use, in shares.
--- a/limit/core.go
+++ b/limit/core.go
@@ -84,10 +84,14 @@
 	swept   time.Time
 }
 
-func newCore(b bounds, newLimiter func(limit, tolerance float64) Limiter) *core {
+// makeLimiter makes a limiter from its starting limit and the inflation of
+// latency that it tolerates.
+type makeLimiter func(limit, tolerance float64) Limiter
+
+func newCore(b bounds, total, batch makeLimiter) *core {
 	c := &core{
-		total: newLimiter(b.start, totalTolerance),
-		batch: newLimiter(b.start/2, batchTolerance),
+		total: total(b.start, totalTolerance),
+		batch: batch(b.start/2, batchTolerance),
 		queue: fair.New[*waiter](lookupWeight, orderWeight, batchWeight),
 	}
 	c.rebound(b)
--- a/load/knowledge.go
+++ b/load/knowledge.go
@@ -29,8 +29,10 @@
 	Slots int
 	// Own is the number of this host's requests in flight.
 	Own int
-	// memory is the age at which a report has lost 1-1/e of its say.
-	memory time.Duration
+	// memory is the age at which a report has lost 1-1/e of its say, and
+	// poolTrust the say that the reports of the whole pool have.
+	memory    time.Duration
+	poolTrust float64
 
 	// reported is the number at the target that was last reported, of which
 	// ownThen were this host's; valid when reportedAt is set.
@@ -50,25 +52,38 @@
 
 // NewKnowledge returns the knowledge of a target that nothing is known of.
 func NewKnowledge(slots int) *Knowledge {
-	return &Knowledge{Slots: slots, memory: longestMemory, trust: fullTrust()}
+	return &Knowledge{Slots: slots, memory: longestMemory, poolTrust: 1, trust: fullTrust()}
 }
 
+// runSpacing divides the memory into the time after which two reports are
+// independent enough to count as a run when they are equal.
+const runSpacing = 3
+
 // Remember sets how long reports keep their say from the service time of the
-// pool: a queue changes within a few of them.
-func (k *Knowledge) Remember(service time.Duration) {
+// pool, as a queue changes within a few of them, and the say that the reports
+// of the whole pool have, 0 to 1.
+func (k *Knowledge) Remember(service time.Duration, poolTrust float64) {
+	k.poolTrust = poolTrust
 	if service > 0 {
 		k.memory = min(max(memoryServices*service, shortestMemory), longestMemory)
 	}
 }
 
+// Frozen reports whether the target repeats itself as a busy one doesn't.
+func (k *Knowledge) Frozen() bool { return k.trust.frozen() }
+
 // Report takes a load report that the target gave at now. arrived is the
-// number of this host's requests that have surely reached the target.
-func (k *Knowledge) Report(now time.Time, r Report, arrived int) {
+// number of this host's requests that have surely reached the target, and
+// poolMean the mean number of other hosts' requests at a target of the pool.
+func (k *Knowledge) Report(now time.Time, r Report, arrived int, poolMean float64) {
 	n, ok := r.Count(k.Slots)
 	if !ok {
 		return
 	}
 	k.trust.checkCount(n, arrived)
+	if now.Sub(k.reportedAt) >= k.memory/runSpacing {
+		k.trust.checkRun(n, poolMean)
+	}
 	k.take(now, n)
 }
 
@@ -136,7 +151,7 @@
 		return 0
 	}
 	age := max(now.Sub(k.reportedAt), 0)
-	return k.Trust() * math.Exp(-float64(age)/float64(k.memory))
+	return k.Trust() * k.poolTrust * math.Exp(-float64(age)/float64(k.memory))
 }
 
 // Estimate returns the expected number of requests at the target: this host's
--- a/load/trust.go
+++ b/load/trust.go
@@ -11,6 +11,12 @@
 	ratioLow = 0.4
 	// lieFactor and honestGain move the honesty of counts.
 	lieFactor, honestGain = 0.7, 0.02
+	// frozenRun is the number of equal counts in a row that a busy target does
+	// not give.
+	frozenRun = 4
+	// busyMean is the pool's mean number of others from which a run of zeros
+	// counts too.
+	busyMean = 0.5
 )
 
 // trust is the say of the reports of one target, from what calls show.
@@ -19,6 +25,8 @@
 	ratio float64
 	// honesty falls with reports that can't be true.
 	honesty float64
+	// count was reported run times in a row.
+	count, run int
 }
 
 func fullTrust() trust { return trust{ratio: 1, honesty: 1} }
@@ -33,6 +41,17 @@
 	t.honesty = min(t.honesty+honestGain, 1)
 }
 
+// checkRun counts equal numbers in a row. A run of zeros is sound in a pool
+// that is idle.
+func (t *trust) checkRun(reported int, poolMean float64) {
+	if reported != t.count || (reported == 0 && poolMean < busyMean) {
+		t.count, t.run = reported, 0
+	}
+	t.run++
+}
+
+func (t *trust) frozen() bool { return t.run >= frozenRun }
+
 func (t *trust) lower() { t.honesty *= lieFactor }
 
 // checkLatency takes one ratio of seen to predicted latency.
@@ -43,6 +62,8 @@
 func (t *trust) value() float64 {
 	fit := 1.0
 	switch {
+	case t.frozen():
+		return 0
 	case t.ratio > ratioGood:
 		fit = max((ratioBad-t.ratio)/(ratioBad-ratioGood), 0)
 	case t.ratio < ratioLow:
