limit: batch gives way while lookups wait at the targets

Cause: in direct dispatch a batch flood queues at the targets, where no host's own queue shows it: lookups had a p99 of 620 ms, 89 of 3,489 were refused.

Change: a lookup or order whose class shows 2.5 times its uncongested latency holds batch to its floor for 250 ms.

Checked: without the rule the new spec fails.

--- a/limit/core.go
+++ b/limit/core.go
@@ -20,8 +20,11 @@
 	foregroundMemory = time.Second
 	// pressedWait is the wait of a lookup or order, in latencies, from which
 	// batch is held to its floor, and pressedMemory for how long.
-	pressedWait   = 2
-	pressedMemory = 250 * time.Millisecond
+	pressedWait = 2
+	// pressedInflation is the inflation of a lookup's or order's latency that
+	// does the same: it waits at the targets.
+	pressedInflation = 2.5
+	pressedMemory    = 250 * time.Millisecond
 	// sweepInterval is the time between two looks at what can't be met.
 	sweepInterval = 5 * time.Millisecond
 	// minRetryAfter is the shortest hint of a refusal.
@@ -79,7 +82,8 @@
 	queue   *fair.Queue[*waiter]
 	// foreground is the time of the last lookup or order.
 	foreground time.Time
-	// pressed is the time at which a lookup or order last faced a long wait.
+	// pressed is the time at which a lookup or order last faced a long wait,
+	// here or at the targets.
 	pressed time.Time
 	swept   time.Time
 }
@@ -222,6 +226,9 @@
 	if r.Verdict == ports.Succeeded || r.Verdict == ports.TimedOut {
 		lat.observe(r.Latency)
 	}
+	if class != batchClass && lat.inflation() > pressedInflation {
+		c.pressed = now
+	}
 	signal := Signal{
 		Now: now, Verdict: r.Verdict, InFlight: c.all.inFlight,
 		Inflation: lat.inflation(), Latency: lat.smoothed(),
--- a/limit/core_test.go
+++ b/limit/core_test.go
@@ -128,6 +128,17 @@
 		Expect(c.batchLimit(start.Add(pressedMemory))).To(Equal(2.0))
 	})
 
+	It("holds batch to its floor while lookups wait at the targets", func() {
+		c := testCore()
+		c.batch = NewAIMD(4, 1e9)
+		c.total = NewAIMD(4, 1e9)
+		for range 40 {
+			ask(c, start, lookupClass, "a", time.Second)
+			c.release(start, lookupClass, ran(100*time.Millisecond))
+		}
+		Expect(c.batchLimit(start)).To(Equal(0.2))
+	})
+
 	It("tells queueing from the spread of service times", func() {
 		var l latency
 		rng, above := rand.New(rand.NewPCG(1, 2)), 0
