balance: batch and single long requests say nothing against a target

Cause: exports that take seconds among lookups of 20 ms would have raised the smoothed latency of their target and, in flight for ten times the median, set it aside.

Change: the latency of batch is measured only in pools that had no lookup or order for 10 s; a call without an answer counts only while the target answers no other.

Checked: without either rule its spec fails.

--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -13,6 +13,8 @@
 	pool   *pool
 	target *target
 	sent   time.Time
+	// measured is true when the latency of the attempt speaks of its target.
+	measured bool
 	// queue is the estimate, and claimed the report's number, of others at
 	// the target when the attempt was sent.
 	queue   float64
--- a/balance/candidates.go
+++ b/balance/candidates.go
@@ -103,7 +103,7 @@
 	staying, usable := 0, 0
 	for _, t := range p.targets {
 		t.health.advance(now)
-		if t.health.phase == ready && stuck(t.oldest(now), p.typical) {
+		if t.health.phase == ready && stuck(t.silence(now), p.typical) {
 			p.setAside(now, t)
 		}
 		leaving := p.leaving(now, t)
--- a/balance/faults_test.go
+++ b/balance/faults_test.go
@@ -146,6 +146,32 @@
 		Expect(len(countPicks(b, start.Add(3*time.Second), 60, verdict(ports.Abandoned)))).To(BeNumerically(">=", 3))
 	})
 
+	It("isn't seen in batch that takes its own time among lookups", func() {
+		b = newBalancer(balance.Options{}, balance.PoolSpec{Targets: targets(6)})
+		drive(b, start, time.Second, gap, sound)
+		for i := range 60 {
+			now := start.Add(time.Second + time.Duration(i)*20*time.Millisecond)
+			export, ok := b.Pick(ports.PickQuery{Pool: "p", Class: table.Batch, Now: now})
+			Expect(ok).To(BeTrue())
+			if i%2 == 0 {
+				export.Done(now.Add(2*time.Second), succeeded(2*time.Second))
+			}
+			drive(b, now, 20*time.Millisecond, gap, sound)
+		}
+		for _, s := range b.States(start.Add(3*time.Second), "p") {
+			Expect(s.State).To(Equal("ready"))
+			Expect(s.Latency).To(BeNumerically("<=", 2*service))
+		}
+	})
+
+	It("isn't seen in one long request while others are answered", func() {
+		b = newBalancer(balance.Options{}, balance.PoolSpec{Targets: targets(2), Policy: balance.RoundRobin})
+		drive(b, start, time.Second, gap, sound)
+		long := pick(b, start.Add(time.Second))
+		drive(b, start.Add(time.Second), time.Second, gap, sound)
+		Expect(stateOf(b, start.Add(2*time.Second), int(long.Target().Port())-9000).State).To(Equal("ready"))
+	})
+
 	It("that is new in a pool starts with a small share", func() {
 		b = newBalancer(balance.Options{}, balance.PoolSpec{Targets: targets(3), Policy: balance.Random})
 		Expect(b.Update(start, map[string]balance.PoolSpec{"p": {Targets: targets(4), Policy: balance.Random}})).To(Succeed())
--- a/balance/health.go
+++ b/balance/health.go
@@ -22,7 +22,8 @@
 	// slowSamples is the number of calls before a target counts as slow.
 	slowSamples = 10
 	// stuckFactor times the median latency, and at least stuckFloor, is the
-	// age of an unanswered call from which a target is set aside.
+	// age of an unanswered call from which a target that answers no other is
+	// set aside.
 	stuckFactor = 10
 	stuckFloor  = 250 * time.Millisecond
 	// asideFirst is the first time set aside, asidePerHost what each sharing
@@ -100,8 +101,8 @@
 		latency > max(time.Duration(factor)*pool.latency, slowFloor)
 }
 
-func stuck(oldest time.Duration, pool typical) bool {
-	return pool.latency > 0 && oldest > max(stuckFactor*pool.latency, stuckFloor)
+func stuck(silence time.Duration, pool typical) bool {
+	return pool.latency > 0 && silence > max(stuckFactor*pool.latency, stuckFloor)
 }
 
 // setAside takes the target out for a while that doubles with every time.
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -39,8 +39,9 @@
 	mine []bool
 	// typicalAt and mineAt are when typical and mine were derived.
 	typicalAt, mineAt time.Time
-	// lastPick is the time of the last request.
-	lastPick time.Time
+	// lastPick is the time of the last request, foreground that of the last
+	// lookup or order.
+	lastPick, foreground time.Time
 	// usable and candidates are scratch space of pick.
 	usable     []bool
 	candidates []Candidate
@@ -110,15 +111,28 @@
 	defer p.mu.Unlock()
 	p.refresh(q.Now)
 	p.lastPick = q.Now
+	if q.Class != table.Batch {
+		p.foreground = q.Now
+	}
 	t := p.choose(q)
 	if t == nil {
 		return nil, false
 	}
-	a := &attempt{pool: p, target: t, sent: q.Now}
+	a := &attempt{pool: p, target: t, sent: q.Now, measured: p.measures(q)}
 	t.send(q.Now, a, t.know.Estimate(q.Now, p.typical.others))
 	return a, true
 }
 
+// foregroundMemory is the time after the last lookup or order from which batch
+// is measured.
+const foregroundMemory = 10 * time.Second
+
+// measures reports whether the latency of a request speaks of its target.
+// Batch takes its own time, and is measured only in pools that serve no other.
+func (p *pool) measures(q ports.PickQuery) bool {
+	return q.Class != table.Batch || q.Now.Sub(p.foreground) >= foregroundMemory
+}
+
 // choose returns the target of a request, nil when there is none.
 func (p *pool) choose(q ports.PickQuery) *target {
 	p.mark(q.Now)
@@ -162,7 +176,7 @@
 		return
 	}
 	slowNow := t.health.slow(t.know.Latency(), t.know.Samples(), p.typical)
-	if t.health.failing(p.typical) || slowNow || stuck(t.oldest(now), p.typical) {
+	if t.health.failing(p.typical) || slowNow || stuck(t.silence(now), p.typical) {
 		p.setAside(now, t)
 		return
 	}
--- a/balance/target.go
+++ b/balance/target.go
@@ -21,14 +21,18 @@
 	health  health
 	// open holds the attempts in flight, oldest first.
 	open []*attempt
+	// answered is the time of the last answer to a measured attempt.
+	answered time.Time
 }
 
-// oldest returns the age of the oldest attempt in flight.
-func (t *target) oldest(now time.Time) time.Duration {
-	if len(t.open) == 0 {
+// silence returns the age of the oldest measured attempt in flight since which
+// the target has answered no other.
+func (t *target) silence(now time.Time) time.Duration {
+	a, ok := lo.Find(t.open, func(a *attempt) bool { return a.measured })
+	if !ok || t.answered.After(a.sent) {
 		return 0
 	}
-	return now.Sub(t.open[0].sent)
+	return now.Sub(a.sent)
 }
 
 // send counts an attempt.
@@ -43,10 +47,11 @@
 	t.know.Ended()
 	t.open = slices.DeleteFunc(t.open, func(o *attempt) bool { return o == a })
 	t.health.ended(d.Verdict)
-	switch d.Verdict {
-	case ports.Succeeded:
+	switch {
+	case d.Verdict == ports.Succeeded && a.measured:
+		t.answered = now
 		t.know.Answered(now, d.Latency, a.queue, a.claimed, pool.service)
-	case ports.Shed:
+	case d.Verdict == ports.Shed:
 		t.know.Full(now)
 	}
 	t.report(now, d.LoadReport, pool)
