limit: expected waits from the mix of classes

Cause: the wait was computed from the slowest class, so exports that take seconds would have had lookups refused that could be served at once.

Change: the smoothed latency of all ended requests as they come.

Checked: with the batch latency in its place the new spec fails.

--- a/limit/core.go
+++ b/limit/core.go
@@ -79,6 +79,7 @@
 	all     gate
 	batches gate
 	classes [classCount]latency
+	mix     latency
 	queue   *fair.Queue[*waiter]
 	// foreground is the time of the last lookup or order.
 	foreground time.Time
@@ -170,19 +171,8 @@
 	return time.Duration(float64(rank+1) * float64(latency) / c.batchLimit(now))
 }
 
-// poolLatency returns the highest smoothed latency of the measured classes.
-func (c *core) poolLatency() time.Duration {
-	var d time.Duration
-	for i := range c.classes {
-		if c.classes[i].samples > 0 {
-			d = max(d, c.classes[i].short)
-		}
-	}
-	if d == 0 {
-		return initialLatency
-	}
-	return d
-}
+// poolLatency returns the smoothed latency of all classes as they are mixed.
+func (c *core) poolLatency() time.Duration { return c.mix.smoothed() }
 
 // batchLimit keeps half of the limit clear of batch while lookups or orders
 // come, and all but the floor while they wait for long.
@@ -225,6 +215,7 @@
 	lat := &c.classes[class]
 	if r.Verdict == ports.Succeeded || r.Verdict == ports.TimedOut {
 		lat.observe(r.Latency)
+		c.mix.observe(r.Latency)
 	}
 	if class != batchClass && lat.inflation() > pressedInflation {
 		c.pressed = now
--- a/limit/core_test.go
+++ b/limit/core_test.go
@@ -30,6 +30,7 @@
 	for i := range c.classes {
 		c.classes[i] = latency{short: 20 * time.Millisecond, base: 20 * time.Millisecond, samples: 100}
 	}
+	c.mix = c.classes[lookupClass]
 	return c
 }
 
@@ -139,6 +140,21 @@
 		Expect(c.batchLimit(start)).To(Equal(0.2))
 	})
 
+	It("doesn't take the time of exports for that of lookups", func() {
+		c := testCore()
+		for i := range 200 {
+			class, took := lookupClass, 20*time.Millisecond
+			if i%20 == 19 {
+				class, took = batchClass, 2*time.Second
+			}
+			Expect(ask(c, start, class, "a", time.Minute).granted).To(BeTrue())
+			c.release(start, class, ran(took))
+		}
+		for range 14 {
+			Expect(ask(c, start, lookupClass, "a", time.Second).refusal).To(BeNil())
+		}
+	})
+
 	It("tells queueing from the spread of service times", func() {
 		var l latency
 		rng, above := rand.New(rand.NewPCG(1, 2)), 0
