--- a/balance/candidates.go
+++ b/balance/candidates.go
@@ -25,7 +25,7 @@
 		p.typical = p.deriveTypical()
 		p.share = connectionShare(p.connections, p.hosts())
 		for _, t := range p.targets {
-			t.know.Remember(p.typical.service)
+			t.know.Remember(p.typical.service, p.typical.trust)
 		}
 	}
 	if p.subset && (p.mineAt.IsZero() || now.Sub(p.mineAt) >= subsetInterval) {
@@ -47,7 +47,7 @@
 func (p *pool) deriveTypical() typical {
 	var latencies, services []time.Duration
 	var fails []float64
-	others, reporting := 0.0, 0
+	others, reporting, frozen := 0.0, 0, 0
 	for _, t := range p.targets {
 		fails = append(fails, t.health.fails)
 		if d := t.know.Latency(); d > 0 {
@@ -59,11 +59,16 @@
 		if n, ok := t.know.MeanOthers(); ok {
 			others += n
 			reporting++
+			if t.know.Frozen() {
+				frozen++
+			}
 		}
 	}
 	out := typical{latency: median(latencies), service: median(services), fails: median(fails)}
+	out.trust = 1
 	if reporting > 0 {
 		out.others = others / float64(reporting)
+		out.trust = max(1-frozenCost*float64(frozen)/float64(reporting), 0)
 	}
 	return out
 }
@@ -98,7 +103,7 @@
 	staying, usable := 0, 0
 	for _, t := range p.targets {
 		t.health.advance(now)
-		if t.health.phase == ready && stuck(t.oldest(now), p.typical) {
+		if t.health.phase == ready && stuck(t.silence(now), p.typical) {
 			p.setAside(now, t)
 		}
 		leaving := p.leaving(now, t)
@@ -214,5 +219,9 @@
 // own counts.
 const serviceMargin = 2
 
+// frozenCost is the cost of trust in all reports of a pool by the share of its
+// targets that repeat themselves: what feeds the reports may be at fault.
+const frozenCost = 2
+
 // maxFailPenalty bounds the failure share by which an expected answer recedes.
 const maxFailPenalty = 0.9
