Nine levels deep: a fault at the bottom is not multiplied

Cause: calls are up to nine deep; the retry allowance must shrink on the way.

Change: proxy/depth_test.go chains nine servers with one retry each over a bottom that always fails: ten calls reach it. The spec for slow bodies no longer passes by the header's timeout when the body's deadline is taken out.

--- a/proxy/bodies_test.go
+++ b/proxy/bodies_test.go
@@ -252,7 +252,8 @@
 
 	It("that are slow to arrive are given up before dispatch", func() {
 		up := newUpstream(always(okAnswer))
-		b := newBed([]*rawUpstream{up}, withRoute("order", func(r *table.Route) { r.Timeout = 30 * time.Millisecond }))
+		b := newBed([]*rawUpstream{up}, withRoute("order", func(r *table.Route) { r.Timeout = 30 * time.Millisecond }),
+			withLimits(func(l *Limits) { l.HeaderTimeout = time.Minute }))
 		resp, _ := b.ask("POST /orders/a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhe")
 		expectOwn(resp, 408, outcome.NotRun)
 		Expect(up.read()).To(BeEmpty())
--- /dev/null
+++ b/proxy/depth_test.go
@@ -0,0 +1,72 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// relay answers each request with the status of a call to the next level,
+// passing on what the caller above allowed.
+func relay(next *bed) func(u *rawConn) {
+	return func(u *rawConn) {
+		for {
+			req, _, ok := u.request()
+			if !ok {
+				return
+			}
+			raw := fmt.Sprintf("GET /specs/a HTTP/1.1\r\nHost: h\r\nChestnut-Deadline-Ms: %s\r\n", req.Header.Get("Chestnut-Deadline-Ms"))
+			if allowed := req.Header.Get("Chestnut-Retries"); allowed != "" {
+				raw += "Chestnut-Retries: " + allowed + "\r\n"
+			}
+			resp, err := next.askUnchecked(raw + "\r\n")
+			if err != nil {
+				return
+			}
+			u.send(fmt.Sprintf("HTTP/1.1 %d Level\r\nContent-Length: 0\r\n\r\n", resp.StatusCode))
+		}
+	}
+}
+
+// askUnchecked is ask for goroutines other than the spec's.
+func (b *bed) askUnchecked(raw string) (*http.Response, error) {
+	c, err := net.Dial("tcp", b.addr)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, raw); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(bufio.NewReader(c), nil)
+}
+
+var _ = Describe("calls nine levels deep", func() {
+	It("are not multiplied by a fault at the bottom", func() {
+		const levels = 9
+		var bottom atomic.Int32
+		serve := func(u *rawConn) {
+			for {
+				if _, _, ok := u.request(); !ok {
+					return
+				}
+				bottom.Add(1)
+				u.send("HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n")
+			}
+		}
+		var top *bed
+		for range levels {
+			top = newBed([]*rawUpstream{newUpstream(serve), newUpstream(serve)})
+			serve = relay(top)
+		}
+		resp, _ := top.ask(getSpec)
+		Expect(resp.StatusCode).To(Equal(500))
+		Expect(bottom.Load()).To(BeEquivalentTo(levels + 1))
+	})
+})
