--- a/proxy/bench_test.go
+++ b/proxy/bench_test.go
@@ -24,8 +24,9 @@
 func (o oneAttempt) Target() netip.AddrPort                    { return o.addr }
 func (o oneAttempt) Done(time.Time, ports.Feedback)            {}
 
-// benchBed starts an upstream and a server in front of it.
-func benchBed(b *testing.B) (direct, proxied string) {
+// benchBed starts an upstream and a server in front of it; lookups are hedged
+// after hedge.
+func benchBed(b *testing.B, hedge time.Duration) (direct, proxied string) {
 	upstream, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
@@ -33,7 +34,11 @@
 	target := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("bend specification") }}
 	go target.Serve(upstream)
 	tables := &tablesFake{}
-	tables.Store(testTables())
+	t := testTables()
+	lookup := t.Routes["lookup"]
+	lookup.HedgeAfter = hedge
+	t.Routes["lookup"] = lookup
+	tables.Store(t)
 	addr := netip.MustParseAddrPort(upstream.Addr().String())
 	s, err := New(Options{Tables: tables, Balancer: oneTarget{addr}})
 	if err != nil {
@@ -82,9 +87,12 @@
 
 // BenchmarkAdded interleaves calls through the server with direct ones.
 func BenchmarkAdded(b *testing.B) {
-	for _, bench := range []struct{ name, raw string }{{"lookup", getSpec}, {"order", postOrder}} {
+	for _, bench := range []struct {
+		name, raw string
+		hedge     time.Duration
+	}{{"lookup", getSpec, 0}, {"hedged", getSpec, time.Second}, {"order", postOrder, 0}} {
 		b.Run(bench.name, func(b *testing.B) {
-			direct, proxied := benchBed(b)
+			direct, proxied := benchBed(b, bench.hedge)
 			d, p := dialBench(b, direct), dialBench(b, proxied)
 			var directTimes, proxiedTimes []time.Duration
 			b.ReportAllocs()
@@ -111,7 +119,7 @@
 
 // BenchmarkThroughput sends on several connections at once.
 func BenchmarkThroughput(b *testing.B) {
-	_, proxied := benchBed(b)
+	_, proxied := benchBed(b, 0)
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
 		c := dialBench(b, proxied)
--- a/proxy/outcome_test.go
+++ b/proxy/outcome_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -182,6 +183,43 @@
 		Expect(b.balancer.feedback()[0].Verdict).To(Equal(ports.Abandoned))
 	})
 
+	It("cancels a download whose caller goes away", func() {
+		closed := make(chan struct{})
+		up := newUpstream(func(u *rawConn) {
+			u.request()
+			u.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbend\r\n")
+			u.waitClosed()
+			close(closed)
+		})
+		b := newBed([]*rawUpstream{up})
+		c := b.dial()
+		c.send(getSpec)
+		_, err := c.br.Peek(1)
+		Expect(err).NotTo(HaveOccurred())
+		c.Close()
+		Eventually(closed, "10s").Should(BeClosed())
+		Eventually(b.balancer.inFlight, "10s").Should(BeZero())
+	})
+
+	It("answers pipelined requests in their order", func() {
+		up := newUpstream(func(u *rawConn) {
+			for {
+				req, _, ok := u.request()
+				if !ok {
+					return
+				}
+				u.send(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%s", req.URL.Path[len("/specs/"):]))
+			}
+		})
+		c := newBed([]*rawUpstream{up}).dial()
+		c.send(getSpec + strings.Replace(getSpec, "/a", "/b", 1) + strings.Replace(getSpec, "/a", "/c", 1))
+		for _, want := range []string{"a", "b", "c"} {
+			_, body, err := c.answer("GET")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(body).To(Equal(want))
+		}
+	})
+
 	It("hedges a lookup and cancels the loser", func() {
 		closed := make(chan struct{})
 		slow := newUpstream(func(u *rawConn) {
