--- a/proxy/call.go
+++ b/proxy/call.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
 	"github.com/valyala/fasthttp"
 
 	"github.com/chestnutfield/chestnutfield/attempt"
@@ -50,10 +51,9 @@
 	machine *attempt.Machine
 	tries   []*try
 	room    [2]*try
-	// actions carries what hedged attempts lead to; nil when attempts run on
-	// the goroutine of the request.
-	actions    chan attempt.Action
-	hedgeArmed bool
+	// actions carries the end that a hedge leads to; nil when there is none.
+	actions chan attempt.Action
+	hedge   clockwork.Timer
 	// stale is true when the last attempt was lost on a kept connection;
 	// result is how it ended.
 	stale  bool
--- a/proxy/drive.go
+++ b/proxy/drive.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"net/netip"
 	"time"
 
@@ -12,18 +13,22 @@
 	"github.com/chestnutfield/chestnutfield/upstream"
 )
 
-// hedgeActions is more than two attempts can lead to.
-const hedgeActions = 8
+// hedgeActions is the number of ends that a hedge can have.
+const hedgeActions = 1
 
 // try is one attempt as the driver holds it. The goroutine that runs it owns
 // it until its answer is forwarded.
 type try struct {
+	ctx     context.Context
 	number  int
 	attempt ports.Attempt
 	// x and answered are guarded by the call's mutex. From answered on the
 	// attempt belongs to the goroutine of the request.
 	x        *upstream.Exchange
 	answered bool
+	// stopDial ends the opening of a connection; nil where nothing else is
+	// under way meanwhile.
+	stopDial context.CancelFunc
 	started  time.Time
 	// held is the answer's body when it is held whole.
 	held   []byte
@@ -38,12 +43,13 @@
 // run drives the machine until the request has an answer.
 func (c *call) run() {
 	act := c.step(attempt.Event{Kind: attempt.Admitted})
+	c.armHedge()
 	for {
 		switch act.Kind {
 		case attempt.Pick:
 			act = c.pick(act)
 		case attempt.Dispatch:
-			act = c.dispatch(act.Attempt)
+			act = c.exchange(c.try(act.Attempt))
 		case attempt.Forward:
 			c.forward(act.Attempt)
 			return
@@ -56,7 +62,7 @@
 	}
 }
 
-// await waits for the attempts that run on goroutines of their own.
+// await waits for the hedge when this goroutine has nothing left to do.
 func (c *call) await() attempt.Action {
 	c.mu.Lock()
 	end, ended := c.machine.Ended()
@@ -70,30 +76,53 @@
 	return c.awaitHedged()
 }
 
+// awaitHedged waits for what the hedge leads to.
 func (c *call) awaitHedged() attempt.Action {
-	var hedge <-chan time.Time
-	if c.mayHedge() {
-		timer := c.server.opts.Clock.NewTimer(c.match.Route.HedgeAfter)
-		defer timer.Stop()
-		hedge = timer.Chan()
-	}
 	select {
 	case act := <-c.actions:
 		return act
-	case <-hedge:
-		return c.step(attempt.Event{Kind: attempt.HedgeDue})
 	case <-c.ctx.Done():
 		return c.step(attempt.Event{Kind: attempt.Expired})
 	}
 }
 
-// mayHedge is true once, while the first attempt is the only one.
-func (c *call) mayHedge() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	may := !c.hedgeArmed && len(c.tries) == 1
-	c.hedgeArmed = true
-	return may
+// armHedge lets a second copy start when the first has waited long enough.
+func (c *call) armHedge() {
+	if c.actions == nil {
+		return
+	}
+	c.server.attempts.Add(1)
+	c.hedge = c.server.opts.Clock.AfterFunc(c.match.Route.HedgeAfter, func() {
+		defer c.server.attempts.Done()
+		c.runHedge()
+	})
+}
+
+// disarmHedge keeps a hedge that has not started from starting.
+func (c *call) disarmHedge() {
+	if c.hedge != nil && c.hedge.Stop() {
+		c.server.attempts.Done()
+	}
+}
+
+// runHedge makes the second copy, and whatever follows it, beside the
+// goroutine of the request, which it wakes when there is an end.
+func (c *call) runHedge() {
+	act := c.step(attempt.Event{Kind: attempt.HedgeDue})
+	for {
+		switch act.Kind {
+		case attempt.Pick:
+			act = c.pick(act)
+		case attempt.Dispatch:
+			act = c.exchange(c.try(act.Attempt))
+		case attempt.Forward, attempt.Finish:
+			c.actions <- act
+			c.abandon(act.Attempt)
+			return
+		default:
+			return
+		}
+	}
 }
 
 // pick chooses the target of an attempt.
@@ -112,7 +141,10 @@
 	if !ok {
 		return c.step(none)
 	}
-	t := &try{number: act.Attempt, attempt: a}
+	t := &try{number: act.Attempt, attempt: a, ctx: c.ctx}
+	if c.actions != nil {
+		t.ctx, t.stopDial = context.WithCancel(c.ctx)
+	}
 	c.mu.Lock()
 	c.tries = append(c.tries, t)
 	c.mu.Unlock()
@@ -166,29 +198,19 @@
 	return t
 }
 
-// dispatch runs an attempt, on a goroutine of its own when it may be hedged.
-func (c *call) dispatch(number int) attempt.Action {
-	t := c.try(number)
-	if c.actions == nil {
-		return c.exchange(t)
-	}
-	c.server.attempts.Add(1)
-	go func() {
-		defer c.server.attempts.Done()
-		if act := c.exchange(t); act.Kind != attempt.Wait && act.Kind != attempt.Abandon {
-			c.actions <- act
-		}
-	}()
-	return attempt.Action{Kind: attempt.Wait}
-}
-
 // abandon cancels every attempt but the one that is kept; 0 keeps none. Each
 // is ended by the goroutine that runs it.
 func (c *call) abandon(keep int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, t := range c.tries {
-		if t.number != keep && t.x != nil {
+		if t.number == keep {
+			continue
+		}
+		if t.stopDial != nil {
+			t.stopDial()
+		}
+		if t.x != nil {
 			t.x.Cancel()
 		}
 	}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -20,7 +20,7 @@
 // exchange runs one attempt until its answer header, and its body when that
 // is held, or its failure; it returns what the machine says then.
 func (c *call) exchange(t *try) attempt.Action {
-	x, err := c.server.upstream.Open(c.ctx, upstream.OpenQuery{
+	x, err := c.server.upstream.Open(t.ctx, upstream.OpenQuery{
 		Target:     t.attempt.Target(),
 		Limit:      c.connectionLimit(t.attempt),
 		Deadline:   c.socketDeadline(),
@@ -96,9 +96,13 @@
 	if errors.Is(err, upstream.ErrConnectionLimit) {
 		reason, verdict = outcome.LimitReached, ports.Abandoned
 	}
+	act := c.step(attempt.Event{Kind: attempt.ConnectFailed, Attempt: t.number, Reason: reason})
+	if act.Kind == attempt.Abandon {
+		verdict = ports.Abandoned
+	}
 	t.feedback.ConnectFailed = verdict == ports.Failed
 	c.done(t, verdict)
-	return c.step(attempt.Event{Kind: attempt.ConnectFailed, Attempt: t.number, Reason: reason})
+	return act
 }
 
 // lost ends an attempt that failed before its answer was accepted.
--- a/proxy/outcome_test.go
+++ b/proxy/outcome_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -246,6 +247,25 @@
 		expectOwn(resp, 503, outcome.NotRun)
 	})
 
+	It("hedges a lookup whose first target does not let it connect", func() {
+		dark, bright := newUpstream(silent), newUpstream(always(okAnswer))
+		b := newBed([]*rawUpstream{dark, bright}, func(o *Options, _ *table.Tables) {
+			o.Upstream.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+				if address == dark.addr().String() {
+					<-ctx.Done()
+					return nil, ctx.Err()
+				}
+				return (&net.Dialer{}).DialContext(ctx, network, address)
+			}
+		}, withRoute("lookup", func(r *table.Route) { r.HedgeAfter = time.Millisecond }))
+		_, body := b.ask(getSpec)
+		Expect(body).To(Equal("done"))
+		Eventually(b.balancer.inFlight, "10s").Should(BeZero())
+		for _, f := range b.balancer.feedback() {
+			Expect(f.ConnectFailed).To(BeFalse())
+		}
+	})
+
 	It("keeps to its share of a target's connections", func() {
 		release := make(chan struct{})
 		up := newUpstream(func(u *rawConn) {
--- a/proxy/settle.go
+++ b/proxy/settle.go
@@ -15,6 +15,7 @@
 func (c *call) close(end attempt.End, recorded *ports.RecordedAnswer) {
 	c.once.Do(func() {
 		c.conn.end()
+		c.disarmHedge()
 		c.abandon(0)
 		c.release()
 		if c.permit != nil {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -125,11 +125,7 @@
 }
 
 func (c *Client) dial(ctx context.Context, t *target, deadline time.Time) (*conn, error) {
-	dial := c.opts.Dial
-	if dial == nil {
-		dial = (&net.Dialer{Timeout: c.opts.ConnectTimeout, Deadline: deadline, KeepAlive: -1}).DialContext
-	}
-	nc, err := dial(ctx, "tcp", t.addr.String())
+	nc, err := c.open(ctx, t.addr.String(), deadline)
 	if err != nil {
 		return nil, errors.Wrap(ErrConnect, err.Error())
 	}
@@ -141,6 +137,20 @@
 	return cn, nil
 }
 
+// open opens a connection within ConnectTimeout and the deadline.
+func (c *Client) open(ctx context.Context, address string, deadline time.Time) (net.Conn, error) {
+	if c.opts.Dial == nil {
+		d := net.Dialer{Timeout: c.opts.ConnectTimeout, Deadline: deadline, KeepAlive: -1}
+		return d.DialContext(ctx, "tcp", address)
+	}
+	if latest := time.Now().Add(c.opts.ConnectTimeout); latest.Before(deadline) {
+		deadline = latest
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	return c.opts.Dial(ctx, "tcp", address)
+}
+
 func (c *Client) target(addr netip.AddrPort) *target {
 	ip := addr.Addr().As16()
 	s := &c.shards[(int(ip[15])+int(addr.Port()))%shardCount]
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -119,6 +119,15 @@
 		Expect(reused(query)).To(BeFalse())
 	})
 
+	It("that open too slowly are given up", func() {
+		client = New(Options{ConnectTimeout: time.Millisecond, Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}})
+		_, err := client.Open(context.Background(), query)
+		Expect(err).To(MatchError(ErrConnect))
+	})
+
 	It("that can't be opened say so", func() {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
