--- a/proxy/bench_test.go
+++ b/proxy/bench_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -128,3 +129,31 @@
 		}
 	})
 }
+
+// BenchmarkIdleCallers reports the memory that a kept connection of a caller
+// takes between its requests, the bench's own side included.
+func BenchmarkIdleCallers(b *testing.B) {
+	const callers = 1000
+	_, proxied := benchBed(b, 0)
+	for b.Loop() {
+		before := memory()
+		conns := make([]net.Conn, callers)
+		for i := range conns {
+			c := dialBench(b, proxied)
+			c.call(b, getSpec)
+			conns[i] = c.Conn
+		}
+		b.ReportMetric(float64(memory()-before)/callers, "B/caller")
+		for _, c := range conns {
+			c.Close()
+		}
+	}
+}
+
+// memory is what heap and stacks take after a collection.
+func memory() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
