--- a/router/router.go
+++ b/router/router.go
@@ -1,6 +1,7 @@
 // Package router compiles one version of the tables into an immutable matcher.
 // The longest path prefix wins, then the more specific match: a route that
-// names the method before one that does not, then the caller, then the host.
+// names the host before one that does not, then the caller, then the method
+// (table.Route.Specificity).
 package router
 
 import (
@@ -15,13 +16,6 @@
 	"github.com/chestnutfield/chestnutfield/table"
 )
 
-// Weights of what a route names beside its prefix; method first.
-const (
-	hostWeight = 1 << iota
-	callerWeight
-	methodWeight
-)
-
 // Request is what a route is chosen by.
 type Request struct {
 	Method string
@@ -83,15 +77,14 @@
 		callers: set(route.Callers),
 		host:    route.Host,
 	}
-	if e.methods != nil {
-		e.weight |= methodWeight
-	}
-	if e.callers != nil {
-		e.weight |= callerWeight
+	named := route
+	if e.methods == nil {
+		named.Methods = nil
 	}
-	if e.host != "" {
-		e.weight |= hostWeight
+	if e.callers == nil {
+		named.Callers = nil
 	}
+	e.weight = named.Specificity()
 	return e
 }
 
