host, settings, ctl: status of owners; certificate files checked; caller connections bounded

Change: status gives the owner of each group, and counts direct and owned dispatch per target, with the state that the owner acts on. Settings load the certificates and name section and key when they can't. Connections of callers beyond the bound are answered 503 not-run with Retry-After before anything is read, and closed.

--- a/admin/api/api.go
+++ b/admin/api/api.go
@@ -81,11 +81,20 @@
 	InFlight int    `json:"in_flight"`
 }
 
+// GroupOwner names the host that owns the targets of a pool in one failure
+// domain, as the asked host sees it.
+type GroupOwner struct {
+	FailureDomain string `json:"failure_domain"`
+	Host          string `json:"host"`
+}
+
 // PoolStatus is one pool with its targets.
 type PoolStatus struct {
 	Name    string         `json:"name"`
 	Service string         `json:"service,omitempty"`
 	Targets []TargetStatus `json:"targets"`
+	// Owners is empty when the asked host dispatches directly.
+	Owners []GroupOwner `json:"owners,omitempty"`
 }
 
 // Status is the answer to status.
--- a/ctl/status.go
+++ b/ctl/status.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/samber/lo"
 
 	"github.com/chestnutfield/chestnutfield/admin/api"
 )
@@ -56,6 +57,22 @@
 		}
 	}
 	pools.flush()
+	writeOwners(w, st.Pools)
+}
+
+// writeOwners shows which host owns which group of targets, if any does.
+func writeOwners(w io.Writer, pools []api.PoolStatus) {
+	if !lo.SomeBy(pools, func(p api.PoolStatus) bool { return len(p.Owners) > 0 }) {
+		return
+	}
+	fmt.Fprintln(w)
+	owners := newTable(w, "POOL", "TARGETS IN", "OWNED BY")
+	for _, p := range pools {
+		for _, o := range p.Owners {
+			owners.row(p.Name, o.FailureDomain, o.Host)
+		}
+	}
+	owners.flush()
 }
 
 func writeHost(t textTable, h api.HostStatus, heard string) {
--- a/handoff/balancer.go
+++ b/handoff/balancer.go
@@ -68,6 +68,8 @@
 	chooser *owner.Chooser
 	// owners maps each group to the address of its owner.
 	owners map[owner.Group]netip.AddrPort
+	// hosts maps each group to the name of its owner.
+	hosts map[owner.Group]string
 }
 
 // New returns a balancer without pools; until Update it dispatches directly.
@@ -96,14 +98,14 @@
 func (b *Balancer) updateShard(s *shard, pool string, spec PoolSpec, peers []Peer) *shard {
 	members := lo.Map(peers, func(p Peer, _ int) owner.Member { return p.Member })
 	addrs := lo.SliceToMap(peers, func(p Peer) (string, netip.AddrPort) { return p.Name, p.Addr })
-	owners := map[owner.Group]netip.AddrPort{}
+	owners, hosts := map[owner.Group]netip.AddrPort{}, map[owner.Group]string{}
 	var specs []owner.GroupSpec
 	for g, targets := range owner.Split(pool, spec.Targets) {
 		m, ok := owner.Assign(g, members)
 		if !ok {
 			continue
 		}
-		owners[g] = addrs[m.Name]
+		owners[g], hosts[g] = addrs[m.Name], m.Name
 		specs = append(specs, owner.GroupSpec{
 			Group: g, Slots: len(targets) * max(1, spec.Slots), Distance: b.distance(g, m),
 		})
@@ -116,11 +118,33 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.owners = owners
+	s.owners, s.hosts = owners, hosts
 	s.chooser.Update(specs)
 	return s
 }
 
+// GroupOwner says which host owns a group.
+type GroupOwner struct {
+	Group owner.Group
+	Host  string
+}
+
+// Owners returns the owners of the groups of a pool, in order of failure
+// domain; none when the pool is dispatched directly.
+func (b *Balancer) Owners(pool string) []GroupOwner {
+	s := b.view.Load().pools[pool]
+	if s == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := lo.MapToSlice(s.hosts, func(g owner.Group, host string) GroupOwner { return GroupOwner{g, host} })
+	slices.SortFunc(list, func(x, y GroupOwner) int {
+		return strings.Compare(x.Group.FailureDomain, y.Group.FailureDomain)
+	})
+	return list
+}
+
 // distance is the way over the owner to the group.
 func (b *Balancer) distance(g owner.Group, m owner.Member) time.Duration {
 	var d time.Duration
--- a/host/admin.go
+++ b/host/admin.go
@@ -1,6 +1,8 @@
 package host
 
 import (
+	"maps"
+	"net/netip"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -16,6 +18,7 @@
 	"github.com/chestnutfield/chestnutfield/config"
 	"github.com/chestnutfield/chestnutfield/config/command"
 	"github.com/chestnutfield/chestnutfield/config/query"
+	"github.com/chestnutfield/chestnutfield/handoff"
 	"github.com/chestnutfield/chestnutfield/membership"
 	"github.com/chestnutfield/chestnutfield/peer"
 	"github.com/chestnutfield/chestnutfield/settings"
@@ -47,6 +50,7 @@
 	members  *membership.Service
 	node     *peer.Node
 	balancer *balance.Balancer
+	handoff  *handoff.Balancer
 	keeper   *config.Keeper
 	clock    clockwork.Clock
 	stopping atomic.Bool
@@ -59,6 +63,7 @@
 		members:  do.MustInvoke[*membership.Service](i),
 		node:     do.MustInvoke[*peer.Node](i),
 		balancer: do.MustInvoke[*balance.Balancer](i),
+		handoff:  do.MustInvoke[*handoff.Balancer](i),
 		keeper:   do.MustInvoke[*config.Keeper](i),
 		clock:    do.MustInvoke[clockwork.Clock](i),
 	}, nil
@@ -104,10 +109,30 @@
 	slices.Sort(names)
 	return lo.Map(names, func(name string, _ int) api.PoolStatus {
 		return api.PoolStatus{
-			Name: name, Service: t.Pools[name].Service,
-			Targets: lo.Map(s.balancer.States(now, name), func(ts balance.TargetState, _ int) api.TargetStatus {
-				return api.TargetStatus{Addr: ts.Addr, FailureDomain: ts.FailureDomain, State: ts.State, InFlight: ts.InFlight}
+			Name: name, Service: t.Pools[name].Service, Targets: s.targets(now, name),
+			Owners: lo.Map(s.handoff.Owners(name), func(o handoff.GroupOwner, _ int) api.GroupOwner {
+				return api.GroupOwner{FailureDomain: o.Group.FailureDomain, Host: o.Host}
 			}),
 		}
 	})
 }
+
+// targets describes the targets of a pool. In flight are the requests that
+// this host dispatched directly and those that it dispatched as an owner; the
+// state of a target that this host owns is the one its owner acts on.
+func (s *status) targets(now time.Time, pool string) []api.TargetStatus {
+	self := s.members.Self().Name
+	owned := map[netip.AddrPort]balance.TargetState{}
+	for _, o := range s.handoff.Owners(pool) {
+		if o.Host == self {
+			maps.Copy(owned, lo.KeyBy(s.balancer.States(now, o.Group.String()), func(ts balance.TargetState) netip.AddrPort { return ts.Addr }))
+		}
+	}
+	return lo.Map(s.balancer.States(now, pool), func(ts balance.TargetState, _ int) api.TargetStatus {
+		t := api.TargetStatus{Addr: ts.Addr, FailureDomain: ts.FailureDomain, State: ts.State, InFlight: ts.InFlight}
+		if group, ok := owned[ts.Addr]; ok {
+			t.State, t.InFlight = group.State, t.InFlight+group.InFlight
+		}
+		return t
+	})
+}
--- a/host/deployment_test.go
+++ b/host/deployment_test.go
@@ -35,17 +35,24 @@
 	changes  int
 	// access protects the peers addresses.
 	access settings.Access
+	// connections bounds the connections of callers; 0 sets no bound.
+	connections int
 }
 
 func newDeployment(hosts, targets int) *deployment {
 	return newProtected(hosts, targets, settings.Access{})
 }
 
+func startPlatform() *platformd.Server {
+	p := platformd.New(platformd.Options{})
+	Expect(p.Start("127.0.0.1:0")).To(Succeed())
+	DeferCleanup(p.Close)
+	return p
+}
+
 // newProtected returns a deployment whose peers addresses are protected.
 func newProtected(hosts, targets int, access settings.Access) *deployment {
-	d := &deployment{platform: platformd.New(platformd.Options{}), runs: runlog.New(), access: access}
-	Expect(d.platform.Start("127.0.0.1:0")).To(Succeed())
-	DeferCleanup(d.platform.Close)
+	d := &deployment{platform: startPlatform(), runs: runlog.New(), access: access}
 	for i := range targets {
 		o := upstreamd.Defaults()
 		o.Seed, o.Log = uint64(i+1), d.runs
@@ -83,6 +90,7 @@
 	h, err := host.New(&settings.Settings{
 		Host:     settings.Host{Name: fmt.Sprintf("entry-%d", i), FailureDomain: domain(i), Handoff: true},
 		Listen:   settings.Listen{Callers: anyPort, Admin: anyPort, Peers: anyPort},
+		Limits:   settings.Limits{MaxCallerConnections: d.connections},
 		Peers:    settings.Peers{Access: d.access, Seeds: lo.Map(seeds, func(s string, _ int) netip.AddrPort { return netip.MustParseAddrPort(s) })},
 		Platform: settings.Platform{Table: d.platform.URL(), Objects: d.platform.URL(), Hosts: d.platform.URL()},
 	}, host.Options{})
--- a/host/forwarding.go
+++ b/host/forwarding.go
@@ -141,7 +141,7 @@
 		Clock:      do.MustInvoke[clockwork.Clock](i),
 		Registerer: side(do.MustInvoke[*prometheus.Registry](i), "callers"),
 		Logger:     do.MustInvoke[*zap.Logger](i).Named("callers"),
-		Limits:     limits(s),
+		Limits:     callersLimits(s),
 		Upstream:   upstream.Options{Dial: do.MustInvoke[Options](i).Dial, PeerTLS: clientTLS(peersTLS)},
 		PeerToken:  s.Peers.Token,
 	})
@@ -166,6 +166,13 @@
 	return peersSide{server}, err
 }
 
+// callersLimits are the limits of the callers' side.
+func callersLimits(s *settings.Settings) proxy.Limits {
+	l := limits(s)
+	l.Connections = s.Limits.MaxCallerConnections
+	return l
+}
+
 // limits are the limits of the forwarding path that the settings name.
 func limits(s *settings.Settings) proxy.Limits {
 	return proxy.Limits{
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -72,6 +72,8 @@
 	// LastRequests is how long kept connections stay open after a stop
 	// begins, so that a request on its way is still answered.
 	LastRequests time.Duration
+	// Connections bounds the connections of all callers; 0 sets no bound.
+	Connections int
 	// CallerLabels bounds the callers that have metrics of their own.
 	CallerLabels int
 }
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -32,6 +32,8 @@
 	listener net.Listener
 	// attempts counts attempts that run on goroutines of their own.
 	attempts sync.WaitGroup
+	// connections counts the open connections of callers.
+	connections atomic.Int64
 }
 
 // New returns a server that is ready to Serve.
@@ -170,16 +172,39 @@
 
 // Accept returns the next caller's connection.
 func (l *callerListener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		bound := int64(l.server.limits.Connections)
+		if open := l.server.connections.Add(1); bound > 0 && open > bound {
+			l.server.connections.Add(-1)
+			refuseConnection(nc)
+			continue
+		}
+		c := &callerConn{Conn: nc, server: l.server}
+		l.server.watcher.add(c)
+		return c, nil
 	}
-	c := &callerConn{Conn: nc, server: l.server}
-	l.server.watcher.add(c)
-	return c, nil
 }
 
-func (s *Server) forget(c *callerConn) { s.watcher.remove(c) }
+// connectionRefusal is the answer to a connection beyond the bound.
+const connectionRefusal = "HTTP/1.1 503 Service Unavailable\r\n" +
+	"Proxy-Status: chestnutfield; error=connection_limit_reached\r\n" +
+	headerOutcome + ": not-run\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+// refuseConnection answers before any request was read.
+func refuseConnection(nc net.Conn) {
+	_ = nc.SetWriteDeadline(time.Now().Add(time.Second))
+	_, _ = nc.Write([]byte(connectionRefusal))
+	_ = nc.Close()
+}
+
+func (s *Server) forget(c *callerConn) {
+	s.watcher.remove(c)
+	s.connections.Add(-1)
+}
 
 // CloseIdle closes upstream connections that were not used for a while and
 // returns their number. The embedder calls it now and then.
--- a/settings/load.go
+++ b/settings/load.go
@@ -118,13 +118,25 @@
 	return nil
 }
 
+// checkAccess checks that the certificates of an address are whole and load.
+func checkAccess(path, section string, a Access) error {
+	set := lo.CountBy([]string{a.Cert, a.Key, a.CA}, func(v string) bool { return v != "" })
+	if set != 0 && set != 3 {
+		return &Error{path, section, "tls_cert", "TLS is set in part", "tls_cert, tls_key and tls_ca, or none of them"}
+	}
+	if _, err := a.TLS(); err != nil {
+		return &Error{path, section, "tls_cert", err.Error(), "PEM files: a certificate, its key, and a certificate authority"}
+	}
+	return nil
+}
+
 // checkWhole checks what concerns several keys.
 func checkWhole(path string, s *Settings) error {
-	for section, a := range map[string]Access{"admin": s.Admin, "peers": s.Peers.Access} {
-		set := lo.CountBy([]string{a.Cert, a.Key, a.CA}, func(v string) bool { return v != "" })
-		if set != 0 && set != 3 {
-			return &Error{path, section, "tls_cert", "TLS is set in part", "tls_cert, tls_key and tls_ca, or none of them"}
-		}
+	if err := checkAccess(path, "admin", s.Admin); err != nil {
+		return err
+	}
+	if err := checkAccess(path, "peers", s.Peers.Access); err != nil {
+		return err
 	}
 	if !s.Listen.Admin.Addr().IsLoopback() && !s.Admin.Protected() {
 		return &Error{path, "admin", "token", "the admin address is off loopback and unprotected", "a token or TLS with client certificates"}
--- a/settings/load_test.go
+++ b/settings/load_test.go
@@ -72,6 +72,7 @@
 		Entry("peers off loopback without token", "peers = 127.0.0.1:7003", "peers = 0.0.0.0:7003", "peers", "token"),
 		Entry("peers at no certain address", "peers = 127.0.0.1:7003\n", "peers = 0.0.0.0:7003\n[peers]\ntoken = t\n", "listen", "peers"),
 		Entry("bad seed", "[limits]", "[peers]\nseeds = 127.0.0.1:7003, there\n[limits]", "peers", "seeds"),
+		Entry("TLS without its files", "token =", "tls_cert = /no/a.pem\ntls_key = /no/b.pem\ntls_ca = /no/c.pem", "admin", "tls_cert"),
 		Entry("TLS in part", "token =", "tls_cert = a.pem", "admin", "tls_cert"),
 	)
 
