--- a/cmd/chestnutd/main.go
+++ b/cmd/chestnutd/main.go
@@ -87,5 +87,5 @@
 	c.DisableCaller = true
 	c.DisableStacktrace = true
 	c.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
-	return c.Build()
+	return c.Build(zap.WrapCore(func(core zapcore.Core) zapcore.Core { return plainErrors{core} }))
 }
--- /dev/null
+++ b/host/metrics_test.go
@@ -0,0 +1,49 @@
+package host_test
+
+import (
+	"os"
+	"regexp"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/chestnutfield/chestnutfield/host"
+	"github.com/chestnutfield/chestnutfield/settings"
+)
+
+// names returns the distinct first groups of a pattern in a text.
+func names(pattern, text string, into map[string]bool) {
+	for _, found := range regexp.MustCompile(pattern).FindAllStringSubmatch(text, -1) {
+		into[found[1]] = true
+	}
+}
+
+var _ = Describe("metrics", func() {
+	It("are all on the page of operators, and no others", func() {
+		page, err := os.ReadFile("../docs/OPERATIONS.md")
+		Expect(err).NotTo(HaveOccurred())
+		documented, exported := map[string]bool{}, map[string]bool{}
+		names("`(chestnut_[a-z_]+)", string(page), documented)
+
+		registry := prometheus.NewRegistry()
+		platform := startPlatform()
+		h, err := host.New(&settings.Settings{
+			Host:     settings.Host{Name: "entry-0", FailureDomain: "a"},
+			Listen:   settings.Listen{Callers: anyPort, Admin: anyPort, Peers: anyPort},
+			Platform: settings.Platform{Table: platform.URL(), Objects: platform.URL(), Hosts: platform.URL()},
+		}, host.Options{Registry: registry})
+		Expect(err).NotTo(HaveOccurred())
+		h.Start()
+		DeferCleanup(h.Kill)
+		descs := make(chan *prometheus.Desc)
+		go func() {
+			registry.Describe(descs)
+			close(descs)
+		}()
+		for d := range descs {
+			names(`fqName: "([a-z_]+)"`, d.String(), exported)
+		}
+		Expect(documented).To(Equal(exported))
+	})
+})
