lab: capacity measures what hosts cost without calls

Change: chestnutlab capacity starts hosts over sizes and reports processor time, heap, peer bytes, table service items and the time to be in force.

--- a/cmd/chestnutlab/main.go
+++ b/cmd/chestnutlab/main.go
@@ -15,6 +15,7 @@
 	Platform platformCommand `cmd:"" help:"Run the stand-in platform: table service, object store, host list."`
 	Upstream upstreamCommand `cmd:"" help:"Run stand-in targets."`
 	Load     loadCommand     `cmd:"" help:"Send open-loop load."`
+	Capacity capacityCommand `cmd:"" help:"Measure what hosts cost without calls, over hosts and targets."`
 	Run      runCommand      `cmd:"" help:"Run an experiment file over embedded entry hosts."`
 	Report   reportCommand   `cmd:"" help:"Make tables and plots of the results of an experiment."`
 }
