--- a/balance/faults_test.go
+++ b/balance/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -145,6 +146,32 @@
 		Expect(len(countPicks(b, start.Add(3*time.Second), 60, verdict(ports.Abandoned)))).To(BeNumerically(">=", 3))
 	})
 
+	It("isn't seen in batch that takes its own time among lookups", func() {
+		b = newBalancer(balance.Options{}, balance.PoolSpec{Targets: targets(6)})
+		drive(b, start, time.Second, gap, sound)
+		for i := range 60 {
+			now := start.Add(time.Second + time.Duration(i)*20*time.Millisecond)
+			export, ok := b.Pick(ports.PickQuery{Pool: "p", Class: table.Batch, Now: now})
+			Expect(ok).To(BeTrue())
+			if i%2 == 0 {
+				export.Done(now.Add(2*time.Second), succeeded(2*time.Second))
+			}
+			drive(b, now, 20*time.Millisecond, gap, sound)
+		}
+		for _, s := range b.States(start.Add(3*time.Second), "p") {
+			Expect(s.State).To(Equal("ready"))
+			Expect(s.Latency).To(BeNumerically("<=", 2*service))
+		}
+	})
+
+	It("isn't seen in one long request while others are answered", func() {
+		b = newBalancer(balance.Options{}, balance.PoolSpec{Targets: targets(2), Policy: balance.RoundRobin})
+		drive(b, start, time.Second, gap, sound)
+		long := pick(b, start.Add(time.Second))
+		drive(b, start.Add(time.Second), time.Second, gap, sound)
+		Expect(stateOf(b, start.Add(2*time.Second), int(long.Target().Port())-9000).State).To(Equal("ready"))
+	})
+
 	It("that is new in a pool starts with a small share", func() {
 		b = newBalancer(balance.Options{}, balance.PoolSpec{Targets: targets(3), Policy: balance.Random})
 		Expect(b.Update(start, map[string]balance.PoolSpec{"p": {Targets: targets(4), Policy: balance.Random}})).To(Succeed())
@@ -161,12 +188,14 @@
 			b := newBalancer(balance.Options{}, balance.PoolSpec{Targets: targets(6), Policy: balance.P2CShared})
 			f := succeeded(0)
 			f.LoadReport = report
+			calls := 0
 			honest := func(i int, now time.Time) (time.Duration, ports.Feedback) {
 				if i == 0 {
 					return latency, f
 				}
+				calls++
 				_, f := sound(i, now)
-				f.LoadReport = "TEXT named_metrics.in_flight=2, named_metrics.queued=2"
+				f.LoadReport = fmt.Sprintf("TEXT named_metrics.in_flight=2, named_metrics.queued=%d", 1+calls%3)
 				return 2 * service, f
 			}
 			drive(b, start, 4*time.Second, gap, honest)
@@ -175,9 +204,20 @@
 		},
 		Entry("idle while calls are slow", 7*service, "TEXT named_metrics.in_flight=0, named_metrics.queued=0"),
 		Entry("frozen high while calls are fast", service/4, "TEXT named_metrics.in_flight=2, named_metrics.queued=9"),
+		Entry("frozen while calls agree", 2*service, "TEXT named_metrics.in_flight=2, named_metrics.queued=2"),
 		Entry("absurd", service, "TEXT named_metrics.in_flight=-7, named_metrics.queued=1e30"),
 	)
 
+	It("of an idle pool may stay at zero", func() {
+		b := newBalancer(balance.Options{}, balance.PoolSpec{Targets: targets(3), Policy: balance.RoundRobin})
+		drive(b, start, 4*time.Second, 30*time.Millisecond, func(int, time.Time) (time.Duration, ports.Feedback) {
+			f := succeeded(0)
+			f.LoadReport = "TEXT named_metrics.in_flight=0, named_metrics.queued=0"
+			return service, f
+		})
+		Expect(stateOf(b, start, 0).Trust).To(Equal(1.0))
+	})
+
 	It("of a peer count when they are newer, and travel on", func() {
 		b := newBalancer(balance.Options{}, balance.PoolSpec{Targets: targets(2), Policy: balance.P2CShared})
 		_, answer := sound(0, start)
--- a/limit/core.go
+++ b/limit/core.go
@@ -20,8 +20,11 @@
 	foregroundMemory = time.Second
 	// pressedWait is the wait of a lookup or order, in latencies, from which
 	// batch is held to its floor, and pressedMemory for how long.
-	pressedWait   = 2
-	pressedMemory = 250 * time.Millisecond
+	pressedWait = 2
+	// pressedInflation is the inflation of a lookup's or order's latency that
+	// does the same: it waits at the targets.
+	pressedInflation = 2.5
+	pressedMemory    = 250 * time.Millisecond
 	// sweepInterval is the time between two looks at what can't be met.
 	sweepInterval = 5 * time.Millisecond
 	// minRetryAfter is the shortest hint of a refusal.
@@ -76,18 +79,24 @@
 	all     gate
 	batches gate
 	classes [classCount]latency
+	mix     latency
 	queue   *fair.Queue[*waiter]
 	// foreground is the time of the last lookup or order.
 	foreground time.Time
-	// pressed is the time at which a lookup or order last faced a long wait.
+	// pressed is the time at which a lookup or order last faced a long wait,
+	// here or at the targets.
 	pressed time.Time
 	swept   time.Time
 }
 
-func newCore(b bounds, newLimiter func(limit, tolerance float64) Limiter) *core {
+// makeLimiter makes a limiter from its starting limit and the inflation of
+// latency that it tolerates.
+type makeLimiter func(limit, tolerance float64) Limiter
+
+func newCore(b bounds, total, batch makeLimiter) *core {
 	c := &core{
-		total: newLimiter(b.start, totalTolerance),
-		batch: newLimiter(b.start/2, batchTolerance),
+		total: total(b.start, totalTolerance),
+		batch: batch(b.start/2, batchTolerance),
 		queue: fair.New[*waiter](lookupWeight, orderWeight, batchWeight),
 	}
 	c.rebound(b)
@@ -162,19 +171,8 @@
 	return time.Duration(float64(rank+1) * float64(latency) / c.batchLimit(now))
 }
 
-// poolLatency returns the highest smoothed latency of the measured classes.
-func (c *core) poolLatency() time.Duration {
-	var d time.Duration
-	for i := range c.classes {
-		if c.classes[i].samples > 0 {
-			d = max(d, c.classes[i].short)
-		}
-	}
-	if d == 0 {
-		return initialLatency
-	}
-	return d
-}
+// poolLatency returns the smoothed latency of all classes as they are mixed.
+func (c *core) poolLatency() time.Duration { return c.mix.smoothed() }
 
 // batchLimit keeps half of the limit clear of batch while lookups or orders
 // come, and all but the floor while they wait for long.
@@ -217,6 +215,10 @@
 	lat := &c.classes[class]
 	if r.Verdict == ports.Succeeded || r.Verdict == ports.TimedOut {
 		lat.observe(r.Latency)
+		c.mix.observe(r.Latency)
+	}
+	if class != batchClass && lat.inflation() > pressedInflation {
+		c.pressed = now
 	}
 	signal := Signal{
 		Now: now, Verdict: r.Verdict, InFlight: c.all.inFlight,
