Specs for kept connections that close as a request is written

Protection taken out to see its spec fail: the second pick without exclusions after a loss on a kept connection.

--- a/proxy/outcome_test.go
+++ b/proxy/outcome_test.go
@@ -138,6 +138,36 @@
 			"GET /specs/a HTTP/1.1\r\nHost: h\r\nChestnut-Retries: 0\r\n\r\n", func(*bed) {}),
 	)
 
+	Context("on a kept connection that closes as the request is written", func() {
+		// second answers the first request of its first connection only.
+		second := func(u *rawConn) {
+			for n := 1; ; n++ {
+				if _, _, ok := u.request(); !ok || u.number == 1 && n == 2 {
+					return
+				}
+				u.send(okAnswer)
+			}
+		}
+
+		It("leaves an order unknown", func() {
+			other := newUpstream(always(okAnswer))
+			up := newUpstream(second)
+			b := newBed([]*rawUpstream{up, other})
+			b.ask(postOrder)
+			resp, _ := b.ask(postOrder)
+			expectOwn(resp, 502, outcome.Unknown)
+			Expect(up.conns.Load()).To(BeEquivalentTo(1))
+			Expect(other.read()).To(BeEmpty())
+		})
+
+		It("sends a lookup to the same target again when there is no other", func() {
+			b := newBed([]*rawUpstream{newUpstream(second)})
+			b.ask(getSpec)
+			resp, _ := b.ask(getSpec)
+			Expect(resp.StatusCode).To(Equal(200))
+		})
+	})
+
 	It("passes on a 5xx when nothing better is had", func() {
 		up := newUpstream(always("HTTP/1.1 500 Oops\r\nContent-Length: 2\r\n\r\nno"))
 		resp, body := newBed([]*rawUpstream{up}).ask(getSpec)
