limit: one slow target doesn't speak for its pool

Change: a call counts at most four times the smoothed latency of its class; the mix of classes, by which waits are expected, keeps whole samples.

Checked: without the bound the new spec fails.

--- a/limit/core.go
+++ b/limit/core.go
@@ -79,8 +79,9 @@
 	all     gate
 	batches gate
 	classes [classCount]latency
-	mix     latency
-	queue   *fair.Queue[*waiter]
+	// mix is the smoothed latency of all classes as they are mixed.
+	mix   time.Duration
+	queue *fair.Queue[*waiter]
 	// foreground is the time of the last lookup or order.
 	foreground time.Time
 	// pressed is the time at which a lookup or order last faced a long wait,
@@ -97,6 +98,7 @@
 	c := &core{
 		total: total(b.start, totalTolerance),
 		batch: batch(b.start/2, batchTolerance),
+		mix:   initialLatency,
 		queue: fair.New[*waiter](lookupWeight, orderWeight, batchWeight),
 	}
 	c.rebound(b)
@@ -121,7 +123,7 @@
 	if reason, after := c.refusal(now, w); reason != 0 {
 		return append(decided, w.refuse(reason, after))
 	}
-	if w.class != batchClass && c.expectedWait(now, w) > pressedWait*c.poolLatency() {
+	if w.class != batchClass && c.expectedWait(now, w) > pressedWait*c.mix {
 		c.pressed = now
 	}
 	w.item = c.queue.Push(w.class, w.caller, w)
@@ -163,7 +165,7 @@
 
 // waitAt returns the wait of the request with rank others before it.
 func (c *core) waitAt(rank int) time.Duration {
-	return time.Duration(float64(rank+1) * float64(c.poolLatency()) / c.total.Limit())
+	return time.Duration(float64(rank+1) * float64(c.mix) / c.total.Limit())
 }
 
 func (c *core) batchWaitAt(now time.Time, rank int) time.Duration {
@@ -171,9 +173,6 @@
 	return time.Duration(float64(rank+1) * float64(latency) / c.batchLimit(now))
 }
 
-// poolLatency returns the smoothed latency of all classes as they are mixed.
-func (c *core) poolLatency() time.Duration { return c.mix.smoothed() }
-
 // batchLimit keeps half of the limit clear of batch while lookups or orders
 // come, and all but the floor while they wait for long.
 func (c *core) batchLimit(now time.Time) float64 {
@@ -215,7 +214,7 @@
 	lat := &c.classes[class]
 	if r.Verdict == ports.Succeeded || r.Verdict == ports.TimedOut {
 		lat.observe(r.Latency)
-		c.mix.observe(r.Latency)
+		c.mix = follow(c.mix, r.Latency, mixWeight)
 	}
 	if class != batchClass && lat.inflation() > pressedInflation {
 		c.pressed = now
--- a/limit/core_test.go
+++ b/limit/core_test.go
@@ -30,7 +30,7 @@
 	for i := range c.classes {
 		c.classes[i] = latency{short: 20 * time.Millisecond, base: 20 * time.Millisecond, samples: 100}
 	}
-	c.mix = c.classes[lookupClass]
+	c.mix = 20 * time.Millisecond
 	return c
 }
 
@@ -140,6 +140,22 @@
 		Expect(c.batchLimit(start)).To(Equal(0.2))
 	})
 
+	It("doesn't take one slow target for a loaded pool", func() {
+		var l latency
+		rng, above := rand.New(rand.NewPCG(1, 2)), 0
+		for i := range 4000 {
+			took := rng.ExpFloat64() * float64(20*time.Millisecond)
+			if i%50 == 49 {
+				took = float64(400 * time.Millisecond)
+			}
+			l.observe(time.Duration(took))
+			if l.inflation() > pressedInflation {
+				above++
+			}
+		}
+		Expect(above).To(BeNumerically("<", 80), "2 in 100, as many as are slow")
+	})
+
 	It("doesn't take the time of exports for that of lookups", func() {
 		c := testCore()
 		for i := range 200 {
--- a/limit/latency.go
+++ b/limit/latency.go
@@ -7,10 +7,15 @@
 	initialLatency = 20 * time.Millisecond
 	// shortWeight is the weight of a sample in the smoothed latency.
 	shortWeight = 0.1
+	// mixWeight is the weight of a sample in the latency of mixed classes.
+	mixWeight = 0.05
 	// baseFall and baseRise are the weights by which the uncongested latency
 	// follows the smoothed one downward and upward.
 	baseFall = 0.02
 	baseRise = 0.001
+	// clip times the smoothed latency is the most that one call counts, so that
+	// one slow target doesn't speak for its pool.
+	clip = 4
 	// minSamples is the number of samples before inflation is told.
 	minSamples = 40
 )
@@ -27,6 +32,9 @@
 		l.short, l.base = d, d
 		return
 	}
+	if l.samples > minSamples {
+		d = min(d, clip*l.short)
+	}
 	l.short = follow(l.short, d, max(shortWeight, 1/float64(l.samples)))
 	weight := baseRise
 	switch {
