--- a/proxy/outcome_test.go
+++ b/proxy/outcome_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -182,6 +184,43 @@
 		Expect(b.balancer.feedback()[0].Verdict).To(Equal(ports.Abandoned))
 	})
 
+	It("cancels a download whose caller goes away", func() {
+		closed := make(chan struct{})
+		up := newUpstream(func(u *rawConn) {
+			u.request()
+			u.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbend\r\n")
+			u.waitClosed()
+			close(closed)
+		})
+		b := newBed([]*rawUpstream{up})
+		c := b.dial()
+		c.send(getSpec)
+		_, err := c.br.Peek(1)
+		Expect(err).NotTo(HaveOccurred())
+		c.Close()
+		Eventually(closed, "10s").Should(BeClosed())
+		Eventually(b.balancer.inFlight, "10s").Should(BeZero())
+	})
+
+	It("answers pipelined requests in their order", func() {
+		up := newUpstream(func(u *rawConn) {
+			for {
+				req, _, ok := u.request()
+				if !ok {
+					return
+				}
+				u.send(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%s", req.URL.Path[len("/specs/"):]))
+			}
+		})
+		c := newBed([]*rawUpstream{up}).dial()
+		c.send(getSpec + strings.Replace(getSpec, "/a", "/b", 1) + strings.Replace(getSpec, "/a", "/c", 1))
+		for _, want := range []string{"a", "b", "c"} {
+			_, body, err := c.answer("GET")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(body).To(Equal(want))
+		}
+	})
+
 	It("hedges a lookup and cancels the loser", func() {
 		closed := make(chan struct{})
 		slow := newUpstream(func(u *rawConn) {
@@ -208,6 +247,25 @@
 		expectOwn(resp, 503, outcome.NotRun)
 	})
 
+	It("hedges a lookup whose first target does not let it connect", func() {
+		dark, bright := newUpstream(silent), newUpstream(always(okAnswer))
+		b := newBed([]*rawUpstream{dark, bright}, func(o *Options, _ *table.Tables) {
+			o.Upstream.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+				if address == dark.addr().String() {
+					<-ctx.Done()
+					return nil, ctx.Err()
+				}
+				return (&net.Dialer{}).DialContext(ctx, network, address)
+			}
+		}, withRoute("lookup", func(r *table.Route) { r.HedgeAfter = time.Millisecond }))
+		_, body := b.ask(getSpec)
+		Expect(body).To(Equal("done"))
+		Eventually(b.balancer.inFlight, "10s").Should(BeZero())
+		for _, f := range b.balancer.feedback() {
+			Expect(f.ConnectFailed).To(BeFalse())
+		}
+	})
+
 	It("keeps to its share of a target's connections", func() {
 		release := make(chan struct{})
 		up := newUpstream(func(u *rawConn) {
