handoff: queued batch is no load to lookups

Cause: the backlog that an owner reports held queued batch, which lookups and orders overtake. In a batch flood lookups took groups with long batch queues for loaded and gathered at one group.

Change: the meter counts batch from its permit on.

Checked: with the meter as it was the entry for batch fails.

--- a/handoff/handoff_test.go
+++ b/handoff/handoff_test.go
@@ -138,6 +138,14 @@
 	})
 })
 
+// whileQueued refuses and calls back while the request waits.
+type whileQueued func()
+
+func (f whileQueued) Admit(context.Context, ports.AdmitQuery) (ports.Permit, *ports.Refusal) {
+	f()
+	return nil, &ports.Refusal{Reason: outcome.QueueFull}
+}
+
 type refuseAll struct{}
 
 func (refuseAll) Admit(context.Context, ports.AdmitQuery) (ports.Permit, *ports.Refusal) {
@@ -171,6 +179,28 @@
 		Expect(r.Service).To(BeZero())
 	})
 
+	DescribeTable("counts what a lookup would wait for",
+		func(class table.Class, queued int) {
+			var m *handoff.Meter
+			m = handoff.NewMeter(whileQueued(func() {
+				r, _ := m.Report("p@a")
+				Expect(r.Backlog).To(Equal(queued))
+			}))
+			m.SetSlots(map[string]int{"p@a": 8})
+			_, _ = m.Admit(context.Background(), ports.AdmitQuery{Pool: "p@a", Class: class})
+			r, _ := m.Report("p@a")
+			Expect(r.Backlog).To(BeZero())
+			admitting := handoff.NewMeter(nil)
+			admitting.SetSlots(map[string]int{"p@a": 8})
+			_, _ = admitting.Admit(context.Background(), ports.AdmitQuery{Pool: "p@a", Class: class})
+			r, _ = admitting.Report("p@a")
+			Expect(r.Backlog).To(Equal(1))
+		},
+		Entry("lookups in the queue", table.Lookup, 1),
+		Entry("orders in the queue", table.Order, 1),
+		Entry("no batch in the queue, which they overtake", table.Batch, 0),
+	)
+
 	It("forgets refused requests and unknown groups", func() {
 		m := handoff.NewMeter(refuseAll{})
 		m.SetSlots(map[string]int{"p@a": 8})
--- a/handoff/meter.go
+++ b/handoff/meter.go
@@ -7,6 +7,7 @@
 
 	"github.com/chestnutfield/chestnutfield/owner"
 	"github.com/chestnutfield/chestnutfield/ports"
+	"github.com/chestnutfield/chestnutfield/table"
 )
 
 // serviceWeight is the share of a new sample in the smoothed service time.
@@ -74,21 +75,29 @@
 	return FormatReport(r), true
 }
 
-// Admit counts the request from now until its permit is released.
+// Admit counts the request from now until its permit is released, and batch
+// only from its permit on: lookups and orders overtake queued batch, so that it
+// is no load to them.
 func (m *Meter) Admit(ctx context.Context, q ports.AdmitQuery) (ports.Permit, *ports.Refusal) {
 	g := m.find(q.Pool)
 	if g == nil {
 		g = &groupMeter{}
 	}
-	g.add(1)
+	queued := 1
+	if q.Class == table.Batch {
+		queued = 0
+	}
+	g.add(queued)
 	if m.next == nil {
+		g.add(1 - queued)
 		return &meteredPermit{group: g}, nil
 	}
 	permit, refusal := m.next.Admit(ctx, q)
 	if refusal != nil {
-		g.add(-1)
+		g.add(-queued)
 		return nil, refusal
 	}
+	g.add(1 - queued)
 	return &meteredPermit{group: g, next: permit}, nil
 }
 
