--- a/host/forwarding.go
+++ b/host/forwarding.go
@@ -128,6 +128,10 @@
 
 func newCallersSide(i do.Injector) (callersSide, error) {
 	s := do.MustInvoke[*settings.Settings](i)
+	peersTLS, err := s.Peers.TLS()
+	if err != nil {
+		return callersSide{}, err
+	}
 	handover := do.MustInvoke[*handoff.Balancer](i)
 	server, err := proxy.New(proxy.Options{
 		Tables:     do.MustInvoke[ports.Tables](i),
@@ -139,8 +143,8 @@
 		Clock:      do.MustInvoke[clockwork.Clock](i),
 		Registerer: side(do.MustInvoke[*prometheus.Registry](i), "callers"),
 		Logger:     do.MustInvoke[*zap.Logger](i).Named("callers"),
-		Limits:     limits(s),
-		Upstream:   upstream.Options{Dial: do.MustInvoke[Options](i).Dial},
+		Limits:     callersLimits(s),
+		Upstream:   upstream.Options{Dial: do.MustInvoke[Options](i).Dial, PeerTLS: clientTLS(peersTLS)},
 		PeerToken:  s.Peers.Token,
 	})
 	return callersSide{server}, err
@@ -164,6 +168,13 @@
 	return peersSide{server}, err
 }
 
+// callersLimits are the limits of the callers' side.
+func callersLimits(s *settings.Settings) proxy.Limits {
+	l := limits(s)
+	l.Connections = s.Limits.MaxCallerConnections
+	return l
+}
+
 // limits are the limits of the forwarding path that the settings name.
 func limits(s *settings.Settings) proxy.Limits {
 	return proxy.Limits{
