proxy: an owner that can't be connected to costs no retry

The attempt found the owner's address closed, and going on took a retry from the budget, which on hosts that had joined seconds before holds one token.

Change: the budget bounds the load on targets; an attempt whose owner was never connected to put none there, so the next one is free. The bound of two further attempts for what did not run stays.

Protection taken out: without the exemption the new test fails.

Conclusion: mended for connections that can't be opened. A lookup lost on an open connection to the owner still needs the budget.

--- a/proxy/call.go
+++ b/proxy/call.go
@@ -56,9 +56,12 @@
 	hedge   clockwork.Timer
 	// stale is true when the last attempt was lost on a kept connection;
 	// result is how it ended.
-	stale  bool
-	result ports.Result
-	once   sync.Once
+	stale bool
+	// unreached is true when the last attempt's owner could not be connected
+	// to: no target saw anything of it.
+	unreached bool
+	result    ports.Result
+	once      sync.Once
 }
 
 // orderClaim is a granted claim of an order key.
--- a/proxy/drive.go
+++ b/proxy/drive.go
@@ -162,6 +162,9 @@
 	switch {
 	case budget == nil:
 		return !act.Budgeted || c.end().Outcome == outcome.NotRun
+	case act.Budgeted && c.ownerUnreached():
+		// The budget bounds the load on targets; this attempt put none there.
+		return true
 	case act.Budgeted:
 		return budget.Withdraw(pool, now)
 	default:
@@ -170,6 +173,13 @@
 	}
 }
 
+// ownerUnreached says that the last attempt ended before its owner had it.
+func (c *call) ownerUnreached() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unreached
+}
+
 // lastWasStale says that the last attempt was lost on a kept connection, so
 // that its target may be tried again.
 func (c *call) lastWasStale() bool {
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -98,6 +98,9 @@
 	if errors.Is(err, upstream.ErrConnectionLimit) {
 		reason, verdict = outcome.LimitReached, ports.Abandoned
 	}
+	if _, peer := groupOf(t.attempt); peer {
+		c.noteUnreached()
+	}
 	act := c.step(attempt.Event{Kind: attempt.ConnectFailed, Attempt: t.number, Reason: reason})
 	if act.Kind == attempt.Abandon {
 		verdict = ports.Abandoned
@@ -131,6 +134,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stale, c.result = stale, t.feedback.Result
+	c.unreached = false
+}
+
+// noteUnreached keeps that the owner of the last attempt was not reached.
+func (c *call) noteUnreached() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unreached = true
 }
 
 // converse sends the request and reads the answer as far as it is held.
--- a/proxy/peerside_test.go
+++ b/proxy/peerside_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"net"
 	"net/netip"
 	"slices"
 
@@ -73,6 +74,20 @@
 		Expect(up.conns.Load()).To(BeEquivalentTo(1))
 	})
 
+	It("goes on past an owner that can't be connected to, whatever the retry budget", func() {
+		up := newUpstream(always(okAnswer))
+		gone, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		dead := netip.MustParseAddrPort(gone.Addr().String())
+		Expect(gone.Close()).To(Succeed())
+		owner := newOwner([]*rawUpstream{up})
+		receiver, _ := newReceiver([]netip.AddrPort{dead, owner.addrPort()}, func(o *Options, _ *table.Tables) {
+			o.Retries = &budgetFake{}
+		})
+		resp, _ := receiver.ask("GET /specs/1 HTTP/1.1\r\nHost: h\r\n\r\n")
+		Expect(resp.StatusCode).To(Equal(200))
+	})
+
 	It("answers not-run when no owner ran an order", func() {
 		behind := newOwner(nil, noPools)
 		b, _ := newReceiver([]netip.AddrPort{behind.addrPort()})
