limit: a class that fills its queue takes no place of another

Cause: the bound of 512 queued requests held for a pool as a whole. A batch flood with a deadline of 5 s fills it, and then every lookup and order is refused queue-full although the fair queue would have served it next. Change: the bound holds for each class of a pool. The queue tells the length of a class. Conclusion: a focused test fills the queue with batch and asks for a lookup and an order; it fails with the bound on the whole pool put back.

--- a/limit/core.go
+++ b/limit/core.go
@@ -10,7 +10,8 @@
 )
 
 const (
-	// maxQueued is the highest number of requests queued for one pool.
+	// maxQueued is the highest number of requests of one class queued for one
+	// pool, so that a class which fills its queue takes no place of another.
 	maxQueued = 512
 	// maxQueuedCaller is the highest number that one caller may have queued
 	// for one pool.
@@ -125,7 +126,7 @@
 	switch {
 	case c.queue.CallerLen(w.class, w.caller) >= maxQueuedCaller:
 		return outcome.LimitReached, wait
-	case c.queue.Len() >= maxQueued:
+	case c.queue.ClassLen(w.class) >= maxQueued:
 		return outcome.QueueFull, wait
 	case wait > 0 && c.misses(now, w, wait):
 		return outcome.QueueFull, wait
--- a/limit/core_test.go
+++ b/limit/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -115,6 +116,16 @@
 		Entry("orders at three quarters of the limit", orderClass, 150),
 		Entry("few lookups", lookupClass, 30))
 
+	It("takes lookups and orders while the queue is full of batch", func() {
+		c := testCore()
+		for i := range 2 * maxQueued {
+			ask(c, start, batchClass, strconv.Itoa(i), time.Hour)
+		}
+		Expect(ask(c, start, batchClass, "late", time.Hour).refusal.Reason).To(Equal(outcome.QueueFull))
+		Expect(ask(c, start, lookupClass, "a", time.Second).refusal).To(BeNil())
+		Expect(ask(c, start, orderClass, "a", time.Second).refusal).To(BeNil())
+	})
+
 	It("holds batch to its floor while lookups wait for long", func() {
 		c := testCore()
 		c.batch = NewAIMD(4, 1e9)
--- a/limit/fair/queue.go
+++ b/limit/fair/queue.go
@@ -63,6 +63,9 @@
 // Len returns the number of queued items.
 func (q *Queue[T]) Len() int { return q.len }
 
+// ClassLen returns the number of queued items of one class.
+func (q *Queue[T]) ClassLen(classNo int) int { return len(q.classes[classNo].items) }
+
 // CallerLen returns the number of queued items of one caller in one class.
 func (q *Queue[T]) CallerLen(classNo int, name string) int {
 	if c, ok := q.classes[classNo].callers[name]; ok {
