handoff, owner: unreachable owners cost one request a second, not a burst

Cause: after its second of suspension a group whose owner can't be reached was open to every request until the first connect timeout, and each of them took a retry. While no owner could be reached, requests went to targets directly without any admission, since the pool still had groups: a flooding caller filled the targets and lookups ended in 504. Change: after Unreachable one request at a time tries the group until it answers. Admission asks the direct limit while no group is open. Conclusion: focused tests in owner and handoff; each fails with its protection taken out (no renewed suspension; admission as before).

--- a/handoff/admission.go
+++ b/handoff/admission.go
@@ -15,7 +15,8 @@
 }
 
 // Admission returns the admission that goes with the balancer. Without an
-// owner to hand to, requests of a pool are admitted by next.
+// owner to hand to, or while none can be reached, requests of a pool are
+// admitted by next.
 func (b *Balancer) Admission(next ports.Admission) ports.Admission {
 	return &admission{balancer: b, next: next}
 }
@@ -28,8 +29,16 @@
 	return a.next.Admit(ctx, q)
 }
 
-// handsOver reports whether a pool has groups with owners.
-func (b *Balancer) handsOver(pool string) bool { return b.view.Load().pools[pool] != nil }
+// handsOver reports whether a pool has groups whose owners can be reached.
+func (b *Balancer) handsOver(pool string) bool {
+	s := b.view.Load().pools[pool]
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.chooser.Open(b.opts.Clock.Now())
+}
 
 // freePermit holds nothing.
 type freePermit struct{}
--- a/handoff/attempt.go
+++ b/handoff/attempt.go
@@ -37,6 +37,9 @@
 		a.shard.chooser.Unreachable(now, a.group)
 		return
 	}
+	if d.Verdict == ports.Succeeded || d.GroupLoad != "" {
+		a.shard.chooser.Reached(a.group)
+	}
 	if d.GroupLoad == "" {
 		return
 	}
--- a/handoff/balancer.go
+++ b/handoff/balancer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/lo"
 
@@ -31,6 +32,8 @@
 	FarDistance time.Duration
 	// Seed makes choices repeatable.
 	Seed uint64
+	// Clock gives the time of admission; nil selects the real clock.
+	Clock clockwork.Clock
 	// Registerer takes the metrics; nil keeps none.
 	Registerer prometheus.Registerer
 }
@@ -75,6 +78,9 @@
 	if opts.FarDistance == 0 {
 		opts.FarDistance = defaultFarDistance
 	}
+	if opts.Clock == nil {
+		opts.Clock = clockwork.NewRealClock()
+	}
 	b := &Balancer{opts: opts, metrics: newMetrics(opts.Registerer)}
 	b.view.Store(&view{})
 	return b
--- a/handoff/handoff_test.go
+++ b/handoff/handoff_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -123,6 +124,16 @@
 		permit.Release(start, ports.Result{})
 	})
 
+	It("asks for what it dispatches directly while no owner can be reached", func() {
+		b = handoff.New(handoff.Options{Self: peers(1)[0].Member, Direct: d, Clock: clockwork.NewFakeClockAt(start)})
+		b.Update(peers(18), pool())
+		for range 3 {
+			pick().Done(start, ports.Feedback{ConnectFailed: true})
+		}
+		_, refusal := b.Admission(refuseAll{}).Admit(context.Background(), ports.AdmitQuery{Pool: "p"})
+		Expect(refusal).NotTo(BeNil())
+	})
+
 	It("learns load from answers, once each", func() {
 		b.Update(peers(18), pool())
 		first := pick()
--- a/host/forwarding.go
+++ b/host/forwarding.go
@@ -79,6 +79,7 @@
 		Self:       owner.Member{Name: s.Host.Name, FailureDomain: s.Host.FailureDomain},
 		Direct:     do.MustInvoke[*balance.Balancer](i),
 		Seed:       uint64(do.MustInvoke[Seed](i)),
+		Clock:      do.MustInvoke[clockwork.Clock](i),
 		Registerer: do.MustInvoke[*prometheus.Registry](i),
 	}), nil
 }
--- a/owner/chooser.go
+++ b/owner/chooser.go
@@ -66,6 +66,9 @@
 	sentSince int
 	// suspendedUntil ends a pause after the owner could not be reached.
 	suspendedUntil time.Time
+	// unreached is true from then until the owner answers; one request at a
+	// time tries it meanwhile.
+	unreached bool
 }
 
 // Chooser picks a group of one pool for each request. It is not safe for
@@ -113,9 +116,17 @@
 	chosen := open[c.draw(c.shares(now, open))]
 	chosen.inFlight++
 	chosen.sentSince++
+	if chosen.unreached {
+		chosen.suspendedUntil = now.Add(suspendFor)
+	}
 	return chosen.spec.Group, true
 }
 
+// Open reports whether Pick would find a group.
+func (c *Chooser) Open(now time.Time) bool {
+	return slices.ContainsFunc(c.groups, func(s *groupState) bool { return s.open(now) })
+}
+
 // shares returns the part of the coming requests that each group should get.
 func (c *Chooser) shares(now time.Time, open []*groupState) []float64 {
 	mean := c.mean(now)
@@ -165,10 +176,17 @@
 }
 
 // Unreachable passes over a group for a moment after its owner could not be
-// reached.
+// reached. Then one request at a time tries it, until Reached.
 func (c *Chooser) Unreachable(now time.Time, g Group) {
 	if state := c.find(g); state != nil {
-		state.suspendedUntil = now.Add(suspendFor)
+		state.suspendedUntil, state.unreached = now.Add(suspendFor), true
+	}
+}
+
+// Reached ends the caution that Unreachable began.
+func (c *Chooser) Reached(g Group) {
+	if state := c.find(g); state != nil && state.unreached {
+		state.unreached, state.suspendedUntil = false, time.Time{}
 	}
 }
 
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -138,6 +138,26 @@
 		Expect(picks(c, start.Add(2*time.Second), 20)[near]).To(BeNumerically(">", 0))
 	})
 
+	It("tries an unreachable owner by one request at a time until it answers", func() {
+		c := newChooser(0)
+		c.Unreachable(start, near)
+		later := start.Add(2 * time.Second)
+		Expect(picks(c, later, 40)[near]).To(Equal(1))
+		Expect(picks(c, later.Add(500*time.Millisecond), 40)[near]).To(BeZero())
+		c.Reached(near)
+		Expect(picks(c, later.Add(500*time.Millisecond), 40)[near]).To(BeNumerically(">", 1))
+	})
+
+	It("is open while an owner can be reached", func() {
+		c := newChooser(0)
+		Expect(c.Open(start)).To(BeTrue())
+		c.Unreachable(start, near)
+		Expect(c.Open(start)).To(BeTrue())
+		c.Unreachable(start, far)
+		Expect(c.Open(start)).To(BeFalse())
+		Expect(c.Open(start.Add(2 * time.Second))).To(BeTrue())
+	})
+
 	It("has no choice without groups, with all excluded, or with no open slots", func() {
 		c := newChooser(0)
 		_, ok := c.Pick(start, []owner.Group{near, far})
