probe: a host probes only while it holds its lease

Cause: ports.Lease was there for shares that must never be exceeded, and nothing asked it. A host that was paused for longer than its lease woke up and probed at once with the share that the others had divided among themselves. Seen in the suite of faults, lease lapsed in a paused host: 9 probes of a target in a second, budget 8, at four targets of four. Change: the prober asks its lease before it chooses probes and right before each one; the host gives it the membership.

--- a/host/forwarding.go
+++ b/host/forwarding.go
@@ -10,6 +10,7 @@
 	"github.com/chestnutfield/chestnutfield/handoff"
 	"github.com/chestnutfield/chestnutfield/ledger"
 	"github.com/chestnutfield/chestnutfield/limit"
+	"github.com/chestnutfield/chestnutfield/membership"
 	"github.com/chestnutfield/chestnutfield/owner"
 	"github.com/chestnutfield/chestnutfield/platform"
 	"github.com/chestnutfield/chestnutfield/ports"
@@ -68,6 +69,7 @@
 		Host:       do.MustInvoke[*settings.Settings](i).Host.Name,
 		Membership: do.MustInvoke[ports.Membership](i),
 		Source:     do.MustInvoke[*balance.Balancer](i),
+		Lease:      do.MustInvoke[*membership.Service](i),
 		Clock:      do.MustInvoke[clockwork.Clock](i),
 		Registerer: do.MustInvoke[*prometheus.Registry](i),
 	})
--- a/probe/probe_test.go
+++ b/probe/probe_test.go
@@ -8,7 +8,9 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -132,6 +134,50 @@
 	})
 })
 
+// countingAsker counts its probes.
+type countingAsker struct{ asked atomic.Int64 }
+
+func (a *countingAsker) Ask(context.Context, netip.AddrPort, string) probe.Answer {
+	a.asked.Add(1)
+	return probe.Answer{}
+}
+
+type lease struct{ held atomic.Bool }
+
+func (l *lease) Holds() bool { return l.held.Load() }
+
+// TestNoProbeWithoutTheLease: a host whose lease ran out sends no probe until
+// it holds one again.
+func TestNoProbeWithoutTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, a := &lease{}, &countingAsker{}
+		p, err := probe.New(probe.Options{
+			Host: "entry-000", Membership: hostNames(1), Source: &source{want: probe.Load}, Asker: a, Lease: l,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.Update([]probe.Target{{Pool: "p", Addr: addr, Budget: 20, LoadPath: "/load"}})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			p.Run(ctx)
+		}()
+		for _, held := range []bool{false, true, false} {
+			l.held.Store(held)
+			before := a.asked.Load()
+			time.Sleep(time.Second)
+			synctest.Wait()
+			if asked := a.asked.Load() > before; asked != held {
+				t.Errorf("probes were sent: %v, the lease was held: %v", asked, held)
+			}
+		}
+		cancel()
+		<-done
+	})
+}
+
 var _ = Describe("Prober", func() {
 	DescribeTable("asks over HTTP for what is wanted",
 		func(want probe.Want, answer probe.Answer) {
--- a/probe/prober.go
+++ b/probe/prober.go
@@ -74,6 +74,9 @@
 	Host       string
 	Membership ports.Membership
 	Source     Source
+	// Lease is asked before each probe, so that a host that was paused doesn't
+	// act on a share that others have taken over; nil always holds.
+	Lease ports.Lease
 	// Asker does the probes; nil selects HTTP over connections of its own.
 	Asker Asker
 	// Timeout bounds one probe; 0 selects half a second.
@@ -174,6 +177,9 @@
 
 // due returns the probes to do now and the time until the next look.
 func (p *Prober) due(now time.Time) (due []job, nap time.Duration) {
+	if !p.holds() {
+		return nil, longestNap
+	}
 	view := NewView(p.opts.Host, p.opts.Membership.Hosts(), p.opts.Membership.ShareCount())
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -195,6 +201,9 @@
 	return due, max(nap, shortestNap)
 }
 
+// holds reports whether this host may use its share of the budgets.
+func (p *Prober) holds() bool { return p.opts.Lease == nil || p.opts.Lease.Holds() }
+
 // choosePath returns the path to ask, "" for none.
 func (j *job) choosePath() string {
 	switch j.want {
@@ -211,6 +220,10 @@
 }
 
 func (p *Prober) ask(ctx context.Context, j job) {
+	defer p.ended(j.Addr)
+	if !p.holds() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, p.opts.Timeout)
 	defer cancel()
 	answer := p.opts.Asker.Ask(ctx, j.Addr, j.path)
@@ -220,7 +233,10 @@
 	}
 	p.probes.WithLabelValues(j.Pool, j.want.String(), result).Inc()
 	p.opts.Source.Probed(p.opts.Clock.Now(), j.Addr, answer)
+}
+
+func (p *Prober) ended(addr netip.AddrPort) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.running, j.Addr)
+	delete(p.running, addr)
 }
