--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,8 @@
 TOOLS := $(CURDIR)/.tools
 GOLANGCI_VERSION := v2.15.0
 PACKAGES := ./...
+# Inputs tried at each fuzz target.
+FUZZ_COUNT := 2000x
 
 .PHONY: build test lint fmt vet demo bench fuzz tools generate clean
 
@@ -13,6 +15,16 @@
 test:
 	$(GO) test -count=1 $(PACKAGES)
 
+# Runs every fuzz target for a fixed count; each needs a run of its own.
+fuzz:
+	@set -e; git grep -o '^func Fuzz[A-Za-z0-9]*' -- '*_test.go' | while IFS=: read -r file name; do \
+		echo "fuzz $$(dirname $$file) $${name#func }"; \
+		$(GO) test -run '^$$' -fuzz "^$${name#func }$$" -fuzztime $(FUZZ_COUNT) -parallel 4 ./$$(dirname $$file); \
+	done
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem $(PACKAGES)
+
 demo: build
 	$(BIN)/chestnutlab demo
 
