--- a/balance/candidates.go
+++ b/balance/candidates.go
@@ -23,9 +23,9 @@
 	if p.typicalAt.IsZero() || now.Sub(p.typicalAt) >= typicalInterval {
 		p.typicalAt = now
 		p.typical = p.deriveTypical()
-		p.share = connectionShare(p.connections, p.owner.hosts())
+		p.share = connectionShare(p.connections, p.hosts())
 		for _, t := range p.targets {
-			t.know.Remember(p.typical.service)
+			t.know.Remember(p.typical.service, p.typical.trust)
 		}
 	}
 	if p.subset && (p.mineAt.IsZero() || now.Sub(p.mineAt) >= subsetInterval) {
@@ -34,18 +34,20 @@
 	}
 }
 
-// connectionShare is the number of connections that one host may open.
+// connectionShare is the number of connections that one host may open. Half
+// of a target's connections are its owner's, the other half is divided among
+// all hosts for direct dispatch.
 func connectionShare(connections, hosts int) int {
 	if connections <= 0 {
 		return math.MaxInt
 	}
-	return max(connections/hosts, 1)
+	return max(connections/2/hosts, 1)
 }
 
 func (p *pool) deriveTypical() typical {
 	var latencies, services []time.Duration
 	var fails []float64
-	others, reporting := 0.0, 0
+	others, reporting, frozen := 0.0, 0, 0
 	for _, t := range p.targets {
 		fails = append(fails, t.health.fails)
 		if d := t.know.Latency(); d > 0 {
@@ -57,11 +59,16 @@
 		if n, ok := t.know.MeanOthers(); ok {
 			others += n
 			reporting++
+			if t.know.Frozen() {
+				frozen++
+			}
 		}
 	}
 	out := typical{latency: median(latencies), service: median(services), fails: median(fails)}
+	out.trust = 1
 	if reporting > 0 {
 		out.others = others / float64(reporting)
+		out.trust = max(1-frozenCost*float64(frozen)/float64(reporting), 0)
 	}
 	return out
 }
@@ -96,7 +103,7 @@
 	staying, usable := 0, 0
 	for _, t := range p.targets {
 		t.health.advance(now)
-		if t.health.phase == ready && stuck(t.oldest(now), p.typical) {
+		if t.health.phase == ready && stuck(t.silence(now), p.typical) {
 			p.setAside(now, t)
 		}
 		leaving := p.leaving(now, t)
@@ -170,12 +177,16 @@
 }
 
 // narrowed reports whether a target is in the subset, has a connection left
-// for this host and, while it ramps, is drawn for this request.
+// for this host and, while it ramps, is drawn for this request. Where all
+// requests pass this host, a ramping target takes a growing number at once.
 func (p *pool) narrowed(now time.Time, i int, t *target) bool {
 	if p.mine != nil && !p.mine[i] || t.know.Own >= p.share {
 		return false
 	}
 	w := t.health.weight(now)
+	if p.exclusive {
+		return float64(t.know.Own) < max(1, w*float64(2*p.slots)) || w >= 1
+	}
 	return w >= 1 || p.rng.Float64() < w
 }
 
@@ -208,5 +219,9 @@
 // own counts.
 const serviceMargin = 2
 
+// frozenCost is the cost of trust in all reports of a pool by the share of its
+// targets that repeat themselves: what feeds the reports may be at fault.
+const frozenCost = 2
+
 // maxFailPenalty bounds the failure share by which an expected answer recedes.
 const maxFailPenalty = 0.9
--- a/balance/health.go
+++ b/balance/health.go
@@ -15,14 +15,15 @@
 	failShare, failMargin = 0.5, 0.4
 	// slowFactor times the pool's median latency, and at least slowFloor, is
 	// the latency from which a target is set aside.
-	slowFactor = 4
+	slowFactor = 5
 	slowFloor  = 20 * time.Millisecond
 	// trialSlowFactor is slowFactor for a single call of a trial.
 	trialSlowFactor = 6
 	// slowSamples is the number of calls before a target counts as slow.
-	slowSamples = 3
+	slowSamples = 10
 	// stuckFactor times the median latency, and at least stuckFloor, is the
-	// age of an unanswered call from which a target is set aside.
+	// age of an unanswered call from which a target that answers no other is
+	// set aside.
 	stuckFactor = 10
 	stuckFloor  = 250 * time.Millisecond
 	// asideFirst is the first time set aside, asidePerHost what each sharing
@@ -32,7 +33,7 @@
 	asidePerHost = 400 * time.Millisecond
 	asideLongest = 30 * time.Second
 	// trialSuccesses is the number of calls that end a trial.
-	trialSuccesses = slowSamples
+	trialSuccesses = 3
 	// rampTime is the time from a first call to a full share, and rampStart
 	// the share at its start.
 	rampTime  = 5 * time.Second
@@ -68,6 +69,8 @@
 	fails            float64
 	// others is the mean number of other hosts' requests at a target.
 	others float64
+	// trust is the say of the pool's reports, 0 to 1.
+	trust float64
 }
 
 // ended takes the end of a call.
@@ -98,8 +101,8 @@
 		latency > max(time.Duration(factor)*pool.latency, slowFloor)
 }
 
-func stuck(oldest time.Duration, pool typical) bool {
-	return pool.latency > 0 && oldest > max(stuckFactor*pool.latency, stuckFloor)
+func stuck(silence time.Duration, pool typical) bool {
+	return pool.latency > 0 && silence > max(stuckFactor*pool.latency, stuckFloor)
 }
 
 // setAside takes the target out for a while that doubles with every time.
@@ -142,10 +145,10 @@
 func (h *health) String() string {
 	switch h.phase {
 	case aside:
-		return "set-aside"
+		return StateSetAside
 	case trial:
-		return "trial"
+		return StateTrial
 	default:
-		return "ready"
+		return StateReady
 	}
 }
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -27,6 +27,7 @@
 	// connections is that of the spec, and share this host's part of it.
 	connections, share int
 
+	exclusive  bool
 	policyName string
 	subset     bool
 	policy     Policy
@@ -38,8 +39,9 @@
 	mine []bool
 	// typicalAt and mineAt are when typical and mine were derived.
 	typicalAt, mineAt time.Time
-	// lastPick is the time of the last request.
-	lastPick time.Time
+	// lastPick is the time of the last request, foreground that of the last
+	// lookup or order.
+	lastPick, foreground time.Time
 	// usable and candidates are scratch space of pick.
 	usable     []bool
 	candidates []Candidate
@@ -73,7 +75,7 @@
 	if p.slots <= 0 {
 		p.slots = DefaultSlots
 	}
-	p.connections = spec.Connections
+	p.connections, p.exclusive = spec.Connections, spec.Exclusive
 	if p.policyName != policyName {
 		p.policyName, p.policy, p.subset = policyName, d.build(), d.subset
 	}
@@ -96,20 +98,41 @@
 	p.typicalAt, p.mineAt = time.Time{}, time.Time{}
 }
 
+// hosts is the number of hosts that share the targets.
+func (p *pool) hosts() int {
+	if p.exclusive {
+		return 1
+	}
+	return p.owner.hosts()
+}
+
 func (p *pool) pick(q ports.PickQuery) (*attempt, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.refresh(q.Now)
 	p.lastPick = q.Now
+	if q.Class != table.Batch {
+		p.foreground = q.Now
+	}
 	t := p.choose(q)
 	if t == nil {
 		return nil, false
 	}
-	a := &attempt{pool: p, target: t, sent: q.Now}
+	a := &attempt{pool: p, target: t, sent: q.Now, measured: p.measures(q)}
 	t.send(q.Now, a, t.know.Estimate(q.Now, p.typical.others))
 	return a, true
 }
 
+// foregroundMemory is the time after the last lookup or order from which batch
+// is measured.
+const foregroundMemory = 10 * time.Second
+
+// measures reports whether the latency of a request speaks of its target.
+// Batch takes its own time, and is measured only in pools that serve no other.
+func (p *pool) measures(q ports.PickQuery) bool {
+	return q.Class != table.Batch || q.Now.Sub(p.foreground) >= foregroundMemory
+}
+
 // choose returns the target of a request, nil when there is none.
 func (p *pool) choose(q ports.PickQuery) *target {
 	p.mark(q.Now)
@@ -153,17 +176,20 @@
 		return
 	}
 	slowNow := t.health.slow(t.know.Latency(), t.know.Samples(), p.typical)
-	if t.health.failing(p.typical) || slowNow || stuck(t.oldest(now), p.typical) {
+	if t.health.failing(p.typical) || slowNow || stuck(t.silence(now), p.typical) {
 		p.setAside(now, t)
 		return
 	}
-	t.health.recover(now)
+	if t.health.recover(now) {
+		p.owner.changes.Add(1)
+	}
 }
 
 func (p *pool) setAside(now time.Time, t *target) {
-	t.health.setAside(now, p.owner.hosts(), p.rng)
+	t.health.setAside(now, p.hosts(), p.rng)
 	t.know.ForgetLatency()
 	p.owner.metrics.setAside.WithLabelValues(p.name).Inc()
+	p.owner.changes.Add(1)
 }
 
 // observe shows the last report of a target to a policy that learns.
@@ -190,7 +216,7 @@
 	return lo.Map(p.targets, func(t *target, _ int) TargetState {
 		state := t.stateName(now)
 		if p.leaving(now, t) {
-			state = "leaving"
+			state = StateLeaving
 		}
 		return TargetState{
 			Addr: t.addr, FailureDomain: t.domain, State: state, InFlight: t.know.Own,
--- a/balance/probing.go
+++ b/balance/probing.go
@@ -78,10 +78,10 @@
 		return
 	}
 	if a.Failed && t.health.phase == aside {
-		t.health.setAside(now, p.owner.hosts(), p.rng)
+		t.health.setAside(now, p.hosts(), p.rng)
 	}
 	if a.Report != "" {
-		t.report(now, a.Report)
+		t.report(now, a.Report, p.typical)
 		p.observe(now, t)
 	}
 }
--- a/host/forwarding.go
+++ b/host/forwarding.go
@@ -68,8 +68,8 @@
 	return probe.New(probe.Options{
 		Host:       do.MustInvoke[*settings.Settings](i).Host.Name,
 		Membership: do.MustInvoke[ports.Membership](i),
-		Source:     do.MustInvoke[*balance.Balancer](i),
 		Lease:      do.MustInvoke[*membership.Service](i),
+		Source:     do.MustInvoke[*balance.Balancer](i),
 		Clock:      do.MustInvoke[clockwork.Clock](i),
 		Registerer: do.MustInvoke[*prometheus.Registry](i),
 	})
--- a/proxy/outcome_test.go
+++ b/proxy/outcome_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 
 	"github.com/chestnutfield/chestnutfield/outcome"
 	"github.com/chestnutfield/chestnutfield/ports"
@@ -86,6 +91,32 @@
 		Expect(b.balancer.feedback()[1].Verdict).To(Or(Equal(ports.Shed), Equal(ports.Succeeded)))
 	})
 
+	It("believes Chestnut-Not-Run on a 429 or 503 only", func() {
+		first := newUpstream(always("HTTP/1.1 500 Oops\r\nChestnut-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"))
+		second := newUpstream(always(okAnswer))
+		b := newBed([]*rawUpstream{first, second})
+		resp, _ := b.ask(keyedOrder)
+		Expect(resp.StatusCode).To(Equal(500))
+		Expect(second.read()).To(BeEmpty())
+		Expect(b.ledger.settled).To(Equal([]outcome.Outcome{outcome.Ran}))
+	})
+
+	It("counts how requests end, with a bounded number of callers", func() {
+		registry := prometheus.NewRegistry()
+		b := newBed([]*rawUpstream{newUpstream(always(okAnswer))}, func(o *Options, _ *table.Tables) {
+			o.Registerer, o.Limits.CallerLabels = registry, 1
+		})
+		for _, caller := range []string{"c1", "c2", "c3"} {
+			b.ask(strings.Replace(getSpec, "c1", caller, 1))
+		}
+		b.ask("GET / HTTP/1.1\r\n\r\n")
+		Expect(testutil.ToFloat64(b.server.metrics.requests.WithLabelValues("lookup", "catalogue", "lookup", "ran", "answered"))).To(Equal(3.0))
+		Expect(testutil.ToFloat64(b.server.metrics.refusals.WithLabelValues("bad-request"))).To(Equal(1.0))
+		Expect(testutil.ToFloat64(b.server.metrics.attempts.WithLabelValues("catalogue", "succeeded"))).To(Equal(3.0))
+		Expect(testutil.GatherAndCount(registry, "chestnut_request_seconds")).To(Equal(2))
+		Expect(testutil.GatherAndCount(registry, "chestnut_added_seconds")).To(Equal(1))
+	})
+
 	It("sends a lookup again", func() {
 		first, second := newUpstream(lose), newUpstream(always(okAnswer))
 		resp, _ := newBed([]*rawUpstream{first, second}).ask(getSpec)
@@ -102,10 +133,41 @@
 			Expect(second.read()).To(BeEmpty())
 		},
 		Entry("when the budget is spent", getSpec, func(b *bed) { b.budget.left.Store(0) }),
+		Entry("without a budget", getSpec, func(b *bed) { b.server.opts.Retries = nil }),
 		Entry("when the caller withdrew retries",
 			"GET /specs/a HTTP/1.1\r\nHost: h\r\nChestnut-Retries: 0\r\n\r\n", func(*bed) {}),
 	)
 
+	Context("on a kept connection that closes as the request is written", func() {
+		// second answers the first request of its first connection only.
+		second := func(u *rawConn) {
+			for n := 1; ; n++ {
+				if _, _, ok := u.request(); !ok || u.number == 1 && n == 2 {
+					return
+				}
+				u.send(okAnswer)
+			}
+		}
+
+		It("leaves an order unknown", func() {
+			other := newUpstream(always(okAnswer))
+			up := newUpstream(second)
+			b := newBed([]*rawUpstream{up, other})
+			b.ask(postOrder)
+			resp, _ := b.ask(postOrder)
+			expectOwn(resp, 502, outcome.Unknown)
+			Expect(up.conns.Load()).To(BeEquivalentTo(1))
+			Expect(other.read()).To(BeEmpty())
+		})
+
+		It("sends a lookup to the same target again when there is no other", func() {
+			b := newBed([]*rawUpstream{newUpstream(second)})
+			b.ask(getSpec)
+			resp, _ := b.ask(getSpec)
+			Expect(resp.StatusCode).To(Equal(200))
+		})
+	})
+
 	It("passes on a 5xx when nothing better is had", func() {
 		up := newUpstream(always("HTTP/1.1 500 Oops\r\nContent-Length: 2\r\n\r\nno"))
 		resp, body := newBed([]*rawUpstream{up}).ask(getSpec)
@@ -152,6 +214,43 @@
 		Expect(b.balancer.feedback()[0].Verdict).To(Equal(ports.Abandoned))
 	})
 
+	It("cancels a download whose caller goes away", func() {
+		closed := make(chan struct{})
+		up := newUpstream(func(u *rawConn) {
+			u.request()
+			u.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbend\r\n")
+			u.waitClosed()
+			close(closed)
+		})
+		b := newBed([]*rawUpstream{up})
+		c := b.dial()
+		c.send(getSpec)
+		_, err := c.br.Peek(1)
+		Expect(err).NotTo(HaveOccurred())
+		c.Close()
+		Eventually(closed, "10s").Should(BeClosed())
+		Eventually(b.balancer.inFlight, "10s").Should(BeZero())
+	})
+
+	It("answers pipelined requests in their order", func() {
+		up := newUpstream(func(u *rawConn) {
+			for {
+				req, _, ok := u.request()
+				if !ok {
+					return
+				}
+				u.send(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%s", req.URL.Path[len("/specs/"):]))
+			}
+		})
+		c := newBed([]*rawUpstream{up}).dial()
+		c.send(getSpec + strings.Replace(getSpec, "/a", "/b", 1) + strings.Replace(getSpec, "/a", "/c", 1))
+		for _, want := range []string{"a", "b", "c"} {
+			_, body, err := c.answer("GET")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(body).To(Equal(want))
+		}
+	})
+
 	It("hedges a lookup and cancels the loser", func() {
 		closed := make(chan struct{})
 		slow := newUpstream(func(u *rawConn) {
@@ -178,6 +277,25 @@
 		expectOwn(resp, 503, outcome.NotRun)
 	})
 
+	It("hedges a lookup whose first target does not let it connect", func() {
+		dark, bright := newUpstream(silent), newUpstream(always(okAnswer))
+		b := newBed([]*rawUpstream{dark, bright}, func(o *Options, _ *table.Tables) {
+			o.Upstream.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+				if address == dark.addr().String() {
+					<-ctx.Done()
+					return nil, ctx.Err()
+				}
+				return (&net.Dialer{}).DialContext(ctx, network, address)
+			}
+		}, withRoute("lookup", func(r *table.Route) { r.HedgeAfter = time.Millisecond }))
+		_, body := b.ask(getSpec)
+		Expect(body).To(Equal("done"))
+		Eventually(b.balancer.inFlight, "10s").Should(BeZero())
+		for _, f := range b.balancer.feedback() {
+			Expect(f.ConnectFailed).To(BeFalse())
+		}
+	})
+
 	It("keeps to its share of a target's connections", func() {
 		release := make(chan struct{})
 		up := newUpstream(func(u *rawConn) {
