lab/report: leave out plots with nothing to show

Cause: an experiment without a cell of the default policy at 85 % load made the scenario plot call NominalX with no names, which panics. Change: a plot without values is not written; the same holds for the load plot when the steady scenario was not run. The new test panicked with 'index out of range [0] with length 0' before the change. Conclusion: reports of small experiments are written; go test ./lab/report passes.

--- a/lab/report/plots.go
+++ b/lab/report/plots.go
@@ -27,7 +27,8 @@
 	return lo.Uniq(lo.FilterMap(p.keys, func(k classKey, _ int) (string, bool) { return k.service, k.class == table.Lookup }))
 }
 
-// writePlots draws the p99 of lookups by scenario and by load.
+// writePlots draws the p99 of lookups by scenario and by load, and returns the
+// names of the files. A plot that has nothing to show is left out.
 func (p *page) writePlots(dir string) ([]string, error) {
 	var names []string
 	for _, service := range p.lookupServices() {
@@ -36,6 +37,9 @@
 			if err != nil {
 				return nil, errors.Wrap(err, "plot")
 			}
+			if pl == nil {
+				continue
+			}
 			if err := pl.Save(plotWidth, plotHeight, filepath.Join(dir, name)); err != nil {
 				return nil, errors.Wrap(err, "plot")
 			}
@@ -55,9 +59,9 @@
 	return pl
 }
 
-// scenarioPlot shows the default, the baseline and the bound side by side.
+// scenarioPlot shows the default, the baseline and the bound side by side. The
+// plot is nil when the default was not run at aimLoad.
 func (p *page) scenarioPlot(service string) (*plot.Plot, string, error) {
-	pl := newPlot(fmt.Sprintf("%s: lookups of %s at %v%% load", p.name, service, aimLoad), "scenario")
 	key := func(scenario, policy string) classKey {
 		return classKey{scenario, experiment.Cell{Policy: policy, Load: aimLoad}, service, table.Lookup}
 	}
@@ -65,6 +69,10 @@
 		_, ok := p.figures[key(s, experiment.DefaultPolicy)]
 		return ok
 	})
+	if len(shown) == 0 {
+		return nil, "", nil
+	}
+	pl := newPlot(fmt.Sprintf("%s: lookups of %s at %v%% load", p.name, service, aimLoad), "scenario")
 	values := func(f func(s string) float64) plotter.Values {
 		return lo.Map(shown, func(s string, _ int) float64 { return f(s) })
 	}
@@ -77,9 +85,6 @@
 		{boundName, values(func(s string) float64 { return p.figures[key(s, experiment.DefaultPolicy)].boundP99.Median })},
 	}
 	for i, g := range groups {
-		if len(g.values) == 0 {
-			continue
-		}
 		bars, err := plotter.NewBarChart(g.values, barWidth)
 		if err != nil {
 			return nil, "", err
@@ -94,9 +99,9 @@
 	return pl, "scenarios-" + service + ".png", nil
 }
 
-// loadPlot shows the policies over load in the steady scenario.
+// loadPlot shows the policies over load in the steady scenario. The plot is nil
+// when that scenario was not run.
 func (p *page) loadPlot(service string) (*plot.Plot, string, error) {
-	pl := newPlot(fmt.Sprintf("%s: lookups of %s, steady", p.name, service), "load, % of slot capacity")
 	lines := map[string]plotter.XYs{}
 	var policies []string
 	for _, k := range p.keys {
@@ -112,6 +117,10 @@
 			lines[boundName] = append(lines[boundName], plotter.XY{X: k.cell.Load, Y: f.boundP99.Median})
 		}
 	}
+	if len(policies) == 0 {
+		return nil, "", nil
+	}
+	pl := newPlot(fmt.Sprintf("%s: lookups of %s, steady", p.name, service), "load, % of slot capacity")
 	if len(lines[boundName]) > 0 {
 		policies = append(policies, boundName)
 	}
--- a/lab/report/report_test.go
+++ b/lab/report/report_test.go
@@ -78,6 +78,24 @@
 		}
 	})
 
+	It("leaves out a plot that has nothing to show", func() {
+		written := func(r ...experiment.Result) []string {
+			dir := GinkgoT().TempDir()
+			w, err := experiment.NewWriter(dir)
+			Expect(err).NotTo(HaveOccurred())
+			for _, result := range r {
+				Expect(w.Write(result)).To(Succeed())
+			}
+			Expect(w.Close()).To(Succeed())
+			names, err := report.Write(dir)
+			Expect(err).NotTo(HaveOccurred())
+			return names
+		}
+		Expect(written(made("steady", "default", 50, 0, 55))).To(Equal([]string{"report.md", "loads-catalogue.png"}))
+		Expect(written(made("slow_target", "default", 85, 0, 55))).To(Equal([]string{"report.md", "scenarios-catalogue.png"}))
+		Expect(written(made("slow_target", "p2c", 50, 0, 55))).To(Equal([]string{"report.md"}))
+	})
+
 	It("refuses a directory with no result", func() {
 		dir := GinkgoT().TempDir()
 		_, err := report.Write(dir)
