make generate: build the generators of the peer protocol and run them

Cause: CONTRIBUTING and ARCHITECTURE name make generate, but the Makefile only listed it as phony, as it did bench and fuzz, which no page names. Change: generate installs protoc-gen-go and protoc-gen-twirp at the versions of go.mod and runs protoc; the two other names are dropped. Conclusion: after the two generated files were removed, make generate with protoc 3.21.12 wrote them again without a difference to the committed ones.

--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,10 @@
 BIN := bin
 TOOLS := $(CURDIR)/.tools
 GOLANGCI_VERSION := v2.15.0
+GENERATORS := $(TOOLS)/protoc-gen-go $(TOOLS)/protoc-gen-twirp
 PACKAGES := ./...
 
-.PHONY: build test lint fmt vet demo bench fuzz tools generate clean
+.PHONY: build test lint fmt vet demo tools generate clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -21,6 +22,18 @@
 $(TOOLS)/golangci-lint:
 	GOBIN=$(TOOLS) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
 
+# The generators come from the modules that go.mod names, at its versions;
+# go.sum checks them. protoc itself is a system package.
+generate: $(GENERATORS)
+	PATH=$(TOOLS):$$PATH protoc --go_out=. --go_opt=paths=source_relative \
+		--twirp_out=. --twirp_opt=paths=source_relative peer/peerpb/peer.proto
+
+$(TOOLS)/protoc-gen-go: go.mod
+	GOBIN=$(TOOLS) $(GO) install google.golang.org/protobuf/cmd/protoc-gen-go
+
+$(TOOLS)/protoc-gen-twirp: go.mod
+	GOBIN=$(TOOLS) $(GO) install github.com/twitchtv/twirp/protoc-gen-twirp
+
 fmt:
 	@out=$$(gofmt -l $$(git ls-files '*.go')); test -z "$$out" || { echo "gofmt needed: $$out"; exit 1; }
 
