--- /dev/null
+++ b/peer/fleet_test.go
@@ -0,0 +1,196 @@
+package peer
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"github.com/chestnutfield/chestnutfield/membership"
+	"github.com/chestnutfield/chestnutfield/platform/fake"
+	"github.com/chestnutfield/chestnutfield/ports"
+)
+
+// drainLog notes when each host learned of a target.
+type drainLog struct {
+	mu sync.Mutex
+	at map[netip.AddrPort]time.Time
+}
+
+func (d *drainLog) learnedAt(target netip.AddrPort) (time.Time, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at, ok := d.at[target]
+	return at, ok
+}
+
+func (d *drainLog) Leaving(now time.Time, target netip.AddrPort) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, known := d.at[target]; !known {
+		d.at[target] = now
+	}
+	return true
+}
+
+// adopter puts every later version that it hears of in force.
+type adopter struct{ version atomic.Uint64 }
+
+func (a *adopter) Heard(_ string, version uint64) {
+	for {
+		own := a.version.Load()
+		if version <= own || a.version.CompareAndSwap(own, version) {
+			return
+		}
+	}
+}
+func (a *adopter) Encoded() ([]byte, uint64) { return nil, a.version.Load() }
+
+// load is a fixed set of figures, sent in turn.
+type load struct {
+	mu      sync.Mutex
+	figures []ports.Figure
+	next    int
+}
+
+func (l *load) Outgoing(_ time.Time, limit int) []ports.Figure {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := []ports.Figure{}
+	for range min(limit, len(l.figures)) {
+		out = append(out, l.figures[l.next%len(l.figures)])
+		l.next++
+	}
+	return out
+}
+func (l *load) Incoming(time.Time, string, []ports.Figure) {}
+
+func targets(n int) []ports.Figure {
+	out := make([]ports.Figure, 0, n)
+	for i := range n {
+		var b [4]byte
+		binary.BigEndian.PutUint32(b[:], 0x0a000000+uint32(i)*7)
+		out = append(out, ports.Figure{
+			Target: netip.AddrPortFrom(netip.AddrFrom4(b), 9001), InFlight: i % 3, Reported: i % 5,
+			Latency: time.Duration(i%40+1) * time.Millisecond, Age: time.Duration(i%900) * time.Millisecond,
+		})
+	}
+	return out
+}
+
+// fleet is some hosts with their real membership over one fake table.
+type fleet struct {
+	ctx     context.Context
+	configs []*adopter
+	seeds   []netip.AddrPort
+	change  []func(*Options)
+	table   *fake.Table
+	members []*membership.Service
+	net     *pipes
+	nodes   []*Node
+	drains  []*drainLog
+	stop    context.CancelFunc
+	runs    sync.WaitGroup
+}
+
+func startFleet(t testing.TB, hosts, figures int, change ...func(*Options)) *fleet {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &fleet{ctx: ctx, table: fake.NewTable(), net: &pipes{listeners: map[string]*pipeListener{}}, stop: cancel, change: change}
+	const hostsPerSeed = 20
+	for i := range 1 + hosts/hostsPerSeed {
+		f.seeds = append(f.seeds, addrOf(i))
+	}
+	for range hosts {
+		f.start(t, figures)
+	}
+	return f
+}
+
+// addrOf returns the address of the i-th host.
+func addrOf(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i >> 8), byte(i)}), 7003)
+}
+
+// start adds a host, which knows the addresses of the seeds.
+func (f *fleet) start(t testing.TB, figures int) {
+	i := len(f.nodes)
+	addr := addrOf(i)
+	members, err := membership.New(membership.Options{
+		Self:  membership.Member{Name: fmt.Sprintf("entry-%03d", i), Addr: addr, FailureDomain: "scot-central-a"},
+		Table: f.table, Seed: uint64(i + 1),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	drains := &drainLog{at: map[netip.AddrPort]time.Time{}}
+	config := &adopter{}
+	f.configs = append(f.configs, config)
+	opt := Options{
+		Members: members, Drains: drains, Config: config, Figures: &load{figures: targets(figures)}, Token: "0123456789abcdef",
+		Dial: f.net.dial(addr.String()), Seeds: func() []netip.AddrPort { return f.seeds },
+	}
+	for _, change := range f.change {
+		change(&opt)
+	}
+	node, err := NewNode(opt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.nodes, f.drains, f.members = append(f.nodes, node), append(f.drains, drains), append(f.members, members)
+	ln := f.net.listen(addr.String())
+	f.runs.Go(func() { _ = node.Serve(ln) })
+	f.runs.Go(func() { _ = members.Run(f.ctx) })
+	f.runs.Go(func() { _ = node.Run(f.ctx) })
+}
+
+func (f *fleet) close() {
+	f.stop()
+	for _, n := range f.nodes {
+		_ = n.server.Close()
+	}
+	f.runs.Wait()
+	for _, n := range f.nodes {
+		n.clients.close()
+	}
+}
+
+// bytes returns what each host carried since the counts in since, which may be
+// nil: the highest, the mean, and the counts now.
+func (f *fleet) bytes(since []float64) (highest, mean float64, counts []float64) {
+	for i, n := range f.nodes {
+		carried := testutil.ToFloat64(n.metrics.bytesIn) + testutil.ToFloat64(n.metrics.bytesOut)
+		counts = append(counts, carried)
+		if since != nil {
+			carried -= since[i]
+		}
+		highest = max(highest, carried)
+		mean += carried / float64(len(f.nodes))
+	}
+	return highest, mean, counts
+}
+
+// spread announces a leaving target at one host and returns the time until the
+// last host learned of it.
+func (f *fleet) spread(t testing.TB, within time.Duration) time.Duration {
+	leaving := target("10.0.0.1:9001")
+	start := time.Now()
+	f.nodes[0].AnnounceDrain(leaving)
+	time.Sleep(within)
+	synctest.Wait()
+	var last time.Duration
+	for i, d := range f.drains[1:] {
+		at, ok := d.learnedAt(leaving)
+		if !ok {
+			t.Fatalf("host %d has not learned of the leaving target after %v", i+1, within)
+		}
+		last = max(last, at.Sub(start))
+	}
+	return last
+}
