internal/token: one check of tokens for admin, peer and proxy

Cause: three packages each compared tokens; two of them by a comparison whose time tells the length of the secret, and the prefix Bearer stood three times. What is accepted is unchanged; an empty expected token still asks admin and peer callers for none and matches only an empty one at the peers' side of proxy.

--- a/admin/client/client.go
+++ b/admin/client/client.go
@@ -19,6 +19,7 @@
 	"github.com/chestnutfield/chestnutfield/admin/api"
 	"github.com/chestnutfield/chestnutfield/config/command"
 	"github.com/chestnutfield/chestnutfield/config/rows"
+	"github.com/chestnutfield/chestnutfield/internal/token"
 	"github.com/chestnutfield/chestnutfield/platform"
 )
 
@@ -155,7 +156,7 @@
 		return 0, nil, errors.Wrap(err, "admin address")
 	}
 	if c.opts.Token != "" {
-		req.Header.Set("Authorization", "Bearer "+c.opts.Token)
+		req.Header.Set("Authorization", token.Bearer(c.opts.Token))
 	}
 	res, err := c.http.Do(req)
 	if err != nil {
--- a/admin/server.go
+++ b/admin/server.go
@@ -19,6 +19,7 @@
 	"github.com/chestnutfield/chestnutfield/config"
 	"github.com/chestnutfield/chestnutfield/config/command"
 	"github.com/chestnutfield/chestnutfield/config/rows"
+	"github.com/chestnutfield/chestnutfield/internal/token"
 	"github.com/chestnutfield/chestnutfield/table"
 )
 
@@ -79,8 +80,9 @@
 
 // Server serves the admin API.
 type Server struct {
-	opts Options
-	http *fasthttp.Server
+	opts  Options
+	token token.Token
+	http  *fasthttp.Server
 }
 
 // New returns a Server that serves nothing yet.
@@ -88,7 +90,7 @@
 	if o.Commands == nil || o.Queries == nil || o.Config == nil || o.Status == nil || o.Metrics == nil {
 		return nil, errors.New("admin: commands, queries, config, status and metrics are required")
 	}
-	s := &Server{opts: o}
+	s := &Server{opts: o, token: token.New(o.Token)}
 	app := fiber.New(fiber.Config{ErrorHandler: answerError, Immutable: true, BodyLimit: bodyBytes})
 	s.routes(app)
 	s.http = &fasthttp.Server{
@@ -150,7 +152,7 @@
 func (s *Server) Shutdown(ctx context.Context) error { return s.http.ShutdownWithContext(ctx) }
 
 func (s *Server) guarded() bool {
-	return s.opts.Token != "" || (s.opts.TLS != nil && s.opts.TLS.ClientAuth == tls.RequireAndVerifyClientCert)
+	return !s.token.Empty() || (s.opts.TLS != nil && s.opts.TLS.ClientAuth == tls.RequireAndVerifyClientCert)
 }
 
 func onLoopback(a net.Addr) bool {
--- a/peer/client.go
+++ b/peer/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/chestnutfield/chestnutfield/internal/token"
 	"github.com/chestnutfield/chestnutfield/peer/peerpb"
 )
 
@@ -92,7 +93,7 @@
 func (h *httpClient) Do(r *http.Request) (*http.Response, error) {
 	r.Header["User-Agent"] = nil
 	if h.token != "" {
-		r.Header.Set("Authorization", bearer+h.token)
+		r.Header.Set("Authorization", token.Bearer(h.token))
 	}
 	res, err := h.client.Do(r)
 	if err != nil {
--- a/peer/server.go
+++ b/peer/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/subtle"
 	"crypto/tls"
 	"net"
 	"net/http"
@@ -11,14 +10,12 @@
 	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
 
+	"github.com/chestnutfield/chestnutfield/internal/token"
 	"github.com/chestnutfield/chestnutfield/membership"
 	"github.com/chestnutfield/chestnutfield/peer/peerpb"
 )
 
-const (
-	bearer          = "Bearer "
-	fetchTablesPath = "/twirp/chestnutfield.peer.Peer/FetchTables"
-)
+const fetchTablesPath = "/twirp/chestnutfield.peer.Peer/FetchTables"
 
 func newServer(n *Node) *http.Server {
 	const (
@@ -41,10 +38,9 @@
 }
 
 func (n *Node) authorize(next http.Handler) http.Handler {
-	want := []byte(bearer + n.opt.Token)
+	expected := token.New(n.opt.Token)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		got := []byte(r.Header.Get("Authorization"))
-		if n.opt.Token != "" && subtle.ConstantTimeCompare(got, want) != 1 {
+		if !expected.Empty() && !expected.MatchesHeader(r.Header.Get("Authorization")) {
 			n.metrics.unauthorized.Inc()
 			http.Error(w, "token refused", http.StatusUnauthorized)
 			return
--- a/proxy/peerside.go
+++ b/proxy/peerside.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"crypto/subtle"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -47,8 +46,7 @@
 
 // peerMatch reads from the header what a peer asks for.
 func (s *Server) peerMatch(h *fasthttp.RequestHeader) (router.Match, *problem) {
-	side := s.opts.PeerSide
-	if subtle.ConstantTimeCompare(h.Peek(headerPeerToken), []byte(side.Token)) != 1 {
+	if !s.peerToken.Matches(h.Peek(headerPeerToken)) {
 		p := malformed("peer token is wrong")
 		p.status = fasthttp.StatusForbidden
 		return router.Match{}, p
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/chestnutfield/chestnutfield/internal/token"
 	"github.com/chestnutfield/chestnutfield/outcome"
 	"github.com/chestnutfield/chestnutfield/router"
 	"github.com/chestnutfield/chestnutfield/upstream"
@@ -26,6 +27,8 @@
 	metrics  *metrics
 	watcher  *watcher
 	http     *fasthttp.Server
+	// peerToken is expected of peers; unused without a PeerSide.
+	peerToken token.Token
 
 	stopping atomic.Bool
 	mu       sync.Mutex
@@ -56,6 +59,9 @@
 		metrics:  m,
 		watcher:  w,
 	}
+	if opts.PeerSide != nil {
+		s.peerToken = token.New(opts.PeerSide.Token)
+	}
 	s.http = s.newHTTP()
 	return s, nil
 }
