--- a/balance/metrics.go
+++ b/balance/metrics.go
@@ -2,6 +2,8 @@
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/chestnutfield/chestnutfield/internal/metric"
 )
 
 type metrics struct {
@@ -30,13 +32,8 @@
 			Help: "Times a target was set aside for failures or latency, by pool.",
 		}, []string{"pool"}),
 	}
-	if reg == nil {
-		return m, nil
-	}
-	for _, c := range []prometheus.Collector{m.noTarget, m.drains, m.ended, m.setAside} {
-		if err := reg.Register(c); err != nil {
-			return nil, err
-		}
+	if err := metric.Register(reg, "balance", m.noTarget, m.drains, m.ended, m.setAside); err != nil {
+		return nil, err
 	}
 	return m, nil
 }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
@@ -45,10 +44,8 @@
 	}
 	l.claims = l.newLane("claims", opt.ClaimCallsPerSecond)
 	l.outcomes = l.newLane("outcomes", opt.OutcomeCallsPerSecond)
-	if opt.Registerer != nil {
-		if err := l.metrics.register(opt.Registerer, l); err != nil {
-			return nil, errors.Wrap(err, "register ledger metrics")
-		}
+	if err := l.metrics.register(opt.Registerer, l); err != nil {
+		return nil, err
 	}
 	return l, nil
 }
--- a/ledger/metrics.go
+++ b/ledger/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/chestnutfield/chestnutfield/internal/metric"
 	"github.com/chestnutfield/chestnutfield/ports"
 )
 
@@ -64,12 +65,7 @@
 			return 0
 		}),
 	}
-	for _, c := range all {
-		if err := r.Register(c); err != nil {
-			return err
-		}
-	}
-	return nil
+	return metric.Register(r, "ledger", all...)
 }
 
 func (m *metrics) claimed(s ports.ClaimState, took time.Duration) {
--- a/limit/metrics.go
+++ b/limit/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/chestnutfield/chestnutfield/internal/metric"
 	"github.com/chestnutfield/chestnutfield/outcome"
 	"github.com/chestnutfield/chestnutfield/table"
 )
@@ -53,13 +54,8 @@
 		queued:  gauge("chestnut_admission_queued", "Requests waiting for admission."),
 		callers: map[string]struct{}{},
 	}
-	if reg == nil {
-		return m, nil
-	}
-	for _, c := range []prometheus.Collector{m.wait, m.granted, m.denied, m.limit, m.flight, m.queued} {
-		if err := reg.Register(c); err != nil {
-			return nil, err
-		}
+	if err := metric.Register(reg, "limit", m.wait, m.granted, m.denied, m.limit, m.flight, m.queued); err != nil {
+		return nil, err
 	}
 	return m, nil
 }
--- a/membership/service.go
+++ b/membership/service.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/chestnutfield/chestnutfield/internal/metric"
 	"github.com/chestnutfield/chestnutfield/platform"
 )
 
@@ -89,10 +90,8 @@
 			Self: opt.Self, Timing: opt.Timing, Seed: opt.Seed, AssumedHosts: opt.AssumedHosts,
 		}, opt.Clock.Now()),
 	}
-	if opt.Registerer != nil {
-		if err := opt.Registerer.Register(newCollector(s)); err != nil {
-			return nil, errors.Wrap(err, "register membership metrics")
-		}
+	if err := metric.Register(opt.Registerer, "membership", newCollector(s)); err != nil {
+		return nil, err
 	}
 	return s, nil
 }
--- a/peer/metrics.go
+++ b/peer/metrics.go
@@ -2,6 +2,8 @@
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/chestnutfield/chestnutfield/internal/metric"
 )
 
 type metrics struct {
@@ -36,12 +38,7 @@
 
 func (m *metrics) register(r prometheus.Registerer) error {
 	all := []prometheus.Collector{m.bytes, m.exchanges, m.answered, m.refused, m.unauthorized, m.skippedRounds}
-	for _, c := range all {
-		if err := r.Register(c); err != nil {
-			return err
-		}
-	}
-	return nil
+	return metric.Register(r, "peer", all...)
 }
 
 // carried counts bytes that a connection carried.
--- a/peer/node.go
+++ b/peer/node.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/samber/lo"
 
 	"github.com/chestnutfield/chestnutfield/membership"
@@ -52,10 +51,8 @@
 	}
 	n.clients = newClients(n)
 	n.server = newServer(n)
-	if opt.Registerer != nil {
-		if err := n.metrics.register(opt.Registerer); err != nil {
-			return nil, errors.Wrap(err, "register peer metrics")
-		}
+	if err := n.metrics.register(opt.Registerer); err != nil {
+		return nil, err
 	}
 	return n, nil
 }
--- a/probe/prober.go
+++ b/probe/prober.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/lo"
 
+	"github.com/chestnutfield/chestnutfield/internal/metric"
 	"github.com/chestnutfield/chestnutfield/ports"
 )
 
@@ -128,10 +129,8 @@
 			Help: "Probes sent by pool, kind and result.",
 		}, []string{"pool", "kind", "result"}),
 	}
-	if o.Registerer != nil {
-		if err := o.Registerer.Register(p.probes); err != nil {
-			return nil, errors.Wrap(err, "metrics of probe")
-		}
+	if err := metric.Register(o.Registerer, "probe", p.probes); err != nil {
+		return nil, err
 	}
 	return p, nil
 }
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/chestnutfield/chestnutfield/retry"
 	"github.com/chestnutfield/chestnutfield/router"
 )
 
@@ -16,8 +17,8 @@
 const (
 	headerCaller     = "X-Caller"
 	headerKey        = "Idempotency-Key"
-	headerDeadline   = "Chestnut-Deadline-Ms"
-	headerRetries    = "Chestnut-Retries"
+	headerDeadline   = retry.DeadlineHeader
+	headerRetries    = retry.RetriesHeader
 	headerOutcome    = "Chestnut-Outcome"
 	headerNotRun     = "Chestnut-Not-Run"
 	headerDraining   = "Chestnut-Draining"
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -4,9 +4,9 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/chestnutfield/chestnutfield/internal/metric"
 	"github.com/chestnutfield/chestnutfield/outcome"
 	"github.com/chestnutfield/chestnutfield/ports"
 )
@@ -59,13 +59,8 @@
 		maxCallers: maxCallers,
 		callers:    make(map[string]struct{}),
 	}
-	if reg == nil {
-		return m, nil
-	}
-	for _, c := range []prometheus.Collector{m.requests, m.refusals, m.attempts, m.latency, m.added} {
-		if err := reg.Register(c); err != nil {
-			return nil, errors.Wrap(err, "proxy metrics")
-		}
+	if err := metric.Register(reg, "proxy", m.requests, m.refusals, m.attempts, m.latency, m.added); err != nil {
+		return nil, err
 	}
 	return m, nil
 }
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -1,12 +1,13 @@
 package retry
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/chestnutfield/chestnutfield/internal/metric"
 	"github.com/chestnutfield/chestnutfield/ports"
 )
 
@@ -14,8 +15,6 @@
 const (
 	// DefaultRatio is the share of first attempts that may be repeated.
 	DefaultRatio = 0.1
-	// DefaultHedgeRatio is the share of first attempts that may be hedged.
-	DefaultHedgeRatio = 0.05
 	// DefaultFloor is the number of further attempts a second that a pool may
 	// make whatever its traffic, all entry hosts together.
 	DefaultFloor = 4.0
@@ -26,7 +25,7 @@
 
 // Options configure a Budget. Zero values select the defaults.
 type Options struct {
-	// Name labels the metrics, for example "retry" or "hedge".
+	// Name labels the metrics, "retry" by default.
 	Name string
 	// Ratio is paid in by every first attempt.
 	Ratio float64
@@ -57,17 +56,12 @@
 	if o.Name == "" {
 		o.Name = "retry"
 	}
-	o.Ratio = orDefault(o.Ratio, DefaultRatio)
-	o.Floor = orDefault(o.Floor, DefaultFloor)
-	o.Burst = orDefault(o.Burst, DefaultBurst)
+	o.Ratio = cmp.Or(o.Ratio, DefaultRatio)
+	o.Floor = cmp.Or(o.Floor, DefaultFloor)
+	o.Burst = cmp.Or(o.Burst, DefaultBurst)
 	b := &Budget{opts: o, taken: counter(o.Name, "taken"), refused: counter(o.Name, "refused")}
-	if o.Registerer == nil {
-		return b, nil
-	}
-	for _, c := range []prometheus.Collector{b.taken, b.refused} {
-		if err := o.Registerer.Register(c); err != nil {
-			return nil, errors.Wrapf(err, "metrics of %s budget", o.Name)
-		}
+	if err := metric.Register(o.Registerer, o.Name+" budget", b.taken, b.refused); err != nil {
+		return nil, err
 	}
 	return b, nil
 }
@@ -79,13 +73,6 @@
 	}, []string{"pool"})
 }
 
-func orDefault(v, def float64) float64 {
-	if v == 0 {
-		return def
-	}
-	return v
-}
-
 // Deposit counts a first attempt.
 func (b *Budget) Deposit(pool string, now time.Time) {
 	b.bucket(pool).deposit(now, b.rates())
