load, owner, ports: plain words for the weight of reports

Cause: comments and names spoke of the say of reports, of honesty, lies and twins, which a newcomer has to guess. Conclusion: no change of behaviour; tests of load, owner, balance, lab/upstreamd and config/command pass.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -201,7 +201,7 @@
 	InFlight int `json:"in_flight"`
 	// Estimate is the expected number of all hosts' requests.
 	Estimate float64 `json:"estimate"`
-	// Trust is the say of the target's load reports, 0 to 1.
+	// Trust is the weight of the target's load reports, 0 to 1.
 	Trust float64 `json:"trust"`
 	// Latency is the smoothed latency.
 	Latency time.Duration `json:"latency"`
--- a/balance/candidates.go
+++ b/balance/candidates.go
@@ -219,8 +219,9 @@
 // own counts.
 const serviceMargin = 2
 
-// frozenCost is the cost of trust in all reports of a pool by the share of its
-// targets that repeat themselves: what feeds the reports may be at fault.
+// frozenCost times the share of a pool's targets that repeat their reports is
+// taken off the weight of all reports of the pool, as their common source may
+// be at fault.
 const frozenCost = 2
 
 // maxFailPenalty bounds the failure share by which an expected answer recedes.
--- a/balance/health.go
+++ b/balance/health.go
@@ -69,7 +69,7 @@
 	fails            float64
 	// others is the mean number of other hosts' requests at a target.
 	others float64
-	// trust is the say of the pool's reports, 0 to 1.
+	// trust is the weight of the pool's reports, 0 to 1.
 	trust float64
 }
 
--- a/config/command/doc.go
+++ b/config/command/doc.go
@@ -2,8 +2,8 @@
 //
 // A change reads the accepted version, edits a copy, checks the whole, and
 // writes it in one transaction on condition that the version is still the one
-// that was read. The loser of a race gets a conflict and nothing is merged
-// behind its back.
+// that was read. Of two changes of the same version one gets a conflict;
+// changes are never merged.
 //
 // A write whose acknowledgement was lost is settled by sending the same
 // transaction again: the row of the change id says whether the first one took
--- a/lab/upstreamd/behavior.go
+++ b/lab/upstreamd/behavior.go
@@ -27,8 +27,8 @@
 
 // The kinds of load report.
 const (
-	// Honest reports the state at the time of the answer.
-	Honest LoadReport = ""
+	// Accurate reports the state at the time of the answer.
+	Accurate LoadReport = ""
 	// Frozen repeats the state at the time of the switch.
 	Frozen LoadReport = "frozen"
 	// Idle always reports no load.
@@ -64,7 +64,7 @@
 		return errors.Errorf("drain %q: expected announced or silent", b.Drain)
 	}
 	switch b.Report {
-	case Honest, Frozen, Idle, Absurd, None:
+	case Accurate, Frozen, Idle, Absurd, None:
 		return nil
 	}
 	return errors.Errorf("report %q: expected frozen, idle, absurd or none", b.Report)
--- a/lab/upstreamd/serve.go
+++ b/lab/upstreamd/serve.go
@@ -30,8 +30,8 @@
 	return mux
 }
 
-// honestReport is the load report at this moment.
-func (s *Server) honestReport() string {
+// accurateReport is the load report at this moment.
+func (s *Server) accurateReport() string {
 	running, queued := s.inFlight.Load(), s.queued.Load()
 	return fmt.Sprintf("TEXT named_metrics.in_flight=%d, named_metrics.queued=%d, application_utilization=%.2f",
 		running, queued, float64(running)/float64(s.opts.Slots))
@@ -52,7 +52,7 @@
 	case None:
 		return ""
 	default:
-		return s.honestReport()
+		return s.accurateReport()
 	}
 }
 
--- a/lab/upstreamd/server.go
+++ b/lab/upstreamd/server.go
@@ -128,7 +128,7 @@
 	if err := b.Validate(); err != nil {
 		return err
 	}
-	report := s.honestReport()
+	report := s.accurateReport()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if b.Report == Frozen && s.behavior.Report != Frozen {
--- a/lab/upstreamd/upstream_test.go
+++ b/lab/upstreamd/upstream_test.go
@@ -212,7 +212,7 @@
 		Entry("idle", upstreamd.Idle, "in_flight=0,"),
 		Entry("absurd", upstreamd.Absurd, "in_flight=-7,"),
 		Entry("none", upstreamd.None, ""),
-		Entry("honest", upstreamd.Honest, "in_flight=1,"),
+		Entry("accurate", upstreamd.Accurate, "in_flight=1,"),
 	)
 
 	It("refuses options that make no target", func() {
--- a/load/knowledge.go
+++ b/load/knowledge.go
@@ -7,7 +7,7 @@
 
 const (
 	// memoryServices is the age, in service times, at which a report has lost
-	// 1-1/e of its say, within shortestMemory and longestMemory.
+	// 1-1/e of its weight, within shortestMemory and longestMemory.
 	memoryServices = 3
 	shortestMemory = 20 * time.Millisecond
 	longestMemory  = time.Second
@@ -29,8 +29,8 @@
 	Slots int
 	// Own is the number of this host's requests in flight.
 	Own int
-	// memory is the age at which a report has lost 1-1/e of its say, and
-	// poolTrust the say that the reports of the whole pool have.
+	// memory is the age at which a report has lost 1-1/e of its weight, and
+	// poolTrust the weight of the reports of the whole pool, 0 to 1.
 	memory    time.Duration
 	poolTrust float64
 
@@ -59,9 +59,9 @@
 // independent enough to count as a run when they are equal.
 const runSpacing = 3
 
-// Remember sets how long reports keep their say from the service time of the
-// pool, as a queue changes within a few of them, and the say that the reports
-// of the whole pool have, 0 to 1.
+// Remember sets how long reports keep their weight from the service time of the
+// pool, as a queue changes within a few of them, and the weight of the reports
+// of the whole pool, 0 to 1.
 func (k *Knowledge) Remember(service time.Duration, poolTrust float64) {
 	k.poolTrust = poolTrust
 	if service > 0 {
@@ -141,10 +141,10 @@
 	return k.others, !k.reportedAt.IsZero()
 }
 
-// Trust returns the say of the target's reports, 0 to 1.
+// Trust returns the weight of the target's reports, 0 to 1.
 func (k *Knowledge) Trust() float64 { return k.trust.value() }
 
-// Freshness returns the say of the last report, 0 to 1: its trust, less with
+// Freshness returns the weight of the last report, 0 to 1: its trust, less with
 // age.
 func (k *Knowledge) Freshness(now time.Time) float64 {
 	if k.reportedAt.IsZero() {
--- a/load/trust.go
+++ b/load/trust.go
@@ -9,8 +9,9 @@
 	ratioGood, ratioBad = 2.0, 4.0
 	// ratioLow is the mean ratio below which trust falls in proportion.
 	ratioLow = 0.4
-	// lieFactor and honestGain move the honesty of counts.
-	lieFactor, honestGain = 0.7, 0.02
+	// contradictedFactor multiplies the accuracy of counts at a report that calls
+	// contradict; agreedGain is added to it at one that they agree with.
+	contradictedFactor, agreedGain = 0.7, 0.02
 	// frozenRun is the number of equal counts in a row that a busy target does
 	// not give.
 	frozenRun = 4
@@ -19,17 +20,18 @@
 	busyMean = 0.5
 )
 
-// trust is the say of the reports of one target, from what calls show.
+// trust is the weight of the reports of one target, by how well they agree with
+// the calls to it.
 type trust struct {
 	// ratio is the mean of seen over predicted latency.
 	ratio float64
-	// honesty falls with reports that can't be true.
-	honesty float64
+	// accuracy, 0 to 1, falls with reports that can't be true.
+	accuracy float64
 	// count was reported run times in a row.
 	count, run int
 }
 
-func fullTrust() trust { return trust{ratio: 1, honesty: 1} }
+func fullTrust() trust { return trust{ratio: 1, accuracy: 1} }
 
 // checkCount compares a reported number with this host's requests that have
 // arrived: one of them may have just ended, more missing is a contradiction.
@@ -38,7 +40,7 @@
 		t.lower()
 		return
 	}
-	t.honesty = min(t.honesty+honestGain, 1)
+	t.accuracy = min(t.accuracy+agreedGain, 1)
 }
 
 // checkRun counts equal numbers in a row. A run of zeros is sound in a pool
@@ -52,7 +54,7 @@
 
 func (t *trust) frozen() bool { return t.run >= frozenRun }
 
-func (t *trust) lower() { t.honesty *= lieFactor }
+func (t *trust) lower() { t.accuracy *= contradictedFactor }
 
 // checkLatency takes one ratio of seen to predicted latency.
 func (t *trust) checkLatency(ratio float64) {
@@ -69,5 +71,5 @@
 	case t.ratio < ratioLow:
 		fit = t.ratio / ratioLow
 	}
-	return fit * t.honesty
+	return fit * t.accuracy
 }
--- a/owner/chooser.go
+++ b/owner/chooser.go
@@ -12,7 +12,7 @@
 // The constants of the choice.
 const (
 	// reportHalfLife is the age at which a report of backlog has lost half of
-	// its say.
+	// its weight.
 	reportHalfLife = 200 * time.Millisecond
 	// maxAge bounds the time over which coming requests are reckoned.
 	maxAge = time.Second
@@ -188,13 +188,13 @@
 	service float64
 }
 
-// mean averages over the groups that have reported, by the say of their
+// mean averages over the groups that have reported, by the weight of their
 // reports; a group whose report has aged is taken to be like the average.
 func (c *Chooser) mean(now time.Time) average {
 	var sum average
 	var weight float64
 	for _, s := range c.groups {
-		w := s.say(now)
+		w := s.weight(now)
 		if w == 0 || s.spec.Slots == 0 {
 			continue
 		}
@@ -212,11 +212,11 @@
 	if s.spec.Slots == 0 || now.Before(s.suspendedUntil) {
 		return false
 	}
-	return s.reportedAt.IsZero() || s.report.Slots > 0 || s.say(now) < 0.5
+	return s.reportedAt.IsZero() || s.report.Slots > 0 || s.weight(now) < 0.5
 }
 
-// say is the weight of the report by its age, from 1 down to 0.
-func (s *groupState) say(now time.Time) float64 {
+// weight is that of the report by its age, from 1 down to 0.
+func (s *groupState) weight(now time.Time) float64 {
 	if s.reportedAt.IsZero() {
 		return 0
 	}
@@ -243,7 +243,7 @@
 	slots := float64(s.slots())
 	load, service := 0.0, mean.service
 	if !s.reportedAt.IsZero() {
-		w := s.say(now)
+		w := s.weight(now)
 		load = w*s.reportedLoad() + (1-w)*mean.load
 		service = w*s.report.Service.Seconds() + (1-w)*mean.service
 	}
--- a/ports/ports.go
+++ b/ports/ports.go
@@ -66,8 +66,8 @@
 	Shed
 	// TimedOut: the deadline passed.
 	TimedOut
-	// Abandoned: the caller went away or a hedge was won by its twin; says
-	// nothing about the target.
+	// Abandoned: the caller went away or the other copy of a hedged request
+	// answered first; tells nothing about the target.
 	Abandoned
 )
 
