--- a/attempt/machine.go
+++ b/attempt/machine.go
@@ -1,6 +1,7 @@
 package attempt
 
 import (
+	"cmp"
 	"net/http"
 	"time"
 
@@ -263,9 +264,7 @@
 	if m.mayHaveRun() {
 		return m.finish(outcome.UpstreamLost)
 	}
-	if m.reason == 0 {
-		m.reason = outcome.NoTarget
-	}
+	m.reason = cmp.Or(m.reason, outcome.NoTarget)
 	return m.finish(m.reason)
 }
 
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"net/netip"
 	"sort"
 	"sync"
@@ -85,9 +86,7 @@
 	if _, err := findDesign(opts.Policy); err != nil {
 		return nil, err
 	}
-	if opts.CrossDomain == 0 {
-		opts.CrossDomain = DefaultCrossDomain
-	}
+	opts.CrossDomain = cmp.Or(opts.CrossDomain, DefaultCrossDomain)
 	m, err := newMetrics(opts.Registerer)
 	if err != nil {
 		return nil, errors.Wrap(err, "metrics of balance")
--- a/config/command/command.go
+++ b/config/command/command.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -49,12 +50,8 @@
 	if o.Clock == nil {
 		o.Clock = clockwork.NewRealClock()
 	}
-	if o.Timeout == 0 {
-		o.Timeout = DefaultTimeout
-	}
-	if o.Backoff == 0 {
-		o.Backoff = DefaultBackoff
-	}
+	o.Timeout = cmp.Or(o.Timeout, DefaultTimeout)
+	o.Backoff = cmp.Or(o.Backoff, DefaultBackoff)
 	return &Commander{opts: o, reader: query.New(o.Store)}
 }
 
--- a/config/keeper.go
+++ b/config/keeper.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -93,12 +94,8 @@
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
-	if o.StartWait == 0 {
-		o.StartWait = DefaultStartWait
-	}
-	if o.GiveUp == 0 {
-		o.GiveUp = DefaultGiveUp
-	}
+	o.StartWait = cmp.Or(o.StartWait, DefaultStartWait)
+	o.GiveUp = cmp.Or(o.GiveUp, DefaultGiveUp)
 	seed := xxhash.Sum64String(o.Host)
 	now := o.Clock.Now()
 	return &Keeper{
--- a/handoff/balancer.go
+++ b/handoff/balancer.go
@@ -1,6 +1,7 @@
 package handoff
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"strings"
@@ -74,9 +75,7 @@
 
 // New returns a balancer without pools; until Update it dispatches directly.
 func New(opts Options) *Balancer {
-	if opts.FarDistance == 0 {
-		opts.FarDistance = defaultFarDistance
-	}
+	opts.FarDistance = cmp.Or(opts.FarDistance, defaultFarDistance)
 	b := &Balancer{opts: opts, metrics: newMetrics(opts.Registerer)}
 	b.view.Store(&view{})
 	return b
--- a/ledger/options.go
+++ b/ledger/options.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -68,17 +69,17 @@
 		breakerAfter       = 3
 		probeInterval      = time.Second
 	)
-	setDefault(&o.Retention, retention)
-	setDefault(&o.ClaimTimeout, claimTimeout)
-	setDefault(&o.CallTimeout, callTimeout)
-	setDefault(&o.ClaimCallsPerSecond, claimCalls)
-	setDefault(&o.OutcomeCallsPerSecond, outcomeCalls)
-	setDefault(&o.ClaimCallsInFlight, claimCallsInFlight)
-	setDefault(&o.AnswerBytes, answerBytes)
-	setDefault(&o.PendingLimit, pendingLimit)
-	setDefault(&o.PendingAnswerBytes, pendingAnswerBytes)
-	setDefault(&o.BreakerAfter, breakerAfter)
-	setDefault(&o.ProbeInterval, probeInterval)
+	o.Retention = cmp.Or(o.Retention, retention)
+	o.ClaimTimeout = cmp.Or(o.ClaimTimeout, claimTimeout)
+	o.CallTimeout = cmp.Or(o.CallTimeout, callTimeout)
+	o.ClaimCallsPerSecond = cmp.Or(o.ClaimCallsPerSecond, claimCalls)
+	o.OutcomeCallsPerSecond = cmp.Or(o.OutcomeCallsPerSecond, outcomeCalls)
+	o.ClaimCallsInFlight = cmp.Or(o.ClaimCallsInFlight, claimCallsInFlight)
+	o.AnswerBytes = cmp.Or(o.AnswerBytes, answerBytes)
+	o.PendingLimit = cmp.Or(o.PendingLimit, pendingLimit)
+	o.PendingAnswerBytes = cmp.Or(o.PendingAnswerBytes, pendingAnswerBytes)
+	o.BreakerAfter = cmp.Or(o.BreakerAfter, breakerAfter)
+	o.ProbeInterval = cmp.Or(o.ProbeInterval, probeInterval)
 	if o.Clock == nil {
 		o.Clock = clockwork.NewRealClock()
 	}
@@ -90,12 +91,6 @@
 	}
 }
 
-func setDefault[T int | float64 | time.Duration](v *T, d T) {
-	if *v == 0 {
-		*v = d
-	}
-}
-
 func (o *Options) validate() error {
 	switch {
 	case o.Table == nil:
--- a/load/knowledge.go
+++ b/load/knowledge.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -119,9 +120,7 @@
 	if d <= 0 {
 		return
 	}
-	if k.peerLatency == 0 {
-		k.peerLatency = d
-	}
+	k.peerLatency = cmp.Or(k.peerLatency, d)
 	k.peerLatency += time.Duration(latencyWeight * float64(d-k.peerLatency))
 	k.peerLatencyAt = now
 }
--- a/membership/service.go
+++ b/membership/service.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -48,9 +49,7 @@
 	}
 	// Hosts that share a seed must not act in step.
 	o.Seed ^= xxhash.Sum64String(o.Self.Name)
-	if o.AssumedHosts == 0 {
-		o.AssumedHosts = assumedHosts
-	}
+	o.AssumedHosts = cmp.Or(o.AssumedHosts, assumedHosts)
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
--- a/owner/chooser.go
+++ b/owner/chooser.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -157,9 +158,7 @@
 	if state == nil || !r.Valid() {
 		return false
 	}
-	if r.Service == 0 {
-		r.Service = initialService
-	}
+	r.Service = cmp.Or(r.Service, initialService)
 	state.report, state.reportedAt, state.sentSince = r, now, 0
 	return true
 }
--- a/peer/options.go
+++ b/peer/options.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"net"
@@ -78,12 +79,12 @@
 		bytesPerSecond    = 15_000
 		figuresPerMessage = 128
 	)
-	setDefault(&o.Interval, interval)
-	setDefault(&o.FanOut, 1)
-	setDefault(&o.PushFanOut, pushFanOut)
-	setDefault(&o.Timeout, timeout)
-	setDefault(&o.BytesPerSecond, bytesPerSecond)
-	setDefault(&o.FiguresPerMessage, figuresPerMessage)
+	o.Interval = cmp.Or(o.Interval, interval)
+	o.FanOut = cmp.Or(o.FanOut, 1)
+	o.PushFanOut = cmp.Or(o.PushFanOut, pushFanOut)
+	o.Timeout = cmp.Or(o.Timeout, timeout)
+	o.BytesPerSecond = cmp.Or(o.BytesPerSecond, bytesPerSecond)
+	o.FiguresPerMessage = cmp.Or(o.FiguresPerMessage, figuresPerMessage)
 	if o.Clock == nil {
 		o.Clock = clockwork.NewRealClock()
 	}
@@ -92,12 +93,6 @@
 	}
 }
 
-func setDefault[T ~int | ~int64](v *T, d T) {
-	if *v == 0 {
-		*v = d
-	}
-}
-
 func (o *Options) validate() error {
 	switch {
 	case o.Members == nil:
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -100,29 +100,24 @@
 // withDefaults fills every zero limit.
 func (l Limits) withDefaults() Limits {
 	d := DefaultLimits()
-	orInt(&l.HeaderBytes, d.HeaderBytes)
-	orTime(&l.HeaderTimeout, d.HeaderTimeout)
-	orTime(&l.IdleTimeout, d.IdleTimeout)
-	orTime(&l.WriteStall, d.WriteStall)
-	orInt(&l.HeldBodyBytes, d.HeldBodyBytes)
-	orInt(&l.KeyedBodyBytes, d.KeyedBodyBytes)
-	orInt(&l.HeldAnswerBytes, d.HeldAnswerBytes)
-	orInt(&l.RecordBytes, d.RecordBytes)
-	orInt(&l.PlainAnswerBytes, d.PlainAnswerBytes)
-	orTime(&l.Timeout, d.Timeout)
-	orTime(&l.SettleTimeout, d.SettleTimeout)
-	orTime(&l.LastRequests, d.LastRequests)
-	orInt(&l.CallerLabels, d.CallerLabels)
+	orDefault(&l.HeaderBytes, d.HeaderBytes)
+	orDefault(&l.HeaderTimeout, d.HeaderTimeout)
+	orDefault(&l.IdleTimeout, d.IdleTimeout)
+	orDefault(&l.WriteStall, d.WriteStall)
+	orDefault(&l.HeldBodyBytes, d.HeldBodyBytes)
+	orDefault(&l.KeyedBodyBytes, d.KeyedBodyBytes)
+	orDefault(&l.HeldAnswerBytes, d.HeldAnswerBytes)
+	orDefault(&l.RecordBytes, d.RecordBytes)
+	orDefault(&l.PlainAnswerBytes, d.PlainAnswerBytes)
+	orDefault(&l.Timeout, d.Timeout)
+	orDefault(&l.SettleTimeout, d.SettleTimeout)
+	orDefault(&l.LastRequests, d.LastRequests)
+	orDefault(&l.CallerLabels, d.CallerLabels)
 	return l
 }
 
-func orInt(v *int, def int) {
-	if *v <= 0 {
-		*v = def
-	}
-}
-
-func orTime(v *time.Duration, def time.Duration) {
+// orDefault replaces a value that is not positive.
+func orDefault[T int | time.Duration](v *T, def T) {
 	if *v <= 0 {
 		*v = def
 	}
--- a/settings/load.go
+++ b/settings/load.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -46,9 +47,7 @@
 			return nil, err
 		}
 	}
-	if s.Platform.Hosts == "" {
-		s.Platform.Hosts = s.Platform.Objects
-	}
+	s.Platform.Hosts = cmp.Or(s.Platform.Hosts, s.Platform.Objects)
 	return s, checkWhole(path, s)
 }
 
