limit: keep a limiter that is given for batch alone

Cause: New replaced Options.NewBatchLimiter by the default whenever NewLimiter was nil, against the comment on the option. Two errors of metrics named their owner twice. Change: each option gets its default by itself; the second naming is gone. Conclusion: the new test, which counts the limiters made, saw 0 in place of 1 with the former New; go test ./limit ./balance passes.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -89,7 +89,7 @@
 	opts.CrossDomain = cmp.Or(opts.CrossDomain, DefaultCrossDomain)
 	m, err := newMetrics(opts.Registerer)
 	if err != nil {
-		return nil, errors.Wrap(err, "metrics of balance")
+		return nil, err
 	}
 	b := &Balancer{opts: opts, metrics: m}
 	b.drains = newDrains(&b.changes)
--- a/limit/admission.go
+++ b/limit/admission.go
@@ -59,13 +59,15 @@
 	if o.NewBatchLimiter == nil {
 		o.NewBatchLimiter = o.NewLimiter
 	}
-	if o.NewLimiter == nil {
+	if o.NewBatchLimiter == nil {
 		o.NewBatchLimiter = func(limit, tolerance float64) Limiter { return NewBatchAIMD(limit, tolerance) }
+	}
+	if o.NewLimiter == nil {
 		o.NewLimiter = func(limit, tolerance float64) Limiter { return NewAIMD(limit, tolerance) }
 	}
 	m, err := newMetrics(o.Registerer)
 	if err != nil {
-		return nil, errors.Wrap(err, "metrics of limit")
+		return nil, err
 	}
 	return &Admission{opts: o, metrics: m}, nil
 }
--- a/limit/fixed_test.go
+++ b/limit/fixed_test.go
@@ -29,3 +29,14 @@
 		Expect(refusal.Reason).To(Equal(outcome.CallerGone))
 	})
 })
+
+var _ = It("takes a limiter for batch alone", func() {
+	made := 0
+	a, err := New(Options{NewBatchLimiter: func(_, _ float64) Limiter {
+		made++
+		return NewFixed()
+	}})
+	Expect(err).NotTo(HaveOccurred())
+	a.Update(map[string]Capacity{"p": {Targets: 1, Slots: 2}})
+	Expect(made).To(Equal(1))
+})
