--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"net/netip"
 	"sort"
 	"sync"
@@ -85,12 +86,10 @@
 	if _, err := findDesign(opts.Policy); err != nil {
 		return nil, err
 	}
-	if opts.CrossDomain == 0 {
-		opts.CrossDomain = DefaultCrossDomain
-	}
+	opts.CrossDomain = cmp.Or(opts.CrossDomain, DefaultCrossDomain)
 	m, err := newMetrics(opts.Registerer)
 	if err != nil {
-		return nil, errors.Wrap(err, "metrics of balance")
+		return nil, err
 	}
 	b := &Balancer{opts: opts, metrics: m}
 	b.drains = newDrains(&b.changes)
@@ -201,7 +200,7 @@
 	InFlight int `json:"in_flight"`
 	// Estimate is the expected number of all hosts' requests.
 	Estimate float64 `json:"estimate"`
-	// Trust is the say of the target's load reports, 0 to 1.
+	// Trust is the weight of the target's load reports, 0 to 1.
 	Trust float64 `json:"trust"`
 	// Latency is the smoothed latency.
 	Latency time.Duration `json:"latency"`
--- a/handoff/balancer.go
+++ b/handoff/balancer.go
@@ -1,6 +1,7 @@
 package handoff
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"strings"
@@ -77,9 +78,7 @@
 
 // New returns a balancer without pools; until Update it dispatches directly.
 func New(opts Options) *Balancer {
-	if opts.FarDistance == 0 {
-		opts.FarDistance = defaultFarDistance
-	}
+	opts.FarDistance = cmp.Or(opts.FarDistance, defaultFarDistance)
 	if opts.Clock == nil {
 		opts.Clock = clockwork.NewRealClock()
 	}
--- a/membership/service.go
+++ b/membership/service.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/chestnutfield/chestnutfield/internal/metric"
 	"github.com/chestnutfield/chestnutfield/platform"
 )
 
@@ -47,9 +49,7 @@
 	}
 	// Hosts that share a seed must not act in step.
 	o.Seed ^= xxhash.Sum64String(o.Self.Name)
-	if o.AssumedHosts == 0 {
-		o.AssumedHosts = assumedHosts
-	}
+	o.AssumedHosts = cmp.Or(o.AssumedHosts, assumedHosts)
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
@@ -89,10 +89,8 @@
 			Self: opt.Self, Timing: opt.Timing, Seed: opt.Seed, AssumedHosts: opt.AssumedHosts,
 		}, opt.Clock.Now()),
 	}
-	if opt.Registerer != nil {
-		if err := opt.Registerer.Register(newCollector(s)); err != nil {
-			return nil, errors.Wrap(err, "register membership metrics")
-		}
+	if err := metric.Register(opt.Registerer, "membership", newCollector(s)); err != nil {
+		return nil, err
 	}
 	return s, nil
 }
