balance, owner: a target that refuses all calls is left alone; slow groups are filled less

Change: three refusals in a row set a target aside for the longest time, also when the calls were in flight already; Chooser fills by expected wait where service times differ by half or more; a ramping target of an owned group takes one request more every 250 ms. Each spec fails with its protection taken out.

--- a/balance/candidates.go
+++ b/balance/candidates.go
@@ -14,6 +14,9 @@
 	typicalInterval = 10 * time.Millisecond
 	// subsetInterval is the time between two looks at the membership.
 	subsetInterval = time.Second
+	// exclusiveRampStep is the time after which a ramping target of an
+	// exclusive pool takes one request more at once.
+	exclusiveRampStep = 250 * time.Millisecond
 	// unknownService is assumed while no target has been measured.
 	unknownService = 20 * time.Millisecond
 )
@@ -184,10 +187,13 @@
 		return false
 	}
 	w := t.health.weight(now)
+	if w >= 1 {
+		return true
+	}
 	if p.exclusive {
-		return float64(t.know.Own) < max(1, w*float64(2*p.slots)) || w >= 1
+		return t.know.Own <= int(now.Sub(t.health.rampFrom)/exclusiveRampStep)
 	}
-	return w >= 1 || p.rng.Float64() < w
+	return p.rng.Float64() < w
 }
 
 func (p *pool) candidate(now time.Time, i int, t *target) Candidate {
--- a/balance/faults_test.go
+++ b/balance/faults_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
 
 	"github.com/chestnutfield/chestnutfield/balance"
 	"github.com/chestnutfield/chestnutfield/ports"
@@ -272,6 +273,20 @@
 		Expect(stateOf(b, now, 0).State).NotTo(Equal("set-aside"))
 	})
 
+	It("leaves a target alone that refuses all calls, as one that leaves without saying so", func() {
+		b := exclusive()
+		inFlight := lo.Times(3, func(int) ports.Attempt { return pick(b, start, addr(1)) })
+		for _, a := range inFlight {
+			a.Done(start, ports.Feedback{Result: ports.Result{Verdict: ports.Shed}})
+		}
+		for ms := 0; ms < 14000; ms += 20 {
+			now := start.Add(time.Duration(ms) * time.Millisecond)
+			a := pick(b, now)
+			Expect(a.Target()).To(Equal(addr(1)))
+			a.Done(now, succeeded(time.Millisecond))
+		}
+	})
+
 	It("does not set a target aside for a few slow calls at the start", func() {
 		b := exclusive()
 		for i := range 5 {
--- a/balance/health.go
+++ b/balance/health.go
@@ -32,6 +32,10 @@
 	asideFirst   = time.Second
 	asidePerHost = 400 * time.Millisecond
 	asideLongest = 30 * time.Second
+	// refusedInRow is the number of calls refused one after another from which
+	// a target is taken to leave without saying so; it is set aside for the
+	// longest time.
+	refusedInRow = 3
 	// trialSuccesses is the number of calls that end a trial.
 	trialSuccesses = 3
 	// rampTime is the time from a first call to a full share, and rampStart
@@ -59,6 +63,8 @@
 	rampFrom  time.Time
 	fails     float64
 	successes int
+	// refused counts the calls that were refused one after another.
+	refused int
 	// times counts the times set aside without full recovery between.
 	times int
 }
@@ -75,6 +81,11 @@
 
 // ended takes the end of a call.
 func (h *health) ended(v ports.Verdict) {
+	if v == ports.Shed {
+		h.refused++
+	} else if v != ports.Abandoned {
+		h.refused = 0
+	}
 	switch v {
 	case ports.Succeeded:
 		h.fails -= failWeight * h.fails
@@ -107,12 +118,28 @@
 
 // setAside takes the target out for a while that doubles with every time.
 func (h *health) setAside(now time.Time, hosts int, rng *rand.Rand) {
-	hold := max(asideFirst, time.Duration(hosts)*asidePerHost) << min(h.times, 5)
-	hold = time.Duration(float64(min(hold, asideLongest)) * (0.5 + rng.Float64()))
+	hold := h.hold(hosts)
+	hold = time.Duration(float64(hold) * (0.5 + rng.Float64()))
 	h.phase, h.until, h.successes = aside, now.Add(hold), 0
 	h.times++
 }
 
+// prolong keeps a target aside for the longest time once calls that were still
+// in flight show that it refuses all.
+func (h *health) prolong(now time.Time) {
+	if h.refused >= refusedInRow {
+		h.until = now.Add(asideLongest)
+	}
+}
+
+// hold is the time for which the target is set aside, before it is spread.
+func (h *health) hold(hosts int) time.Duration {
+	if h.refused >= refusedInRow {
+		return asideLongest
+	}
+	return min(max(asideFirst, time.Duration(hosts)*asidePerHost)<<min(h.times, 5), asideLongest)
+}
+
 // advance moves a target whose time is over into its trial.
 func (h *health) advance(now time.Time) {
 	switch {
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -173,6 +173,7 @@
 // trial that went well.
 func (p *pool) judge(now time.Time, t *target) {
 	if t.health.phase == aside {
+		t.health.prolong(now)
 		return
 	}
 	slowNow := t.health.slow(t.know.Latency(), t.know.Samples(), p.typical)
--- a/owner/chooser.go
+++ b/owner/chooser.go
@@ -17,6 +17,9 @@
 	reportHalfLife = 200 * time.Millisecond
 	// maxAge bounds the time over which coming requests are reckoned.
 	maxAge = time.Second
+	// slowTolerance is the factor between service times from which a group
+	// counts as slower or faster than the average.
+	slowTolerance = 1.5
 	// initialService stands for the service time of a group with no samples.
 	initialService = 10 * time.Millisecond
 	// suspendFor is how long a group is passed over after its owner could not
@@ -134,7 +137,8 @@
 	levels := make([]level, len(open))
 	var rate, age, slots float64
 	for i, s := range open {
-		levels[i] = level{load: s.load(now, mean), slots: float64(s.slots())}
+		slow := s.slowness(now, mean)
+		levels[i] = level{load: s.load(now, mean) * slow, slots: float64(s.slots()) / slow}
 		rate += s.throughput(mean)
 		age += s.age(now).Seconds() * levels[i].slots
 		slots += levels[i].slots
@@ -270,6 +274,19 @@
 	return load + 2*s.spec.Distance.Seconds()/service
 }
 
+// slowness is the group's service time over the average; small differences
+// are taken for chance.
+func (s *groupState) slowness(now time.Time, mean average) float64 {
+	if s.reportedAt.IsZero() || mean.service <= 0 {
+		return 1
+	}
+	ratio := 1 + s.weight(now)*(s.report.Service.Seconds()/mean.service-1)
+	if ratio < slowTolerance && ratio > 1/slowTolerance {
+		return 1
+	}
+	return ratio
+}
+
 // throughput estimates the requests a second that the group ends.
 func (s *groupState) throughput(mean average) float64 {
 	if s.reportedAt.IsZero() {
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -122,6 +122,23 @@
 		Expect(got[near]).To(BeNumerically(">=", 15))
 	})
 
+	It("fills a slower group less, so that both wait the same time", func() {
+		c := newChooser(0)
+		report := func() {
+			c.Learn(start, near, owner.Report{Backlog: 8, Slots: 8, Service: 80 * time.Millisecond})
+			c.Learn(start, far, owner.Report{Backlog: 8, Slots: 8, Service: 20 * time.Millisecond})
+		}
+		report()
+		got := map[owner.Group]int{}
+		for range 200 {
+			g, _ := c.Pick(start.Add(10*time.Millisecond), nil)
+			got[g]++
+			c.Done(g)
+			report()
+		}
+		Expect(got[near]).To(BeNumerically("<", 20))
+	})
+
 	It("drops impossible reports", func() {
 		c := newChooser(0)
 		Expect(c.Learn(start, near, owner.Report{Backlog: -1, Slots: 8})).To(BeFalse())
