--- a/lab/capacity/capacity.go
+++ b/lab/capacity/capacity.go
@@ -41,9 +41,9 @@
 	Points []Point
 	// Settle is the time from the start of the hosts to the measurement.
 	Settle time.Duration
-	// Window is how long each point is measured.
+	// Window is how long each point is measured without changes.
 	Window time.Duration
-	// Changes is the number of changes of the tables in each window.
+	// Changes is the number of changes of the tables after each window.
 	Changes int
 }
 
@@ -117,29 +117,32 @@
 	if err != nil {
 		return cost, err
 	}
-	inForce, err := change(ctx, o, p, hosts)
-	if err != nil {
+	if err := sleep(ctx, o.Window); err != nil {
 		return cost, err
 	}
 	after, err := m.sample()
 	if err != nil {
 		return cost, err
 	}
+	live := heap() - empty
+	inForce, err := change(ctx, o, p, hosts)
+	if err != nil {
+		return cost, err
+	}
 	seconds, n := after.at.Sub(before.at).Seconds(), float64(p.Hosts)
 	return Cost{
 		Point: p, InForce: inForce,
 		Processor: (after.processor - before.processor).Seconds() / seconds / n,
-		HeapBytes: (heap() - empty) / n,
+		HeapBytes: live / n,
 		PeerBytes: (after.peerBytes - before.peerBytes) / seconds / n,
 		Reads:     (after.reads - before.reads) / seconds,
 		Writes:    (after.writes - before.writes) / seconds,
 	}, nil
 }
 
-// change makes the changes of a window, evenly spread, and returns the longest
-// time that one took to be in force.
+// change makes changes one after another and returns the longest time that one
+// took to be in force.
 func change(ctx context.Context, o Options, p Point, hosts *embedded.Hosts) (longest time.Duration, err error) {
-	end := time.Now().Add(o.Window)
 	for i := range o.Changes {
 		version, err := hosts.Apply(ctx, rows.Routes, routes(p.Targets, i+1))
 		if err != nil {
@@ -150,12 +153,8 @@
 			return 0, err
 		}
 		longest = max(longest, time.Since(accepted))
-		left := time.Until(end) / time.Duration(o.Changes-i)
-		if err := sleep(ctx, left); err != nil {
-			return 0, err
-		}
 	}
-	return longest, sleep(ctx, time.Until(end))
+	return longest, nil
 }
 
 // meter reads the counters of a deployment.
--- a/lab/capacity/capacity_test.go
+++ b/lab/capacity/capacity_test.go
@@ -21,7 +21,7 @@
 	It("measures every point, with its changes in force", func() {
 		var out bytes.Buffer
 		costs, err := capacity.Run(context.Background(), capacity.Options{
-			Points: []capacity.Point{{Hosts: 2, Targets: 15}}, Window: time.Second, Changes: 2,
+			Points: []capacity.Point{{Hosts: 2, Targets: 15}}, Window: 6 * time.Second, Changes: 2,
 		}, &out)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(costs).To(HaveLen(1))
