--- a/balance/exchange.go
+++ b/balance/exchange.go
@@ -28,10 +28,17 @@
 	return out[:min(len(out), max(limit, 0))]
 }
 
+// figuresIdle is the time without requests after which a pool has no figures
+// that a peer would take.
+const figuresIdle = 2 * time.Second
+
 // figures returns what this host itself heard of its targets.
 func (p *pool) figures(now time.Time) []ports.Figure {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if now.Sub(p.lastPick) > figuresIdle {
+		return nil
+	}
 	out := make([]ports.Figure, 0, len(p.targets))
 	for _, t := range p.targets {
 		n, age := t.know.Reported(now)
