--- a/retry/doc.go
+++ b/retry/doc.go
@@ -6,9 +6,12 @@
 // floor a second, shared by the entry hosts, lets pools with little traffic
 // retry at all.
 //
-// A call may pass many hosts on its way down. What it may still spend travels
-// with it as an Allowance, which only shrinks: the deadline by the time that
-// has passed, the retries to none as soon as one host keeps them for itself.
-// So a fault at the bottom is retried by one level alone, and a level that
-// loses the headers is still held by its own budget.
+// A call may pass many hosts on its way down. An Allowance carries what it may
+// still spend, for callers of this package that want a fault at the bottom to
+// be retried by one level alone: the deadline shrinks by the time that has
+// passed, the retries to none as soon as one host keeps them for itself. The
+// project's own forwarding path passes the deadline on likewise, but lets the
+// lowest level retry first and withdraws retries from further attempts alone:
+// a fault below nine levels with one retry each is met ten times, within the
+// budgets.
 package retry
