host: the operator's drain key is not announced to peers

Cause: found on reading the change. Each host told its peers of every draining target, the operator's key included. Peers keep such a mark for ten minutes, so a target that the operator took back stayed out although the tables in force said otherwise: the news was at the wrong depth, since tables reach all hosts. Change: hosts announce what the host list takes away alone. Conclusion: the key ends where it is removed.

--- a/host/host_test.go
+++ b/host/host_test.go
@@ -107,6 +107,27 @@
 		Expect(lo.Uniq(statuses)).To(Equal([]int{http.StatusOK}))
 	})
 
+	It("takes a target back everywhere when the operator's drain key goes", func() {
+		d := newDeployment(2, 3)
+		d.serving()
+		inForce := func(version uint64) {
+			for _, h := range d.hosts {
+				Eventually(func() string { return metric(h, "chestnut_config_version") }, patience).
+					Should(Equal(strconv.FormatUint(version, 10)))
+			}
+		}
+		pool := "[catalogue]\ntargets = " + d.targetList() + "\n"
+		inForce(d.apply(rows.Pools, pool+"drain = "+d.targets[0].Addr()+"\n"))
+		inForce(d.apply(rows.Pools, pool))
+		for _, h := range d.hosts {
+			before := d.targets[0].Stats().Runs
+			Eventually(func() int64 {
+				lookup(h)
+				return d.targets[0].Stats().Runs
+			}, patience).Should(BeNumerically(">", before))
+		}
+	})
+
 	It("serves on when a host is killed", func() {
 		d := newDeployment(3, 3)
 		d.serving()
--- a/host/reconciler.go
+++ b/host/reconciler.go
@@ -137,11 +137,14 @@
 	r.last = next
 }
 
-// announceDrains tells the peers of targets that began to leave.
+// announceDrains tells the peers of targets that began to leave by the host
+// list, which others read later. The operator's drain key is not announced: it
+// reaches all hosts with the tables and ends with them, while a mark that peers
+// hold outlasts the key.
 func (r *reconciler) announceDrains(s specs) {
-	for name := range s.direct {
-		for _, target := range s.targets[name].Drain {
-			if !lo.Contains(r.last.specs.targets[name].Drain, target) {
+	for name, leaving := range s.leaving {
+		for _, target := range leaving {
+			if !lo.Contains(r.last.specs.leaving[name], target) {
 				r.parts.node.AnnounceDrain(target)
 			}
 		}
--- a/host/specs.go
+++ b/host/specs.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"github.com/samber/lo"
 
@@ -24,6 +25,8 @@
 	groups map[string]limit.Capacity
 	// slots are the slots of each group's targets that take new work.
 	slots map[string]int
+	// leaving are the targets that the host list takes away, by pool.
+	leaving map[string][]netip.AddrPort
 	// probes are the targets that may be probed.
 	probes []probe.Target
 }
@@ -39,9 +42,11 @@
 	s := specs{
 		targets: map[string]balance.PoolSpec{}, pools: map[string]handoff.PoolSpec{},
 		direct: map[string]limit.Capacity{}, groups: map[string]limit.Capacity{}, slots: map[string]int{},
+		leaving: map[string][]netip.AddrPort{},
 	}
 	for _, pool := range t.Pools {
 		targets, leaving := resolve(pool)
+		s.leaving[pool.Name] = slices.Clone(leaving)
 		s.add(pool, targets, append(leaving, pool.Drain...), states)
 	}
 	return s
--- a/host/specs_test.go
+++ b/host/specs_test.go
@@ -51,6 +51,15 @@
 		Expect(build(all, aside).slots["p@a"]).To(Equal(4))
 	})
 
+	It("tells peers of what the host list takes away, not of the operator's drain key", func() {
+		s := buildSpecs(&table.Tables{Pools: map[string]table.Pool{"p": pool}},
+			func(p table.Pool) ([]table.Target, []netip.AddrPort) {
+				return p.Targets, []netip.AddrPort{specTarget(1).Addr}
+			}, func(string) map[netip.AddrPort]string { return nil })
+		Expect(s.leaving["p"]).To(Equal([]netip.AddrPort{specTarget(1).Addr}))
+		Expect(s.targets["p"].Drain).To(ConsistOf(specTarget(0).Addr, specTarget(1).Addr))
+	})
+
 	It("hands over the pools that are owned and no others", func() {
 		direct := pool
 		direct.Policy = balance.P2C
