--- a/admin/client/client.go
+++ b/admin/client/client.go
@@ -17,10 +17,10 @@
 	"github.com/pkg/errors"
 
 	"github.com/chestnutfield/chestnutfield/admin/api"
+	"github.com/chestnutfield/chestnutfield/cloud"
 	"github.com/chestnutfield/chestnutfield/config/command"
 	"github.com/chestnutfield/chestnutfield/config/rows"
 	"github.com/chestnutfield/chestnutfield/internal/token"
-	"github.com/chestnutfield/chestnutfield/platform"
 )
 
 const (
@@ -120,7 +120,7 @@
 func (c *Client) change(ctx context.Context, method, path string, v url.Values, body []byte, id string) (command.Result, error) {
 	status, answer, err := c.call(ctx, method, path, v, body)
 	if err != nil {
-		if platform.NeverSent(err) {
+		if cloud.NeverSent(err) {
 			return command.Result{}, err
 		}
 		return command.Result{State: command.Unknown, ChangeID: id, Detail: err.Error()}, nil
--- a/admin/handlers.go
+++ b/admin/handlers.go
@@ -8,9 +8,9 @@
 	"github.com/samber/lo"
 
 	"github.com/chestnutfield/chestnutfield/admin/api"
+	"github.com/chestnutfield/chestnutfield/cloud"
 	"github.com/chestnutfield/chestnutfield/config/command"
 	"github.com/chestnutfield/chestnutfield/config/rows"
-	"github.com/chestnutfield/chestnutfield/platform"
 	"github.com/chestnutfield/chestnutfield/table"
 )
 
@@ -34,7 +34,7 @@
 	switch {
 	case errors.As(err, &known):
 		status = known.Code
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, cloud.ErrUnavailable):
 		status = fiber.StatusServiceUnavailable
 	}
 	return c.Status(status).JSON(api.Failure{Error: err.Error()})
@@ -63,7 +63,7 @@
 // service does not answer.
 func (s *Server) listing(c fiber.Ctx, kind rows.Kind) (api.Listing, error) {
 	t, err := s.opts.Queries.Tables(c.Context())
-	stale := errors.Is(err, platform.ErrUnavailable) && s.opts.Config.Status().Ready
+	stale := errors.Is(err, cloud.ErrUnavailable) && s.opts.Config.Status().Ready
 	switch {
 	case stale:
 		t = s.opts.Config.Current()
--- a/admin/server_test.go
+++ b/admin/server_test.go
@@ -25,11 +25,11 @@
 	"github.com/chestnutfield/chestnutfield/admin"
 	"github.com/chestnutfield/chestnutfield/admin/api"
 	"github.com/chestnutfield/chestnutfield/admin/client"
+	"github.com/chestnutfield/chestnutfield/cloud/fake"
 	"github.com/chestnutfield/chestnutfield/config"
 	"github.com/chestnutfield/chestnutfield/config/command"
 	"github.com/chestnutfield/chestnutfield/config/query"
 	"github.com/chestnutfield/chestnutfield/config/rows"
-	"github.com/chestnutfield/chestnutfield/platform/fake"
 	"github.com/chestnutfield/chestnutfield/table"
 )
 
--- a/platform/platform.go
+++ b/cloud/cloud.go
@@ -1,7 +1,7 @@
-// Package platform holds the interfaces to what the platform gives: the
+// Package cloud holds the interfaces to what the platform gives: the
 // transactional table service, the object store and the lagging host list.
 // The clients that speak the published protocols stand in its subpackages.
-package platform
+package cloud
 
 import (
 	"context"
--- a/platform/dynamo/bench_test.go
+++ b/cloud/dynamo/bench_test.go
@@ -8,9 +8,9 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/chestnutfield/chestnutfield/cloud"
+	"github.com/chestnutfield/chestnutfield/cloud/dynamo"
 	"github.com/chestnutfield/chestnutfield/lab/platformd"
-	"github.com/chestnutfield/chestnutfield/platform"
-	"github.com/chestnutfield/chestnutfield/platform/dynamo"
 )
 
 type countingReader struct {
@@ -65,9 +65,9 @@
 			b.Cleanup(func() { s.Close() })
 			var bytes atomic.Int64
 			c := dynamo.New(dynamo.Options{Endpoint: counted(b, s.Addr(), &bytes)})
-			key := platform.Key{Partition: "config", Sort: "version"}
+			key := cloud.Key{Partition: "config", Sort: "version"}
 			ctx := context.Background()
-			if err := dynamo.New(dynamo.Options{Endpoint: s.URL()}).Write(ctx, platform.Write{Row: platform.Row{Key: key, Revision: 1, Body: make([]byte, size)}}); err != nil {
+			if err := dynamo.New(dynamo.Options{Endpoint: s.URL()}).Write(ctx, cloud.Write{Row: cloud.Row{Key: key, Revision: 1, Body: make([]byte, size)}}); err != nil {
 				b.Fatal(err)
 			}
 			b.ReportAllocs()
--- a/platform/dynamo/client.go
+++ b/cloud/dynamo/client.go
@@ -13,7 +13,7 @@
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
 	"github.com/pkg/errors"
 
-	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/cloud"
 )
 
 const (
@@ -39,14 +39,14 @@
 	Timeout time.Duration
 }
 
-// Client implements platform.Table. It is safe for concurrent use.
+// Client implements cloud.Table. It is safe for concurrent use.
 type Client struct {
 	api     *dynamodb.Client
 	table   *string
 	timeout time.Duration
 }
 
-var _ platform.Table = (*Client)(nil)
+var _ cloud.Table = (*Client)(nil)
 
 // New returns a Client. It makes no call.
 func New(o Options) *Client {
@@ -70,26 +70,26 @@
 	}
 }
 
-// Get implements platform.Table.
-func (c *Client) Get(ctx context.Context, k platform.Key) (platform.Row, bool, error) {
+// Get implements cloud.Table.
+func (c *Client) Get(ctx context.Context, k cloud.Key) (cloud.Row, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	out, err := c.api.GetItem(ctx, &dynamodb.GetItemInput{
 		TableName: c.table, Key: encodeKey(k), ConsistentRead: aws.Bool(true),
 	})
 	if err != nil {
-		return platform.Row{}, false, readError(err)
+		return cloud.Row{}, false, readError(err)
 	}
 	if len(out.Item) == 0 {
-		return platform.Row{}, false, nil
+		return cloud.Row{}, false, nil
 	}
 	row, err := decodeRow(out.Item)
 	return row, err == nil, err
 }
 
-// Query implements platform.Table. The timeout bounds each page.
-func (c *Client) Query(ctx context.Context, partition, after string, limit int) ([]platform.Row, error) {
-	var rows []platform.Row
+// Query implements cloud.Table. The timeout bounds each page.
+func (c *Client) Query(ctx context.Context, partition, after string, limit int) ([]cloud.Row, error) {
+	var rows []cloud.Row
 	for range maxQueryPages {
 		page, more, err := c.queryPage(ctx, partition, after, limit-len(rows))
 		if err != nil {
@@ -104,7 +104,7 @@
 	return nil, errors.Errorf("query of %s: more than %d pages", partition, maxQueryPages)
 }
 
-func (c *Client) queryPage(ctx context.Context, partition, after string, limit int) ([]platform.Row, bool, error) {
+func (c *Client) queryPage(ctx context.Context, partition, after string, limit int) ([]cloud.Row, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	in := &dynamodb.QueryInput{
@@ -120,7 +120,7 @@
 	if err != nil {
 		return nil, false, readError(err)
 	}
-	rows := make([]platform.Row, 0, len(out.Items))
+	rows := make([]cloud.Row, 0, len(out.Items))
 	for _, it := range out.Items {
 		row, err := decodeRow(it)
 		if err != nil {
@@ -131,8 +131,8 @@
 	return rows, len(out.LastEvaluatedKey) > 0, nil
 }
 
-// Write implements platform.Table.
-func (c *Client) Write(ctx context.Context, w platform.Write) error {
+// Write implements cloud.Table.
+func (c *Client) Write(ctx context.Context, w cloud.Write) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	expression, values := condition(w)
@@ -152,13 +152,13 @@
 	return writeError(err)
 }
 
-// Transact implements platform.Table.
-func (c *Client) Transact(ctx context.Context, ws []platform.Write) error {
+// Transact implements cloud.Table.
+func (c *Client) Transact(ctx context.Context, ws []cloud.Write) error {
 	if len(ws) == 0 {
 		return nil
 	}
-	if len(ws) > platform.MaxTransactWrites {
-		return errors.Errorf("%d writes in one transaction, at most %d", len(ws), platform.MaxTransactWrites)
+	if len(ws) > cloud.MaxTransactWrites {
+		return errors.Errorf("%d writes in one transaction, at most %d", len(ws), cloud.MaxTransactWrites)
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
@@ -170,7 +170,7 @@
 	return writeError(err)
 }
 
-func (c *Client) transactItem(w platform.Write) types.TransactWriteItem {
+func (c *Client) transactItem(w cloud.Write) types.TransactWriteItem {
 	expression, values := condition(w)
 	if w.Delete {
 		return types.TransactWriteItem{Delete: &types.Delete{
--- a/platform/dynamo/client_test.go
+++ b/cloud/dynamo/client_test.go
@@ -13,13 +13,13 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/chestnutfield/chestnutfield/cloud"
+	"github.com/chestnutfield/chestnutfield/cloud/dynamo"
+	"github.com/chestnutfield/chestnutfield/cloud/fake"
 	"github.com/chestnutfield/chestnutfield/lab/platformd"
-	"github.com/chestnutfield/chestnutfield/platform"
-	"github.com/chestnutfield/chestnutfield/platform/dynamo"
-	"github.com/chestnutfield/chestnutfield/platform/fake"
 )
 
-func standIn() (*platformd.Server, platform.Table) {
+func standIn() (*platformd.Server, cloud.Table) {
 	GinkgoHelper()
 	s := platformd.New(platformd.Options{})
 	Expect(s.Start("127.0.0.1:0")).To(Succeed())
@@ -27,29 +27,29 @@
 	return s, dynamo.New(dynamo.Options{Endpoint: s.URL()})
 }
 
-func row(sort string, rev uint64, body string) platform.Row {
-	return platform.Row{Key: platform.Key{Partition: "p", Sort: sort}, Revision: rev, Writer: "w", Body: []byte(body)}
+func row(sort string, rev uint64, body string) cloud.Row {
+	return cloud.Row{Key: cloud.Key{Partition: "p", Sort: sort}, Revision: rev, Writer: "w", Body: []byte(body)}
 }
 
-func conditionError(err error) *platform.ConditionError {
+func conditionError(err error) *cloud.ConditionError {
 	GinkgoHelper()
-	var ce *platform.ConditionError
+	var ce *cloud.ConditionError
 	Expect(errors.As(err, &ce)).To(BeTrue(), "%v", err)
 	return ce
 }
 
 // The fake and the client answer alike, so that tests on the fake hold.
-var _ = DescribeTableSubtree("a table", func(open func() platform.Table) {
+var _ = DescribeTableSubtree("a table", func(open func() cloud.Table) {
 	var (
 		ctx context.Context
-		tab platform.Table
+		tab cloud.Table
 	)
 	BeforeEach(func() { ctx, tab = context.Background(), open() })
 
 	It("gives back a row as it was written", func() {
 		in := row("a", 7, "body")
 		in.Expires = time.Unix(1_800_000_000, 0).UTC()
-		Expect(tab.Write(ctx, platform.Write{Row: in, IfAbsent: true})).To(Succeed())
+		Expect(tab.Write(ctx, cloud.Write{Row: in, IfAbsent: true})).To(Succeed())
 		out, ok, err := tab.Get(ctx, in.Key)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(ok).To(BeTrue())
@@ -57,22 +57,22 @@
 	})
 
 	It("says that a row is absent", func() {
-		_, ok, err := tab.Get(ctx, platform.Key{Partition: "p", Sort: "none"})
+		_, ok, err := tab.Get(ctx, cloud.Key{Partition: "p", Sort: "none"})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(ok).To(BeFalse())
 	})
 
 	It("shows the row that broke a condition, nil when there is none", func() {
-		Expect(tab.Write(ctx, platform.Write{Row: row("a", 1, "x")})).To(Succeed())
-		ce := conditionError(tab.Write(ctx, platform.Write{Row: row("a", 1, "y"), IfAbsent: true}))
+		Expect(tab.Write(ctx, cloud.Write{Row: row("a", 1, "x")})).To(Succeed())
+		ce := conditionError(tab.Write(ctx, cloud.Write{Row: row("a", 1, "y"), IfAbsent: true}))
 		Expect(ce.Failed[0]).To(HaveValue(Equal(row("a", 1, "x"))))
-		ce = conditionError(tab.Write(ctx, platform.Write{Row: row("b", 2, "y"), IfRevision: 1}))
+		ce = conditionError(tab.Write(ctx, cloud.Write{Row: row("b", 2, "y"), IfRevision: 1}))
 		Expect(ce.Failed).To(HaveKeyWithValue(0, BeNil()))
 	})
 
 	It("applies a transaction whole or not at all", func() {
-		Expect(tab.Write(ctx, platform.Write{Row: row("a", 1, "x")})).To(Succeed())
-		ws := []platform.Write{
+		Expect(tab.Write(ctx, cloud.Write{Row: row("a", 1, "x")})).To(Succeed())
+		ws := []cloud.Write{
 			{Row: row("b", 1, "y"), IfAbsent: true},
 			{Row: row("a", 2, "z"), IfRevision: 5},
 		}
@@ -81,38 +81,38 @@
 		Expect(ce.Failed[1].Revision).To(Equal(uint64(1)))
 		ws[1].IfRevision = 1
 		Expect(tab.Transact(ctx, ws)).To(Succeed())
-		Expect(tab.Query(ctx, "p", "", 10)).To(Equal([]platform.Row{row("a", 2, "z"), row("b", 1, "y")}))
+		Expect(tab.Query(ctx, "p", "", 10)).To(Equal([]cloud.Row{row("a", 2, "z"), row("b", 1, "y")}))
 	})
 
 	It("deletes on condition", func() {
-		Expect(tab.Write(ctx, platform.Write{Row: row("a", 3, "x")})).To(Succeed())
-		Expect(tab.Write(ctx, platform.Write{Row: row("a", 0, ""), Delete: true, IfRevision: 2})).
-			To(MatchError(platform.ErrConditionFailed))
-		Expect(tab.Write(ctx, platform.Write{Row: row("a", 0, ""), Delete: true, IfRevision: 3})).To(Succeed())
+		Expect(tab.Write(ctx, cloud.Write{Row: row("a", 3, "x")})).To(Succeed())
+		Expect(tab.Write(ctx, cloud.Write{Row: row("a", 0, ""), Delete: true, IfRevision: 2})).
+			To(MatchError(cloud.ErrConditionFailed))
+		Expect(tab.Write(ctx, cloud.Write{Row: row("a", 0, ""), Delete: true, IfRevision: 3})).To(Succeed())
 		Expect(tab.Query(ctx, "p", "", 10)).To(BeEmpty())
 	})
 
 	It("pages through a partition", func() {
 		for i := range 5 {
-			Expect(tab.Write(ctx, platform.Write{Row: row(fmt.Sprint(i), 1, "x")})).To(Succeed())
+			Expect(tab.Write(ctx, cloud.Write{Row: row(fmt.Sprint(i), 1, "x")})).To(Succeed())
 		}
 		rows, err := tab.Query(ctx, "p", "1", 2)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(rows).To(Equal([]platform.Row{row("2", 1, "x"), row("3", 1, "x")}))
+		Expect(rows).To(Equal([]cloud.Row{row("2", 1, "x"), row("3", 1, "x")}))
 	})
 },
-	Entry("over the wire", func() platform.Table { _, t := standIn(); return t }),
-	Entry("in memory", func() platform.Table { return fake.NewTable() }),
+	Entry("over the wire", func() cloud.Table { _, t := standIn(); return t }),
+	Entry("in memory", func() cloud.Table { return fake.NewTable() }),
 )
 
 var _ = Describe("what is known of a write that failed", func() {
 	ctx := context.Background()
-	write := platform.Write{Row: row("a", 1, "x"), IfAbsent: true}
+	write := cloud.Write{Row: row("a", 1, "x"), IfAbsent: true}
 
 	It("is uncertain when the acknowledgement is lost, and the write stands", func() {
 		s, tab := standIn()
 		s.SetFaults(platformd.Faults{AckLost: 1})
-		Expect(tab.Write(ctx, write)).To(MatchError(platform.ErrUncertain))
+		Expect(tab.Write(ctx, write)).To(MatchError(cloud.ErrUncertain))
 		_, ok, err := tab.Get(ctx, write.Row.Key)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(ok).To(BeTrue())
@@ -123,7 +123,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(l.Close()).To(Succeed())
 		tab := dynamo.New(dynamo.Options{Endpoint: "http://" + l.Addr().String()})
-		Expect(tab.Write(ctx, write)).To(MatchError(platform.ErrUnavailable))
+		Expect(tab.Write(ctx, write)).To(MatchError(cloud.ErrUnavailable))
 	})
 
 	DescribeTable("by the answer",
@@ -137,18 +137,18 @@
 			}))
 			DeferCleanup(srv.Close)
 			tab := dynamo.New(dynamo.Options{Endpoint: srv.URL})
-			Expect(tab.Transact(ctx, []platform.Write{write})).To(MatchError(want))
+			Expect(tab.Transact(ctx, []cloud.Write{write})).To(MatchError(want))
 			Expect(calls).To(Equal(1), "the SDK's own retries are off")
 		},
-		Entry("throttled", 400, `{"__type":"ProvisionedThroughputExceededException"}`, platform.ErrUnavailable),
-		Entry("refused", 400, `{"__type":"ValidationException"}`, platform.ErrUnavailable),
-		Entry("internal error", 500, `{"__type":"InternalServerError"}`, platform.ErrUncertain),
-		Entry("unavailable", 503, `{"__type":"ServiceUnavailable"}`, platform.ErrUncertain),
-		Entry("not the service's answer", 200, `<html>`, platform.ErrUncertain),
+		Entry("throttled", 400, `{"__type":"ProvisionedThroughputExceededException"}`, cloud.ErrUnavailable),
+		Entry("refused", 400, `{"__type":"ValidationException"}`, cloud.ErrUnavailable),
+		Entry("internal error", 500, `{"__type":"InternalServerError"}`, cloud.ErrUncertain),
+		Entry("unavailable", 503, `{"__type":"ServiceUnavailable"}`, cloud.ErrUncertain),
+		Entry("not the service's answer", 200, `<html>`, cloud.ErrUncertain),
 		Entry("conflict with another transaction", 400, `{"__type":"TransactionCanceledException",
-			"CancellationReasons":[{"Code":"TransactionConflict"}]}`, platform.ErrUnavailable),
+			"CancellationReasons":[{"Code":"TransactionConflict"}]}`, cloud.ErrUnavailable),
 		Entry("condition", 400, `{"__type":"TransactionCanceledException",
-			"CancellationReasons":[{"Code":"ConditionalCheckFailed"}]}`, platform.ErrConditionFailed),
+			"CancellationReasons":[{"Code":"ConditionalCheckFailed"}]}`, cloud.ErrConditionFailed),
 	)
 
 	It("is uncertain when the timeout passes, and reads are unavailable", func() {
@@ -157,8 +157,8 @@
 		DeferCleanup(srv.Close)
 		DeferCleanup(func() { close(hold) })
 		tab := dynamo.New(dynamo.Options{Endpoint: srv.URL, Timeout: 20 * time.Millisecond})
-		Expect(tab.Write(ctx, write)).To(MatchError(platform.ErrUncertain))
+		Expect(tab.Write(ctx, write)).To(MatchError(cloud.ErrUncertain))
 		_, _, err := tab.Get(ctx, write.Row.Key)
-		Expect(err).To(MatchError(platform.ErrUnavailable))
+		Expect(err).To(MatchError(cloud.ErrUnavailable))
 	})
 })
--- a/platform/dynamo/doc.go
+++ b/cloud/dynamo/doc.go
@@ -1,4 +1,4 @@
-// Package dynamo is the client of the table service: platform.Table over the
+// Package dynamo is the client of the table service: cloud.Table over the
 // published DynamoDB JSON protocol.
 //
 // All rows live in one table. Its key is pk (S) and sk (S); the attributes are
@@ -7,7 +7,7 @@
 //
 // The SDK's own retries are off and every call is bounded by Options.Timeout,
 // so that the caller alone decides whether to ask again. Errors say what is
-// known of a write: platform.ErrUnavailable when it was certainly not applied,
-// platform.ErrUncertain when it may have been, *platform.ConditionError when a
+// known of a write: cloud.ErrUnavailable when it was certainly not applied,
+// cloud.ErrUncertain when it may have been, *cloud.ConditionError when a
 // condition failed, with the row that stands there.
 package dynamo
--- a/platform/dynamo/errors.go
+++ b/cloud/dynamo/errors.go
@@ -8,7 +8,7 @@
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
 	"github.com/pkg/errors"
 
-	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/cloud"
 )
 
 const codeConditionFailed = "ConditionalCheckFailed"
@@ -24,7 +24,7 @@
 func (f *failure) Unwrap() []error { return []error{f.kind, f.cause} }
 
 // readError says that a read gave nothing; nothing can have been applied.
-func readError(err error) error { return &failure{platform.ErrUnavailable, err} }
+func readError(err error) error { return &failure{cloud.ErrUnavailable, err} }
 
 // writeError sorts what is known of a write by its error. Only an answer that
 // refuses the request, or a connection that was never opened, proves that
@@ -41,10 +41,10 @@
 	if errors.As(err, &cancelled) {
 		return cancelledError(cancelled, err)
 	}
-	if refused(err) || platform.NeverSent(err) {
-		return &failure{platform.ErrUnavailable, err}
+	if refused(err) || cloud.NeverSent(err) {
+		return &failure{cloud.ErrUnavailable, err}
 	}
-	return &failure{platform.ErrUncertain, err}
+	return &failure{cloud.ErrUncertain, err}
 }
 
 // refused is true for answers of the 400 class: the service read the request
@@ -69,13 +69,13 @@
 		}
 	}
 	if len(failed) == 0 {
-		return &failure{platform.ErrUnavailable, cause}
+		return &failure{cloud.ErrUnavailable, cause}
 	}
 	return conditionError(failed, cause)
 }
 
 func conditionError(failed map[int]item, cause error) error {
-	out := &platform.ConditionError{Failed: make(map[int]*platform.Row, len(failed))}
+	out := &cloud.ConditionError{Failed: make(map[int]*cloud.Row, len(failed))}
 	for i, it := range failed {
 		out.Failed[i] = nil
 		if len(it) == 0 {
@@ -83,7 +83,7 @@
 		}
 		row, err := decodeRow(it)
 		if err != nil {
-			return &failure{platform.ErrConditionFailed, errors.Wrap(err, cause.Error())}
+			return &failure{cloud.ErrConditionFailed, errors.Wrap(err, cause.Error())}
 		}
 		out.Failed[i] = &row
 	}
--- a/platform/dynamo/rows.go
+++ b/cloud/dynamo/rows.go
@@ -8,7 +8,7 @@
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
 	"github.com/pkg/errors"
 
-	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/cloud"
 )
 
 // Attributes of a row.
@@ -29,11 +29,11 @@
 	return &types.AttributeValueMemberN{Value: strconv.FormatUint(n, 10)}
 }
 
-func encodeKey(k platform.Key) item {
+func encodeKey(k cloud.Key) item {
 	return item{attrPartition: text(k.Partition), attrSort: text(k.Sort)}
 }
 
-func encodeRow(r platform.Row) item {
+func encodeRow(r cloud.Row) item {
 	it := encodeKey(r.Key)
 	it[attrRevision] = number(r.Revision)
 	it[attrWriter] = text(r.Writer)
@@ -48,7 +48,7 @@
 }
 
 // condition returns the expression and its values; nil when w sets none.
-func condition(w platform.Write) (*string, item) {
+func condition(w cloud.Write) (*string, item) {
 	switch {
 	case w.IfAbsent:
 		return aws.String("attribute_not_exists(pk)"), nil
@@ -59,8 +59,8 @@
 	}
 }
 
-func decodeRow(it item) (platform.Row, error) {
-	var r platform.Row
+func decodeRow(it item) (cloud.Row, error) {
+	var r cloud.Row
 	var err error
 	if r.Partition, err = textOf(it, attrPartition); err != nil {
 		return r, err
--- a/platform/fake/fake_test.go
+++ b/cloud/fake/fake_test.go
@@ -9,14 +9,14 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/chestnutfield/chestnutfield/platform"
-	"github.com/chestnutfield/chestnutfield/platform/fake"
+	"github.com/chestnutfield/chestnutfield/cloud"
+	"github.com/chestnutfield/chestnutfield/cloud/fake"
 )
 
-var key = platform.Key{Partition: "p", Sort: "s"}
+var key = cloud.Key{Partition: "p", Sort: "s"}
 
-func insert(rev uint64) platform.Write {
-	return platform.Write{Row: platform.Row{Key: key, Revision: rev, Writer: "w"}, IfAbsent: true}
+func insert(rev uint64) cloud.Write {
+	return cloud.Write{Row: cloud.Row{Key: key, Revision: rev, Writer: "w"}, IfAbsent: true}
 }
 
 var _ = Describe("Table", func() {
@@ -29,17 +29,17 @@
 	It("refuses a write whose condition fails and shows what it found", func() {
 		Expect(tab.Write(ctx, insert(1))).To(Succeed())
 		err := tab.Write(ctx, insert(1))
-		Expect(err).To(MatchError(platform.ErrConditionFailed))
-		var ce *platform.ConditionError
+		Expect(err).To(MatchError(cloud.ErrConditionFailed))
+		var ce *cloud.ConditionError
 		Expect(errors.As(err, &ce)).To(BeTrue())
 		Expect(ce.Failed[0].Writer).To(Equal("w"))
-		Expect(tab.Write(ctx, platform.Write{Row: platform.Row{Key: key, Revision: 3}, IfRevision: 2})).
-			To(MatchError(platform.ErrConditionFailed))
+		Expect(tab.Write(ctx, cloud.Write{Row: cloud.Row{Key: key, Revision: 3}, IfRevision: 2})).
+			To(MatchError(cloud.ErrConditionFailed))
 	})
 
 	It("applies all writes of a transaction or none", func() {
-		other := platform.Write{Row: platform.Row{Key: platform.Key{Partition: "p", Sort: "t"}}, IfRevision: 9}
-		Expect(tab.Transact(ctx, []platform.Write{insert(1), other})).To(MatchError(platform.ErrConditionFailed))
+		other := cloud.Write{Row: cloud.Row{Key: cloud.Key{Partition: "p", Sort: "t"}}, IfRevision: 9}
+		Expect(tab.Transact(ctx, []cloud.Write{insert(1), other})).To(MatchError(cloud.ErrConditionFailed))
 		_, ok, err := tab.Get(ctx, key)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(ok).To(BeFalse())
@@ -47,14 +47,14 @@
 
 	It("applies a write whose acknowledgement is lost", func() {
 		tab.LoseAcks(1)
-		Expect(tab.Write(ctx, insert(1))).To(MatchError(platform.ErrUncertain))
+		Expect(tab.Write(ctx, insert(1))).To(MatchError(cloud.ErrUncertain))
 		_, ok, _ := tab.Get(ctx, key)
 		Expect(ok).To(BeTrue())
 	})
 
 	It("applies nothing while down", func() {
 		tab.SetDown(true)
-		Expect(tab.Write(ctx, insert(1))).To(MatchError(platform.ErrUnavailable))
+		Expect(tab.Write(ctx, insert(1))).To(MatchError(cloud.ErrUnavailable))
 		tab.SetDown(false)
 		_, ok, _ := tab.Get(ctx, key)
 		Expect(ok).To(BeFalse())
@@ -67,7 +67,7 @@
 		go func() { result <- tab.Write(short, insert(1)) }()
 		Eventually(func() int { return tab.Counts().Writes }).Should(Equal(1))
 		cancel()
-		Expect(<-result).To(MatchError(platform.ErrUncertain))
+		Expect(<-result).To(MatchError(cloud.ErrUncertain))
 		tab.Thaw()
 		_, ok, _ := tab.Get(ctx, key)
 		Expect(ok).To(BeTrue())
@@ -89,7 +89,7 @@
 	It("pages through a partition in order", func() {
 		ctx, tab := context.Background(), fake.NewTable()
 		for _, s := range []string{"c", "a", "b"} {
-			Expect(tab.Write(ctx, platform.Write{Row: platform.Row{Key: platform.Key{Partition: "p", Sort: s}}})).To(Succeed())
+			Expect(tab.Write(ctx, cloud.Write{Row: cloud.Row{Key: cloud.Key{Partition: "p", Sort: s}}})).To(Succeed())
 		}
 		rows, err := tab.Query(ctx, "p", "a", 1)
 		Expect(err).NotTo(HaveOccurred())
--- a/platform/fake/faults.go
+++ b/cloud/fake/faults.go
@@ -7,7 +7,7 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/cloud"
 )
 
 // Counts are the calls that reached a service, failed ones included.
@@ -36,7 +36,7 @@
 	f.clock = c
 }
 
-// SetDown makes every call fail with platform.ErrUnavailable, unapplied.
+// SetDown makes every call fail with cloud.ErrUnavailable, unapplied.
 func (f *Faults) SetDown(down bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -51,7 +51,7 @@
 }
 
 // LoseAcks makes the next n writes take effect and yet return
-// platform.ErrUncertain.
+// cloud.ErrUncertain.
 func (f *Faults) LoseAcks(n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -59,8 +59,8 @@
 }
 
 // Freeze holds every call until Thaw. A read whose context ends meanwhile
-// fails with platform.ErrUnavailable; a write fails with
-// platform.ErrUncertain and is still applied by Thaw.
+// fails with cloud.ErrUnavailable; a write fails with
+// cloud.ErrUncertain and is still applied by Thaw.
 func (f *Faults) Freeze() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -98,7 +98,7 @@
 	down, delay, thawed := f.down, f.delay, f.thawed
 	f.mu.Unlock()
 	if down || !f.wait(ctx, delay, thawed) {
-		return platform.ErrUnavailable
+		return cloud.ErrUnavailable
 	}
 	get()
 	return nil
@@ -111,15 +111,15 @@
 	down, delay, thawed := f.down, f.delay, f.thawed
 	f.mu.Unlock()
 	if down || ctx.Err() != nil {
-		return platform.ErrUnavailable
+		return cloud.ErrUnavailable
 	}
 	if !f.wait(ctx, delay, thawed) {
 		f.postpone(func() { _ = apply() })
-		return platform.ErrUncertain
+		return cloud.ErrUncertain
 	}
 	err := apply()
 	if f.takeLostAck() {
-		return platform.ErrUncertain
+		return cloud.ErrUncertain
 	}
 	return err
 }
--- a/platform/fake/hostlist.go
+++ b/cloud/fake/hostlist.go
@@ -6,36 +6,36 @@
 
 	"github.com/samber/lo"
 
-	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/cloud"
 )
 
-// HostList is an in-memory platform.HostList. It lags as much as the test
+// HostList is an in-memory cloud.HostList. It lags as much as the test
 // lets it: List returns what Set was last given.
 type HostList struct {
 	Faults
 
 	hostsMu sync.Mutex
-	hosts   []platform.ListedHost
+	hosts   []cloud.ListedHost
 }
 
-var _ platform.HostList = (*HostList)(nil)
+var _ cloud.HostList = (*HostList)(nil)
 
 // NewHostList returns an empty list.
 func NewHostList() *HostList { return &HostList{} }
 
 // Set replaces the whole list.
-func (l *HostList) Set(hosts ...platform.ListedHost) {
+func (l *HostList) Set(hosts ...cloud.ListedHost) {
 	l.hostsMu.Lock()
 	defer l.hostsMu.Unlock()
-	l.hosts = append([]platform.ListedHost(nil), hosts...)
+	l.hosts = append([]cloud.ListedHost(nil), hosts...)
 }
 
-// List implements platform.HostList.
-func (l *HostList) List(ctx context.Context, service string) (hosts []platform.ListedHost, err error) {
+// List implements cloud.HostList.
+func (l *HostList) List(ctx context.Context, service string) (hosts []cloud.ListedHost, err error) {
 	err = l.read(ctx, func() {
 		l.hostsMu.Lock()
 		defer l.hostsMu.Unlock()
-		hosts = lo.Filter(l.hosts, func(h platform.ListedHost, _ int) bool {
+		hosts = lo.Filter(l.hosts, func(h cloud.ListedHost, _ int) bool {
 			return service == "" || h.Service == service
 		})
 	})
--- a/platform/fake/objects.go
+++ b/cloud/fake/objects.go
@@ -5,10 +5,10 @@
 	"context"
 	"sync"
 
-	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/cloud"
 )
 
-// Objects is an in-memory platform.Objects.
+// Objects is an in-memory cloud.Objects.
 type Objects struct {
 	Faults
 
@@ -16,12 +16,12 @@
 	bodies   map[string][]byte
 }
 
-var _ platform.Objects = (*Objects)(nil)
+var _ cloud.Objects = (*Objects)(nil)
 
 // NewObjects returns an empty object store.
 func NewObjects() *Objects { return &Objects{bodies: map[string][]byte{}} }
 
-// Put implements platform.Objects.
+// Put implements cloud.Objects.
 func (o *Objects) Put(ctx context.Context, key string, body []byte) error {
 	kept := bytes.Clone(body)
 	return o.write(ctx, func() error {
@@ -32,7 +32,7 @@
 	})
 }
 
-// Get implements platform.Objects.
+// Get implements cloud.Objects.
 func (o *Objects) Get(ctx context.Context, key string) (body []byte, ok bool, err error) {
 	err = o.read(ctx, func() {
 		o.bodiesMu.Lock()
--- a/platform/fake/table.go
+++ b/cloud/fake/table.go
@@ -8,25 +8,25 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/cloud"
 )
 
-// Table is an in-memory platform.Table. Rows keep the revision that the
+// Table is an in-memory cloud.Table. Rows keep the revision that the
 // writer gave them, as in the real service.
 type Table struct {
 	Faults
 
 	rowsMu sync.Mutex
-	rows   map[platform.Key]platform.Row
+	rows   map[cloud.Key]cloud.Row
 }
 
-var _ platform.Table = (*Table)(nil)
+var _ cloud.Table = (*Table)(nil)
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{rows: map[platform.Key]platform.Row{}} }
+func NewTable() *Table { return &Table{rows: map[cloud.Key]cloud.Row{}} }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, k platform.Key) (row platform.Row, ok bool, err error) {
+// Get implements cloud.Table.
+func (t *Table) Get(ctx context.Context, k cloud.Key) (row cloud.Row, ok bool, err error) {
 	err = t.read(ctx, func() {
 		t.rowsMu.Lock()
 		defer t.rowsMu.Unlock()
@@ -36,8 +36,8 @@
 	return row, ok, err
 }
 
-// Query implements platform.Table.
-func (t *Table) Query(ctx context.Context, partition, after string, limit int) (rows []platform.Row, err error) {
+// Query implements cloud.Table.
+func (t *Table) Query(ctx context.Context, partition, after string, limit int) (rows []cloud.Row, err error) {
 	err = t.read(ctx, func() {
 		t.rowsMu.Lock()
 		defer t.rowsMu.Unlock()
@@ -54,23 +54,23 @@
 	return rows, err
 }
 
-// Write implements platform.Table.
-func (t *Table) Write(ctx context.Context, w platform.Write) error {
-	return t.Transact(ctx, []platform.Write{w})
+// Write implements cloud.Table.
+func (t *Table) Write(ctx context.Context, w cloud.Write) error {
+	return t.Transact(ctx, []cloud.Write{w})
 }
 
-// Transact implements platform.Table.
-func (t *Table) Transact(ctx context.Context, ws []platform.Write) error {
-	if len(ws) > platform.MaxTransactWrites {
-		return errors.Errorf("%d writes in one transaction, at most %d", len(ws), platform.MaxTransactWrites)
+// Transact implements cloud.Table.
+func (t *Table) Transact(ctx context.Context, ws []cloud.Write) error {
+	if len(ws) > cloud.MaxTransactWrites {
+		return errors.Errorf("%d writes in one transaction, at most %d", len(ws), cloud.MaxTransactWrites)
 	}
 	return t.write(ctx, func() error { return t.apply(ws) })
 }
 
-func (t *Table) apply(ws []platform.Write) error {
+func (t *Table) apply(ws []cloud.Write) error {
 	t.rowsMu.Lock()
 	defer t.rowsMu.Unlock()
-	failed := map[int]*platform.Row{}
+	failed := map[int]*cloud.Row{}
 	for i, w := range ws {
 		row, ok := t.rows[w.Row.Key]
 		if (w.IfAbsent && !ok) || (!w.IfAbsent && (w.IfRevision == 0 || (ok && row.Revision == w.IfRevision))) {
@@ -83,7 +83,7 @@
 		}
 	}
 	if len(failed) > 0 {
-		return &platform.ConditionError{Failed: failed}
+		return &cloud.ConditionError{Failed: failed}
 	}
 	for _, w := range ws {
 		if w.Delete {
@@ -95,7 +95,7 @@
 	return nil
 }
 
-func clone(r platform.Row) platform.Row {
+func clone(r cloud.Row) cloud.Row {
 	r.Body = bytes.Clone(r.Body)
 	return r
 }
--- a/platform/hostlist/hostlist.go
+++ b/cloud/hostlist/hostlist.go
@@ -1,6 +1,6 @@
 // Package hostlist is the client of the platform's list of live and leaving
 // hosts: a GET of BASE/hostlist?service=NAME that answers with a JSON array of
-// platform.ListedHost. The list lags; what to believe of it is decided
+// cloud.ListedHost. The list lags; what to believe of it is decided
 // elsewhere.
 package hostlist
 
@@ -16,7 +16,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/cloud"
 )
 
 const (
@@ -34,13 +34,13 @@
 	Timeout time.Duration
 }
 
-// Client implements platform.HostList. It is safe for concurrent use.
+// Client implements cloud.HostList. It is safe for concurrent use.
 type Client struct {
 	base string
 	http *http.Client
 }
 
-var _ platform.HostList = (*Client)(nil)
+var _ cloud.HostList = (*Client)(nil)
 
 // New returns a Client. It makes no call.
 func New(o Options) *Client {
@@ -51,9 +51,9 @@
 	}
 }
 
-// List implements platform.HostList. Every failure, also an answer that can't
-// be read whole, is platform.ErrUnavailable.
-func (c *Client) List(ctx context.Context, service string) ([]platform.ListedHost, error) {
+// List implements cloud.HostList. Every failure, also an answer that can't
+// be read whole, is cloud.ErrUnavailable.
+func (c *Client) List(ctx context.Context, service string) ([]cloud.ListedHost, error) {
 	address := c.base
 	if service != "" {
 		address += "?service=" + url.QueryEscape(service)
@@ -64,15 +64,15 @@
 	}
 	res, err := c.http.Do(req)
 	if err != nil {
-		return nil, errors.Wrapf(platform.ErrUnavailable, "host list: %v", err)
+		return nil, errors.Wrapf(cloud.ErrUnavailable, "host list: %v", err)
 	}
 	defer res.Body.Close()
 	if res.StatusCode != http.StatusOK {
-		return nil, errors.Wrapf(platform.ErrUnavailable, "host list: status %d", res.StatusCode)
+		return nil, errors.Wrapf(cloud.ErrUnavailable, "host list: status %d", res.StatusCode)
 	}
-	var hosts []platform.ListedHost
+	var hosts []cloud.ListedHost
 	if err := json.NewDecoder(io.LimitReader(res.Body, MaxListBytes)).Decode(&hosts); err != nil {
-		return nil, errors.Wrapf(platform.ErrUnavailable, "host list: %v", err)
+		return nil, errors.Wrapf(cloud.ErrUnavailable, "host list: %v", err)
 	}
 	return hosts, nil
 }
--- a/platform/hostlist/hostlist_test.go
+++ b/cloud/hostlist/hostlist_test.go
@@ -10,9 +10,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/chestnutfield/chestnutfield/cloud"
+	"github.com/chestnutfield/chestnutfield/cloud/hostlist"
 	"github.com/chestnutfield/chestnutfield/lab/platformd"
-	"github.com/chestnutfield/chestnutfield/platform"
-	"github.com/chestnutfield/chestnutfield/platform/hostlist"
 )
 
 var _ = Describe("the host list client", func() {
@@ -22,12 +22,12 @@
 		srv := platformd.New(platformd.Options{})
 		Expect(srv.Start("127.0.0.1:0")).To(Succeed())
 		DeferCleanup(srv.Close)
-		a := platform.ListedHost{Service: "booking", Addr: netip.MustParseAddrPort("127.0.0.1:1"), FailureDomain: "a", Leaving: true}
-		b := platform.ListedHost{Service: "tracker", Addr: netip.MustParseAddrPort("127.0.0.1:2"), FailureDomain: "b"}
-		srv.SetHosts([]platform.ListedHost{a, b})
+		a := cloud.ListedHost{Service: "booking", Addr: netip.MustParseAddrPort("127.0.0.1:1"), FailureDomain: "a", Leaving: true}
+		b := cloud.ListedHost{Service: "tracker", Addr: netip.MustParseAddrPort("127.0.0.1:2"), FailureDomain: "b"}
+		srv.SetHosts([]cloud.ListedHost{a, b})
 		c := hostlist.New(hostlist.Options{BaseURL: srv.URL() + "/"})
-		Expect(c.List(ctx, "booking")).To(Equal([]platform.ListedHost{a}))
-		Expect(c.List(ctx, "")).To(Equal([]platform.ListedHost{a, b}))
+		Expect(c.List(ctx, "booking")).To(Equal([]cloud.ListedHost{a}))
+		Expect(c.List(ctx, "")).To(Equal([]cloud.ListedHost{a, b}))
 	})
 
 	DescribeTable("fails on an answer that it can't read whole",
@@ -38,7 +38,7 @@
 			}))
 			DeferCleanup(srv.Close)
 			_, err := hostlist.New(hostlist.Options{BaseURL: srv.URL}).List(ctx, "")
-			Expect(err).To(MatchError(platform.ErrUnavailable))
+			Expect(err).To(MatchError(cloud.ErrUnavailable))
 		},
 		Entry("status", 503, `[]`),
 		Entry("cut", 200, `[{"service":"a"`),
--- a/platform/s3/client.go
+++ b/cloud/s3/client.go
@@ -14,7 +14,7 @@
 	"github.com/aws/aws-sdk-go-v2/service/s3"
 	"github.com/pkg/errors"
 
-	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/cloud"
 )
 
 const (
@@ -38,14 +38,14 @@
 	Timeout time.Duration
 }
 
-// Client implements platform.Objects. It is safe for concurrent use.
+// Client implements cloud.Objects. It is safe for concurrent use.
 type Client struct {
 	api     *s3.Client
 	bucket  *string
 	timeout time.Duration
 }
 
-var _ platform.Objects = (*Client)(nil)
+var _ cloud.Objects = (*Client)(nil)
 
 // New returns a Client. It makes no call.
 func New(o Options) *Client {
@@ -67,7 +67,7 @@
 	}
 }
 
-// Put implements platform.Objects.
+// Put implements cloud.Objects.
 func (c *Client) Put(ctx context.Context, key string, body []byte) error {
 	if len(body) > MaxObjectBytes {
 		return errors.Errorf("object %s of %d bytes, at most %d", key, len(body), MaxObjectBytes)
@@ -81,13 +81,13 @@
 	if err == nil {
 		return nil
 	}
-	if status(err)/100 == 4 || platform.NeverSent(err) {
-		return errors.Wrapf(platform.ErrUnavailable, "put %s: %v", key, err)
+	if status(err)/100 == 4 || cloud.NeverSent(err) {
+		return errors.Wrapf(cloud.ErrUnavailable, "put %s: %v", key, err)
 	}
-	return errors.Wrapf(platform.ErrUncertain, "put %s: %v", key, err)
+	return errors.Wrapf(cloud.ErrUncertain, "put %s: %v", key, err)
 }
 
-// Get implements platform.Objects. A body longer than MaxObjectBytes is an
+// Get implements cloud.Objects. A body longer than MaxObjectBytes is an
 // error.
 func (c *Client) Get(ctx context.Context, key string) ([]byte, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
@@ -97,12 +97,12 @@
 		return nil, false, nil
 	}
 	if err != nil {
-		return nil, false, errors.Wrapf(platform.ErrUnavailable, "get %s: %v", key, err)
+		return nil, false, errors.Wrapf(cloud.ErrUnavailable, "get %s: %v", key, err)
 	}
 	defer out.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(out.Body, MaxObjectBytes+1))
 	if err != nil {
-		return nil, false, errors.Wrapf(platform.ErrUnavailable, "get %s: %v", key, err)
+		return nil, false, errors.Wrapf(cloud.ErrUnavailable, "get %s: %v", key, err)
 	}
 	if len(body) > MaxObjectBytes {
 		return nil, false, errors.Errorf("object %s exceeds %d bytes", key, MaxObjectBytes)
--- a/platform/s3/client_test.go
+++ b/cloud/s3/client_test.go
@@ -7,9 +7,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/chestnutfield/chestnutfield/cloud"
+	"github.com/chestnutfield/chestnutfield/cloud/s3"
 	"github.com/chestnutfield/chestnutfield/lab/platformd"
-	"github.com/chestnutfield/chestnutfield/platform"
-	"github.com/chestnutfield/chestnutfield/platform/s3"
 )
 
 var _ = Describe("the object store client", func() {
@@ -37,13 +37,13 @@
 	It("tells a lost acknowledgement from an outage", func() {
 		srv, c := open()
 		srv.SetFaults(platformd.Faults{AckLost: 1})
-		Expect(c.Put(ctx, "k", []byte("x"))).To(MatchError(platform.ErrUncertain))
+		Expect(c.Put(ctx, "k", []byte("x"))).To(MatchError(cloud.ErrUncertain))
 		_, ok, _ := c.Get(ctx, "k")
 		Expect(ok).To(BeTrue())
 		srv.SetFaults(platformd.Faults{Down: true})
 		_, _, err := c.Get(ctx, "k")
-		Expect(err).To(MatchError(platform.ErrUnavailable))
+		Expect(err).To(MatchError(cloud.ErrUnavailable))
 		Expect(srv.Close()).To(Succeed())
-		Expect(s3.New(s3.Options{Endpoint: srv.URL()}).Put(ctx, "k", nil)).To(MatchError(platform.ErrUnavailable))
+		Expect(s3.New(s3.Options{Endpoint: srv.URL()}).Put(ctx, "k", nil)).To(MatchError(cloud.ErrUnavailable))
 	})
 })
--- a/config/command/command.go
+++ b/config/command/command.go
@@ -8,9 +8,9 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
+	"github.com/chestnutfield/chestnutfield/cloud"
 	"github.com/chestnutfield/chestnutfield/config/query"
 	"github.com/chestnutfield/chestnutfield/config/rows"
-	"github.com/chestnutfield/chestnutfield/platform"
 	"github.com/chestnutfield/chestnutfield/table"
 )
 
@@ -27,7 +27,7 @@
 
 // Options configures a Commander.
 type Options struct {
-	Store platform.Table
+	Store cloud.Table
 	// Accepted is told of each version that this host got accepted, with its
 	// packed form. It must not block; nil is allowed.
 	Accepted func(t *table.Tables, packed []byte)
@@ -99,13 +99,13 @@
 	err := c.retry(ctx, func() (bool, error) {
 		change, ok, err := c.reader.Change(ctx, id)
 		if err != nil {
-			return errors.Is(err, platform.ErrUnavailable), err
+			return errors.Is(err, cloud.ErrUnavailable), err
 		}
 		if ok {
 			earlier = &change
 		}
 		current, err = c.reader.Tables(ctx)
-		return errors.Is(err, platform.ErrUnavailable), err
+		return errors.Is(err, cloud.ErrUnavailable), err
 	})
 	return current, earlier, err
 }
--- a/config/command/command_test.go
+++ b/config/command/command_test.go
@@ -10,11 +10,11 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/chestnutfield/chestnutfield/cloud"
+	"github.com/chestnutfield/chestnutfield/cloud/fake"
 	"github.com/chestnutfield/chestnutfield/config/command"
 	"github.com/chestnutfield/chestnutfield/config/query"
 	"github.com/chestnutfield/chestnutfield/config/rows"
-	"github.com/chestnutfield/chestnutfield/platform"
-	"github.com/chestnutfield/chestnutfield/platform/fake"
 	"github.com/chestnutfield/chestnutfield/table"
 )
 
@@ -22,7 +22,7 @@
 
 var now = time.Date(2026, 12, 3, 12, 0, 0, 0, time.UTC)
 
-func commander(store platform.Table) *command.Commander {
+func commander(store cloud.Table) *command.Commander {
 	return command.New(command.Options{Store: store, Backoff: backoff})
 }
 
@@ -218,11 +218,11 @@
 
 // raced runs a hook before or after its first transaction.
 type raced struct {
-	platform.Table
+	cloud.Table
 	before, after func()
 }
 
-func (r *raced) Transact(ctx context.Context, ws []platform.Write) error {
+func (r *raced) Transact(ctx context.Context, ws []cloud.Write) error {
 	if f := r.before; f != nil {
 		r.before = nil
 		f()
--- a/config/command/commit.go
+++ b/config/command/commit.go
@@ -5,8 +5,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/chestnutfield/chestnutfield/cloud"
 	"github.com/chestnutfield/chestnutfield/config/rows"
-	"github.com/chestnutfield/chestnutfield/platform"
 	"github.com/chestnutfield/chestnutfield/table"
 )
 
@@ -32,9 +32,9 @@
 	mayHaveApplied := false
 	err = c.retry(ctx, func() (bool, error) {
 		err := c.opts.Store.Transact(ctx, writes)
-		uncertain := errors.Is(err, platform.ErrUncertain)
+		uncertain := errors.Is(err, cloud.ErrUncertain)
 		mayHaveApplied = mayHaveApplied || uncertain
-		return uncertain || errors.Is(err, platform.ErrUnavailable), err
+		return uncertain || errors.Is(err, cloud.ErrUnavailable), err
 	})
 	res, settleErr := c.settle(ctx, res, change, mayHaveApplied, err)
 	if settleErr != nil {
@@ -51,7 +51,7 @@
 // one already did, which the row of the change id shows. An error means that
 // the end is unknown.
 func (c *Commander) settle(ctx context.Context, res Result, change rows.Change, mayHaveApplied bool, err error) (Result, error) {
-	var failed *platform.ConditionError
+	var failed *cloud.ConditionError
 	switch {
 	case err == nil:
 		res.State, res.Version = Accepted, change.Version
@@ -79,7 +79,7 @@
 
 // recorded looks for the row of a change id: in what the failed condition
 // showed, and, when a copy of the transaction may have applied, by a read.
-func (c *Commander) recorded(ctx context.Context, failed *platform.ConditionError, id string, mayHaveApplied bool) (rows.Change, bool, error) {
+func (c *Commander) recorded(ctx context.Context, failed *cloud.ConditionError, id string, mayHaveApplied bool) (rows.Change, bool, error) {
 	if row := failed.Failed[changeWrite]; row != nil {
 		found, err := rows.DecodeChange(row.Body)
 		return found, err == nil, err
@@ -91,20 +91,20 @@
 }
 
 // writes is the transaction of a change, in the order of the places above.
-func (c *Commander) writes(packed []byte, change rows.Change) ([]platform.Write, error) {
+func (c *Commander) writes(packed []byte, change rows.Change) ([]cloud.Write, error) {
 	record, err := change.Encode()
 	if err != nil {
 		return nil, err
 	}
-	row := func(k platform.Key, rev uint64, body []byte) platform.Row {
-		return platform.Row{Key: k, Revision: rev, Writer: change.ID, Body: body}
+	row := func(k cloud.Key, rev uint64, body []byte) cloud.Row {
+		return cloud.Row{Key: k, Revision: rev, Writer: change.ID, Body: body}
 	}
-	guarded := func(r platform.Row) platform.Write {
-		return platform.Write{Row: r, IfAbsent: change.Base == 0, IfRevision: change.Base}
+	guarded := func(r cloud.Row) cloud.Write {
+		return cloud.Write{Row: r, IfAbsent: change.Base == 0, IfRevision: change.Base}
 	}
 	kept := row(rows.ChangeKey(change.ID), 1, record)
 	kept.Expires = change.Time.Add(changeRetention)
-	return []platform.Write{
+	return []cloud.Write{
 		versionWrite: guarded(row(rows.VersionKey, change.Version, nil)),
 		bodyWrite:    guarded(row(rows.BodyKey, change.Version, packed)),
 		historyWrite: {Row: row(rows.HistoryKey(change.Version), 1, record), IfAbsent: true},
--- a/config/command/property_test.go
+++ b/config/command/property_test.go
@@ -7,10 +7,10 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/chestnutfield/chestnutfield/cloud"
+	"github.com/chestnutfield/chestnutfield/cloud/fake"
 	"github.com/chestnutfield/chestnutfield/config/command"
 	"github.com/chestnutfield/chestnutfield/config/query"
-	"github.com/chestnutfield/chestnutfield/platform"
-	"github.com/chestnutfield/chestnutfield/platform/fake"
 )
 
 // moody is a table service whose transactions meet drawn faults. Requests
@@ -18,22 +18,22 @@
 type moody struct {
 	*fake.Table
 	t    *rapid.T
-	late [][]platform.Write
+	late [][]cloud.Write
 }
 
-func (m *moody) Transact(ctx context.Context, ws []platform.Write) error {
+func (m *moody) Transact(ctx context.Context, ws []cloud.Write) error {
 	m.deliver(ctx)
 	switch rapid.SampledFrom([]string{"sound", "sound", "down", "ack lost", "request lost", "late"}).Draw(m.t, "fault") {
 	case "down":
-		return platform.ErrUnavailable
+		return cloud.ErrUnavailable
 	case "ack lost":
 		_ = m.Table.Transact(ctx, ws)
-		return platform.ErrUncertain
+		return cloud.ErrUncertain
 	case "request lost":
-		return platform.ErrUncertain
+		return cloud.ErrUncertain
 	case "late":
 		m.late = append(m.late, ws)
-		return platform.ErrUncertain
+		return cloud.ErrUncertain
 	}
 	return m.Table.Transact(ctx, ws)
 }
--- a/config/core_property_test.go
+++ b/config/core_property_test.go
@@ -7,7 +7,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/cloud"
 	"github.com/chestnutfield/chestnutfield/table"
 )
 
@@ -109,7 +109,7 @@
 	if up {
 		return nil
 	}
-	return platform.ErrUnavailable
+	return cloud.ErrUnavailable
 }
 
 // news lets one peer catch up, and tell this host when it can.
--- a/config/core_test.go
+++ b/config/core_test.go
@@ -7,7 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/cloud"
 	"github.com/chestnutfield/chestnutfield/table"
 )
 
@@ -28,7 +28,7 @@
 		}
 		return versions
 	}
-	failPoll := func() []action { return c.polled(now, 0, platform.ErrUnavailable) }
+	failPoll := func() []action { return c.polled(now, 0, cloud.ErrUnavailable) }
 
 	It("asks every source at its start", func() {
 		Expect(c.tick(now)).To(ConsistOf(pollStore{}, locateSnapshot{}))
@@ -58,7 +58,7 @@
 		c.tick(now)
 		failPoll()
 		c.heard(now, "gone", 12)
-		c.fetched(now, peerSource("gone"), nil, nil, platform.ErrUnavailable)
+		c.fetched(now, peerSource("gone"), nil, nil, cloud.ErrUnavailable)
 		c.located(now, 11, nil)
 		Expect(installs(c.fetched(now, snapshotSource, &table.Tables{Version: 11}, nil, nil))).To(BeEmpty())
 		now = now.Add(DefaultStartWait)
@@ -77,7 +77,7 @@
 			c.fetching = true
 			failPoll()
 		}
-		Expect(c.fetched(now, storeSource, nil, nil, platform.ErrUnavailable)).NotTo(ContainElement(BeAssignableToTypeOf(fetch{})))
+		Expect(c.fetched(now, storeSource, nil, nil, cloud.ErrUnavailable)).NotTo(ContainElement(BeAssignableToTypeOf(fetch{})))
 		now = now.Add(time.Minute)
 		Expect(c.tick(now)).NotTo(ContainElement(BeAssignableToTypeOf(fetch{})))
 		Expect(c.polled(now, 4, nil)).To(ContainElement(fetch{from: storeSource, version: 4}))
--- a/config/fleet_test.go
+++ b/config/fleet_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/cloud"
 	"github.com/chestnutfield/chestnutfield/table"
 )
 
@@ -103,7 +103,7 @@
 	if f.storeUp {
 		return nil
 	}
-	return platform.ErrUnavailable
+	return cloud.ErrUnavailable
 }
 
 // run lets time pass; it returns early when done says so.
--- a/config/keeper.go
+++ b/config/keeper.go
@@ -13,8 +13,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/chestnutfield/chestnutfield/cloud"
 	"github.com/chestnutfield/chestnutfield/config/query"
-	"github.com/chestnutfield/chestnutfield/platform"
 	"github.com/chestnutfield/chestnutfield/ports"
 	"github.com/chestnutfield/chestnutfield/table"
 )
@@ -38,8 +38,8 @@
 type Options struct {
 	// Host is this host's name; it spreads the hosts' polls.
 	Host    string
-	Store   platform.Table
-	Objects platform.Objects
+	Store   cloud.Table
+	Objects cloud.Objects
 	// Peers is nil for a host that has none.
 	Peers Peers
 	// Hosts is the number of hosts that poll; nil counts the peers.
--- a/config/keeper_test.go
+++ b/config/keeper_test.go
@@ -9,9 +9,9 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/chestnutfield/chestnutfield/cloud/fake"
 	"github.com/chestnutfield/chestnutfield/config/command"
 	"github.com/chestnutfield/chestnutfield/config/rows"
-	"github.com/chestnutfield/chestnutfield/platform/fake"
 	"github.com/chestnutfield/chestnutfield/table"
 )
 
--- a/config/query/query.go
+++ b/config/query/query.go
@@ -7,8 +7,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/chestnutfield/chestnutfield/cloud"
 	"github.com/chestnutfield/chestnutfield/config/rows"
-	"github.com/chestnutfield/chestnutfield/platform"
 	"github.com/chestnutfield/chestnutfield/table"
 )
 
@@ -17,11 +17,11 @@
 
 // Reader reads the configuration. It is safe for concurrent use.
 type Reader struct {
-	store platform.Table
+	store cloud.Table
 }
 
 // New returns a Reader of the given table service.
-func New(store platform.Table) *Reader { return &Reader{store: store} }
+func New(store cloud.Table) *Reader { return &Reader{store: store} }
 
 // Version returns the accepted version, 0 when nothing was ever accepted. It
 // reads one small row.
--- a/config/rows/rows.go
+++ b/config/rows/rows.go
@@ -19,7 +19,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/cloud"
 )
 
 const (
@@ -35,25 +35,25 @@
 
 var (
 	// VersionKey is the key of the row that hosts poll.
-	VersionKey = platform.Key{Partition: configPartition, Sort: "version"}
+	VersionKey = cloud.Key{Partition: configPartition, Sort: "version"}
 	// BodyKey is the key of the row that holds the packed tables.
-	BodyKey = platform.Key{Partition: configPartition, Sort: "body"}
+	BodyKey = cloud.Key{Partition: configPartition, Sort: "body"}
 )
 
 // HistoryPartition holds the accepted changes in order of version.
 const HistoryPartition = historyPartition
 
 // HistoryKey is the key of the change that became a version.
-func HistoryKey(version uint64) platform.Key {
-	return platform.Key{Partition: historyPartition, Sort: HistorySort(version)}
+func HistoryKey(version uint64) cloud.Key {
+	return cloud.Key{Partition: historyPartition, Sort: HistorySort(version)}
 }
 
 // HistorySort is the sort key of a version in HistoryPartition.
 func HistorySort(version uint64) string { return fmt.Sprintf("%020d", version) }
 
 // ChangeKey is the key of the row that says what a change became.
-func ChangeKey(id string) platform.Key {
-	return platform.Key{Partition: changePartition, Sort: id}
+func ChangeKey(id string) cloud.Key {
+	return cloud.Key{Partition: changePartition, Sort: id}
 }
 
 // SnapshotObject names the object that holds the packed tables of a version.
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -6,8 +6,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/chestnutfield/chestnutfield/cloud"
 	"github.com/chestnutfield/chestnutfield/config/rows"
-	"github.com/chestnutfield/chestnutfield/platform"
 )
 
 const (
@@ -23,7 +23,7 @@
 )
 
 // pointedSnapshot reads the pointer, 0 when there is none.
-func pointedSnapshot(ctx context.Context, objects platform.Objects) (uint64, error) {
+func pointedSnapshot(ctx context.Context, objects cloud.Objects) (uint64, error) {
 	body, ok, err := objects.Get(ctx, rows.LatestObject)
 	if err != nil || !ok {
 		return 0, err
@@ -34,7 +34,7 @@
 // latestSnapshot returns the highest version with a snapshot, 0 when there is
 // none. The pointer may lag or have been set back by a slow writer, so the
 // versions after it are tried too, as far as they follow on each other.
-func latestSnapshot(ctx context.Context, objects platform.Objects) (uint64, error) {
+func latestSnapshot(ctx context.Context, objects cloud.Objects) (uint64, error) {
 	version, err := pointedSnapshot(ctx, objects)
 	if err != nil {
 		return 0, err
@@ -51,7 +51,7 @@
 
 // publishSnapshot writes a version and moves the pointer up to it. The pointer
 // is read back and set again when a writer of an older version came between.
-func publishSnapshot(ctx context.Context, objects platform.Objects, version uint64, packed []byte) error {
+func publishSnapshot(ctx context.Context, objects cloud.Objects, version uint64, packed []byte) error {
 	if err := objects.Put(ctx, rows.SnapshotObject(version), packed); err != nil {
 		return errors.Wrapf(err, "snapshot of version %d", version)
 	}
--- a/ctl/deployment_test.go
+++ b/ctl/deployment_test.go
@@ -16,11 +16,11 @@
 
 	"github.com/chestnutfield/chestnutfield/admin"
 	"github.com/chestnutfield/chestnutfield/admin/api"
+	"github.com/chestnutfield/chestnutfield/cloud/fake"
 	"github.com/chestnutfield/chestnutfield/config"
 	"github.com/chestnutfield/chestnutfield/config/command"
 	"github.com/chestnutfield/chestnutfield/config/query"
 	"github.com/chestnutfield/chestnutfield/ctl"
-	"github.com/chestnutfield/chestnutfield/platform/fake"
 )
 
 const token = "s3cret"
--- a/faults/hosts_test.go
+++ b/faults/hosts_test.go
@@ -13,12 +13,12 @@
 	"github.com/samber/lo"
 
 	"github.com/chestnutfield/chestnutfield/balance"
+	"github.com/chestnutfield/chestnutfield/cloud/fake"
 	"github.com/chestnutfield/chestnutfield/config"
 	"github.com/chestnutfield/chestnutfield/config/command"
 	"github.com/chestnutfield/chestnutfield/config/rows"
 	"github.com/chestnutfield/chestnutfield/membership"
 	"github.com/chestnutfield/chestnutfield/peer"
-	"github.com/chestnutfield/chestnutfield/platform/fake"
 	"github.com/chestnutfield/chestnutfield/ports"
 	"github.com/chestnutfield/chestnutfield/probe"
 	"github.com/chestnutfield/chestnutfield/table"
--- a/faults/request_test.go
+++ b/faults/request_test.go
@@ -12,12 +12,12 @@
 	"github.com/samber/lo"
 
 	"github.com/chestnutfield/chestnutfield/balance"
+	"github.com/chestnutfield/chestnutfield/cloud"
+	"github.com/chestnutfield/chestnutfield/cloud/fake"
 	"github.com/chestnutfield/chestnutfield/handoff"
 	"github.com/chestnutfield/chestnutfield/ledger"
 	"github.com/chestnutfield/chestnutfield/limit"
 	"github.com/chestnutfield/chestnutfield/owner"
-	"github.com/chestnutfield/chestnutfield/platform"
-	"github.com/chestnutfield/chestnutfield/platform/fake"
 	"github.com/chestnutfield/chestnutfield/proxy"
 	"github.com/chestnutfield/chestnutfield/resolve"
 	"github.com/chestnutfield/chestnutfield/retry"
@@ -278,8 +278,8 @@
 
 // listTargets fills the host list; a stale one holds a target that is gone.
 func (b *requestBed) listTargets() {
-	b.list.Set(lo.Times(targetCount+1, func(i int) platform.ListedHost {
-		return platform.ListedHost{Service: poolName, Addr: targetAddr(i), FailureDomain: targetZone(i)}
+	b.list.Set(lo.Times(targetCount+1, func(i int) cloud.ListedHost {
+		return cloud.ListedHost{Service: poolName, Addr: targetAddr(i), FailureDomain: targetZone(i)}
 	})...)
 }
 
--- /dev/null
+++ b/host/cloud.go
@@ -0,0 +1,27 @@
+package host
+
+import (
+	"github.com/samber/do/v2"
+
+	"github.com/chestnutfield/chestnutfield/cloud"
+	"github.com/chestnutfield/chestnutfield/cloud/dynamo"
+	"github.com/chestnutfield/chestnutfield/cloud/hostlist"
+	"github.com/chestnutfield/chestnutfield/cloud/s3"
+	"github.com/chestnutfield/chestnutfield/settings"
+)
+
+// provideCloud gives the clients of the table service, the object store and the host list.
+func provideCloud(i do.Injector) {
+	do.Provide(i, func(i do.Injector) (cloud.Table, error) {
+		s := do.MustInvoke[*settings.Settings](i)
+		return dynamo.New(dynamo.Options{Endpoint: s.Platform.Table}), nil
+	})
+	do.Provide(i, func(i do.Injector) (cloud.Objects, error) {
+		s := do.MustInvoke[*settings.Settings](i)
+		return s3.New(s3.Options{Endpoint: s.Platform.Objects}), nil
+	})
+	do.Provide(i, func(i do.Injector) (cloud.HostList, error) {
+		s := do.MustInvoke[*settings.Settings](i)
+		return hostlist.New(hostlist.Options{BaseURL: s.Platform.Hosts}), nil
+	})
+}
--- a/host/config.go
+++ b/host/config.go
@@ -10,11 +10,11 @@
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 
+	"github.com/chestnutfield/chestnutfield/cloud"
 	"github.com/chestnutfield/chestnutfield/config"
 	"github.com/chestnutfield/chestnutfield/config/command"
 	"github.com/chestnutfield/chestnutfield/config/query"
 	"github.com/chestnutfield/chestnutfield/peer"
-	"github.com/chestnutfield/chestnutfield/platform"
 	"github.com/chestnutfield/chestnutfield/ports"
 	"github.com/chestnutfield/chestnutfield/resolve"
 	"github.com/chestnutfield/chestnutfield/settings"
@@ -28,21 +28,21 @@
 	do.Provide(i, newResolver)
 	do.Provide(i, func(i do.Injector) (*command.Commander, error) {
 		return command.New(command.Options{
-			Store:    do.MustInvoke[platform.Table](i),
+			Store:    do.MustInvoke[cloud.Table](i),
 			Accepted: do.MustInvoke[*config.Keeper](i).Accepted,
 			Clock:    do.MustInvoke[clockwork.Clock](i),
 		}), nil
 	})
 	do.Provide(i, func(i do.Injector) (*query.Reader, error) {
-		return query.New(do.MustInvoke[platform.Table](i)), nil
+		return query.New(do.MustInvoke[cloud.Table](i)), nil
 	})
 }
 
 func newKeeper(i do.Injector) (*config.Keeper, error) {
 	return config.New(config.Options{
 		Host:    do.MustInvoke[*settings.Settings](i).Host.Name,
-		Store:   do.MustInvoke[platform.Table](i),
-		Objects: do.MustInvoke[platform.Objects](i),
+		Store:   do.MustInvoke[cloud.Table](i),
+		Objects: do.MustInvoke[cloud.Objects](i),
 		Peers:   do.MustInvoke[*configPeers](i),
 		Hosts:   do.MustInvoke[ports.Membership](i).ShareCount,
 		Clock:   do.MustInvoke[clockwork.Clock](i),
@@ -53,7 +53,7 @@
 
 func newResolver(i do.Injector) (*resolve.Resolver, error) {
 	return resolve.New(resolve.Options{
-		List:       do.MustInvoke[platform.HostList](i),
+		List:       do.MustInvoke[cloud.HostList](i),
 		Tables:     do.MustInvoke[ports.Tables](i),
 		Clock:      do.MustInvoke[clockwork.Clock](i),
 		Seed:       uint64(do.MustInvoke[Seed](i)),
--- a/host/deployment_test.go
+++ b/host/deployment_test.go
@@ -13,13 +13,13 @@
 	. "github.com/onsi/gomega"
 	"github.com/samber/lo"
 
+	"github.com/chestnutfield/chestnutfield/cloud/dynamo"
 	"github.com/chestnutfield/chestnutfield/config/command"
 	"github.com/chestnutfield/chestnutfield/config/rows"
 	"github.com/chestnutfield/chestnutfield/host"
 	"github.com/chestnutfield/chestnutfield/lab/platformd"
 	"github.com/chestnutfield/chestnutfield/lab/runlog"
 	"github.com/chestnutfield/chestnutfield/lab/upstreamd"
-	"github.com/chestnutfield/chestnutfield/platform/dynamo"
 	"github.com/chestnutfield/chestnutfield/settings"
 )
 
--- a/host/forwarding.go
+++ b/host/forwarding.go
@@ -7,12 +7,12 @@
 	"go.uber.org/zap"
 
 	"github.com/chestnutfield/chestnutfield/balance"
+	"github.com/chestnutfield/chestnutfield/cloud"
 	"github.com/chestnutfield/chestnutfield/handoff"
 	"github.com/chestnutfield/chestnutfield/ledger"
 	"github.com/chestnutfield/chestnutfield/limit"
 	"github.com/chestnutfield/chestnutfield/membership"
 	"github.com/chestnutfield/chestnutfield/owner"
-	"github.com/chestnutfield/chestnutfield/platform"
 	"github.com/chestnutfield/chestnutfield/ports"
 	"github.com/chestnutfield/chestnutfield/probe"
 	"github.com/chestnutfield/chestnutfield/proxy"
@@ -119,7 +119,7 @@
 
 func newLedger(i do.Injector) (*ledger.Ledger, error) {
 	return ledger.New(ledger.Options{
-		Table:      do.MustInvoke[platform.Table](i),
+		Table:      do.MustInvoke[cloud.Table](i),
 		Host:       do.MustInvoke[*settings.Settings](i).Host.Name,
 		Clock:      do.MustInvoke[clockwork.Clock](i),
 		Logger:     do.MustInvoke[*zap.Logger](i),
--- a/host/members.go
+++ b/host/members.go
@@ -11,10 +11,10 @@
 	"go.uber.org/zap"
 
 	"github.com/chestnutfield/chestnutfield/balance"
+	"github.com/chestnutfield/chestnutfield/cloud"
 	"github.com/chestnutfield/chestnutfield/config"
 	"github.com/chestnutfield/chestnutfield/membership"
 	"github.com/chestnutfield/chestnutfield/peer"
-	"github.com/chestnutfield/chestnutfield/platform"
 	"github.com/chestnutfield/chestnutfield/ports"
 	"github.com/chestnutfield/chestnutfield/settings"
 )
@@ -34,7 +34,7 @@
 		Self: membership.Member{
 			Name: s.Host.Name, Addr: s.Listen.Peers, FailureDomain: s.Host.FailureDomain, State: membership.Live,
 		},
-		Table:      do.MustInvoke[platform.Table](i),
+		Table:      do.MustInvoke[cloud.Table](i),
 		Clock:      do.MustInvoke[clockwork.Clock](i),
 		Seed:       uint64(do.MustInvoke[Seed](i)),
 		Logger:     do.MustInvoke[*zap.Logger](i),
--- a/host/providers.go
+++ b/host/providers.go
@@ -29,7 +29,7 @@
 
 // provide registers every part.
 func provide(i do.Injector) {
-	providePlatform(i)
+	provideCloud(i)
 	provideMembers(i)
 	provideConfig(i)
 	provideForwarding(i)
--- a/lab/embedded/embedded.go
+++ b/lab/embedded/embedded.go
@@ -14,12 +14,12 @@
 	dto "github.com/prometheus/client_model/go"
 	"github.com/samber/lo"
 
+	"github.com/chestnutfield/chestnutfield/cloud/dynamo"
 	"github.com/chestnutfield/chestnutfield/config/command"
 	"github.com/chestnutfield/chestnutfield/config/rows"
 	"github.com/chestnutfield/chestnutfield/host"
 	"github.com/chestnutfield/chestnutfield/lab/delay"
 	"github.com/chestnutfield/chestnutfield/lab/experiment"
-	"github.com/chestnutfield/chestnutfield/platform/dynamo"
 	"github.com/chestnutfield/chestnutfield/settings"
 	"github.com/chestnutfield/chestnutfield/table"
 )
--- a/lab/platformd/faults_test.go
+++ b/lab/platformd/faults_test.go
@@ -13,8 +13,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/chestnutfield/chestnutfield/cloud"
 	"github.com/chestnutfield/chestnutfield/lab/platformd"
-	"github.com/chestnutfield/chestnutfield/platform"
 )
 
 func call(method, url, body string) (int, string) {
@@ -74,8 +74,8 @@
 	It("shows a change of the host list after the lag", func() {
 		clock := clockwork.NewFakeClock()
 		s := start(platformd.Options{Clock: clock, Faults: platformd.Faults{ListLag: platformd.Duration(30 * time.Second)}})
-		host := platform.ListedHost{Service: "catalogue", Addr: netip.MustParseAddrPort("127.0.0.1:9001"), FailureDomain: "a"}
-		s.SetHosts([]platform.ListedHost{host})
+		host := cloud.ListedHost{Service: "catalogue", Addr: netip.MustParseAddrPort("127.0.0.1:9001"), FailureDomain: "a"}
+		s.SetHosts([]cloud.ListedHost{host})
 		clock.Advance(29 * time.Second)
 		_, body := call(http.MethodGet, s.URL()+"/hostlist?service=catalogue", "")
 		Expect(body).To(MatchJSON(`[]`))
--- a/lab/platformd/hostlist.go
+++ b/lab/platformd/hostlist.go
@@ -11,7 +11,7 @@
 	"github.com/samber/lo"
 	"github.com/valyala/fasthttp"
 
-	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/cloud"
 )
 
 // hostList shows each change of the list after a lag.
@@ -19,26 +19,26 @@
 	clock clockwork.Clock
 
 	mu      sync.Mutex
-	shown   []platform.ListedHost
+	shown   []cloud.ListedHost
 	pending []listChange
 }
 
 type listChange struct {
 	visible time.Time
-	hosts   []platform.ListedHost
+	hosts   []cloud.ListedHost
 }
 
 func newHostList(clock clockwork.Clock) *hostList {
-	return &hostList{clock: clock, shown: []platform.ListedHost{}}
+	return &hostList{clock: clock, shown: []cloud.ListedHost{}}
 }
 
-func (l *hostList) set(hosts []platform.ListedHost, lag time.Duration) {
+func (l *hostList) set(hosts []cloud.ListedHost, lag time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.pending = append(l.pending, listChange{visible: l.clock.Now().Add(lag), hosts: hosts})
 }
 
-func (l *hostList) list(service string) []platform.ListedHost {
+func (l *hostList) list(service string) []cloud.ListedHost {
 	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -46,20 +46,20 @@
 		l.shown = l.pending[0].hosts
 		l.pending = l.pending[1:]
 	}
-	return lo.Filter(l.shown, func(h platform.ListedHost, _ int) bool {
+	return lo.Filter(l.shown, func(h cloud.ListedHost, _ int) bool {
 		return service == "" || h.Service == service
 	})
 }
 
 // SetHosts replaces the host list; the change shows after the list lag.
-func (s *Server) SetHosts(hosts []platform.ListedHost) {
+func (s *Server) SetHosts(hosts []cloud.ListedHost) {
 	s.hosts.set(hosts, time.Duration(s.Faults().ListLag))
 }
 
 // handleHostList serves GET /hostlist?service=NAME and PUT /hostlist.
 func (s *Server) handleHostList(ctx *fasthttp.RequestCtx) {
 	if ctx.IsPut() {
-		var hosts []platform.ListedHost
+		var hosts []cloud.ListedHost
 		if err := decodeStrict(ctx.PostBody(), &hosts); err != nil {
 			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 			return
--- a/lab/platformd/table.go
+++ b/lab/platformd/table.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
-	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/cloud"
 )
 
 const (
@@ -182,8 +182,8 @@
 }
 
 func (in transactInput) mutations() ([]mutation, error) {
-	if n := len(in.TransactItems); n == 0 || n > platform.MaxTransactWrites {
-		return nil, invalid("TransactItems: %d entries, expected 1 to %d", n, platform.MaxTransactWrites)
+	if n := len(in.TransactItems); n == 0 || n > cloud.MaxTransactWrites {
+		return nil, invalid("TransactItems: %d entries, expected 1 to %d", n, cloud.MaxTransactWrites)
 	}
 	seen := map[rowKey]bool{}
 	ms := make([]mutation, 0, len(in.TransactItems))
--- a/ledger/bench_test.go
+++ b/ledger/bench_test.go
@@ -6,8 +6,8 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/chestnutfield/chestnutfield/cloud/fake"
 	"github.com/chestnutfield/chestnutfield/outcome"
-	"github.com/chestnutfield/chestnutfield/platform/fake"
 	"github.com/chestnutfield/chestnutfield/ports"
 )
 
--- a/ledger/claim.go
+++ b/ledger/claim.go
@@ -7,7 +7,7 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/cloud"
 	"github.com/chestnutfield/chestnutfield/ports"
 )
 
@@ -86,7 +86,7 @@
 // released is claimed over the row that says so.
 func (l *Ledger) acquire(ctx context.Context, e *entry) ports.Claim {
 	const steps = 4
-	var over *platform.Row
+	var over *cloud.Row
 	for range steps {
 		revision := uint64(1)
 		if over != nil {
@@ -137,14 +137,14 @@
 }
 
 // write sends the claim over a row, or where none stands, and waits.
-func (l *Ledger) write(ctx context.Context, e *entry, over *platform.Row, revision uint64) (result, bool) {
+func (l *Ledger) write(ctx context.Context, e *entry, over *cloud.Row, revision uint64) (result, bool) {
 	now := l.opt.Clock.Now()
 	body := record{State: stateClaimed, Fingerprint: e.fingerprint, Host: l.opt.Host}
 	row, err := encodeRow(e.id, body, revision, e.writer, now.Add(l.opt.Retention))
 	if err != nil {
 		return result{kind: notApplied}, true
 	}
-	w := platform.Write{Row: row, IfAbsent: over == nil}
+	w := cloud.Write{Row: row, IfAbsent: over == nil}
 	e.base = 0
 	if over != nil {
 		w.IfRevision, e.base = over.Revision, over.Revision
--- a/ledger/decide.go
+++ b/ledger/decide.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"github.com/chestnutfield/chestnutfield/cloud"
 	"github.com/chestnutfield/chestnutfield/outcome"
-	"github.com/chestnutfield/chestnutfield/platform"
 	"github.com/chestnutfield/chestnutfield/ports"
 )
 
@@ -27,7 +27,7 @@
 
 // judge says what the row found means for a claim by writer. The claim is only
 // meaningful with findTaken.
-func judge(row *platform.Row, writer string, fingerprint uint64, now time.Time) (finding, ports.Claim) {
+func judge(row *cloud.Row, writer string, fingerprint uint64, now time.Time) (finding, ports.Claim) {
 	if row == nil {
 		return findFree, ports.Claim{}
 	}
--- a/ledger/lane.go
+++ b/ledger/lane.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 
-	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/cloud"
 )
 
 // resultKind says how a write ended.
@@ -30,12 +30,12 @@
 
 type result struct {
 	kind  resultKind
-	found *platform.Row
+	found *cloud.Row
 }
 
 // op is one conditional write on its way.
 type op struct {
-	write platform.Write
+	write cloud.Write
 	// deadline ends the attempts; zero keeps trying.
 	deadline time.Time
 	// done takes the result once.
@@ -49,7 +49,7 @@
 // lane commits the writes of many orders in shared transactions.
 type lane struct {
 	name        string
-	table       platform.Table
+	table       cloud.Table
 	clock       clockwork.Clock
 	callTimeout time.Duration
 	pause       time.Duration
@@ -160,9 +160,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var batch, keep []*op
-	seen := map[platform.Key]bool{}
+	seen := map[cloud.Key]bool{}
 	for _, o := range l.queue {
-		if len(batch) == platform.MaxTransactWrites || seen[o.write.Row.Key] {
+		if len(batch) == cloud.MaxTransactWrites || seen[o.write.Row.Key] {
 			keep = append(keep, o)
 			continue
 		}
@@ -179,7 +179,7 @@
 		return
 	}
 	err := l.send(ctx, batch)
-	var conflict *platform.ConditionError
+	var conflict *cloud.ConditionError
 	switch {
 	case err == nil:
 		l.report(true, len(batch))
@@ -189,12 +189,12 @@
 	case errors.As(err, &conflict):
 		l.report(true, len(batch))
 		l.resolve(ctx, batch, conflict)
-	case errors.Is(err, platform.ErrConditionFailed):
+	case errors.Is(err, cloud.ErrConditionFailed):
 		l.report(true, len(batch))
 		l.isolate(ctx, batch)
 	default:
 		l.report(false, len(batch))
-		l.failed(ctx, batch, errors.Is(err, platform.ErrUnavailable))
+		l.failed(ctx, batch, errors.Is(err, cloud.ErrUnavailable))
 	}
 }
 
@@ -204,7 +204,7 @@
 	if len(batch) == 1 {
 		return l.table.Write(ctx, batch[0].write)
 	}
-	writes := make([]platform.Write, 0, len(batch))
+	writes := make([]cloud.Write, 0, len(batch))
 	for _, o := range batch {
 		writes = append(writes, o.write)
 	}
@@ -213,7 +213,7 @@
 
 // resolve ends the ops that stood in the way of a transaction and sends the
 // others again.
-func (l *lane) resolve(ctx context.Context, batch []*op, conflict *platform.ConditionError) {
+func (l *lane) resolve(ctx context.Context, batch []*op, conflict *cloud.ConditionError) {
 	var again []*op
 	for i, o := range batch {
 		if found, failed := conflict.Failed[i]; failed {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -11,7 +11,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
-	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/cloud"
 	"github.com/chestnutfield/chestnutfield/ports"
 )
 
@@ -91,7 +91,7 @@
 	}
 	ctx, cancel := clockwork.WithTimeout(ctx, l.opt.Clock, l.opt.CallTimeout)
 	defer cancel()
-	_, _, err := l.opt.Table.Get(ctx, platform.Key{Partition: PartitionPrefix + "probe", Sort: "probe"})
+	_, _, err := l.opt.Table.Get(ctx, cloud.Key{Partition: PartitionPrefix + "probe", Sort: "probe"})
 	l.metrics.call("probe", err == nil, 1)
 	if l.breaker.report(l.opt.Clock.Now(), err == nil) {
 		l.breakerChanged()
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -10,9 +10,9 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/chestnutfield/chestnutfield/cloud"
+	"github.com/chestnutfield/chestnutfield/cloud/fake"
 	"github.com/chestnutfield/chestnutfield/outcome"
-	"github.com/chestnutfield/chestnutfield/platform"
-	"github.com/chestnutfield/chestnutfield/platform/fake"
 	"github.com/chestnutfield/chestnutfield/ports"
 )
 
@@ -224,13 +224,13 @@
 
 // heldBack keeps the first write to apply it when told to.
 type heldBack struct {
-	platform.Table
+	cloud.Table
 	mu   sync.Mutex
-	held *platform.Write
+	held *cloud.Write
 	left int
 }
 
-func (h *heldBack) Write(ctx context.Context, w platform.Write) error {
+func (h *heldBack) Write(ctx context.Context, w cloud.Write) error {
 	h.mu.Lock()
 	hold := h.left > 0
 	if hold {
@@ -239,7 +239,7 @@
 	}
 	h.mu.Unlock()
 	if hold {
-		return platform.ErrUncertain
+		return cloud.ErrUncertain
 	}
 	return h.Table.Write(ctx, w)
 }
@@ -281,7 +281,7 @@
 				g.Expect(d.hosts[0].Claim(ctx, order).State).To(Equal(ports.ClaimUnavailable))
 			}
 			time.Sleep(5 * time.Second)
-			g.Expect(slow.apply()).To(MatchError(platform.ErrConditionFailed))
+			g.Expect(slow.apply()).To(MatchError(cloud.ErrConditionFailed))
 			g.Expect(d.claim(1).State).To(Equal(ports.ClaimGranted))
 		})
 	}
--- a/ledger/measure_test.go
+++ b/ledger/measure_test.go
@@ -13,9 +13,9 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/chestnutfield/chestnutfield/cloud"
+	"github.com/chestnutfield/chestnutfield/cloud/fake"
 	"github.com/chestnutfield/chestnutfield/outcome"
-	"github.com/chestnutfield/chestnutfield/platform"
-	"github.com/chestnutfield/chestnutfield/platform/fake"
 	"github.com/chestnutfield/chestnutfield/ports"
 )
 
@@ -73,7 +73,7 @@
 	wg.Wait()
 }
 
-func hostsOver(table platform.Table, n int, change func(*Options)) (hosts []*Ledger, stop func()) {
+func hostsOver(table cloud.Table, n int, change func(*Options)) (hosts []*Ledger, stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var runs sync.WaitGroup
 	for i := range n {
@@ -121,7 +121,7 @@
 	revision uint64
 }
 
-func (s *packedShard) claim(table platform.Table, shard int) bool {
+func (s *packedShard) claim(table cloud.Table, shard int) bool {
 	done := make(chan bool, 1)
 	s.mu.Lock()
 	s.waiting = append(s.waiting, done)
@@ -134,7 +134,7 @@
 	return <-done
 }
 
-func (s *packedShard) commit(table platform.Table, shard int) {
+func (s *packedShard) commit(table cloud.Table, shard int) {
 	for {
 		s.mu.Lock()
 		batch := s.waiting
@@ -152,12 +152,12 @@
 	}
 }
 
-func (s *packedShard) replace(table platform.Table, shard int) bool {
+func (s *packedShard) replace(table cloud.Table, shard int) bool {
 	deadline := time.Now().Add(800 * time.Millisecond)
 	for time.Now().Before(deadline) {
-		row := platform.Row{Key: platform.Key{Partition: "packed", Sort: fmt.Sprint(shard)}, Revision: s.revision + 1}
-		err := table.Write(context.Background(), platform.Write{Row: row, IfAbsent: s.revision == 0, IfRevision: s.revision})
-		var conflict *platform.ConditionError
+		row := cloud.Row{Key: cloud.Key{Partition: "packed", Sort: fmt.Sprint(shard)}, Revision: s.revision + 1}
+		err := table.Write(context.Background(), cloud.Write{Row: row, IfAbsent: s.revision == 0, IfRevision: s.revision})
+		var conflict *cloud.ConditionError
 		switch {
 		case err == nil:
 			s.revision++
--- a/ledger/options.go
+++ b/ledger/options.go
@@ -9,12 +9,12 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
-	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/cloud"
 )
 
 // Options configures a Ledger.
 type Options struct {
-	Table platform.Table
+	Table cloud.Table
 	// Host is the name of this host; it is part of every writer.
 	Host string
 	// Incarnation tells this process from earlier ones of the same name; 0
--- a/ledger/property_test.go
+++ b/ledger/property_test.go
@@ -10,8 +10,8 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/chestnutfield/chestnutfield/cloud/fake"
 	"github.com/chestnutfield/chestnutfield/outcome"
-	"github.com/chestnutfield/chestnutfield/platform/fake"
 	"github.com/chestnutfield/chestnutfield/ports"
 )
 
--- a/ledger/published_test.go
+++ b/ledger/published_test.go
@@ -9,10 +9,10 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/chestnutfield/chestnutfield/cloud/dynamo"
 	"github.com/chestnutfield/chestnutfield/lab/platformd"
 	"github.com/chestnutfield/chestnutfield/ledger"
 	"github.com/chestnutfield/chestnutfield/outcome"
-	"github.com/chestnutfield/chestnutfield/platform/dynamo"
 	"github.com/chestnutfield/chestnutfield/ports"
 )
 
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -10,7 +10,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/cloud"
 	"github.com/chestnutfield/chestnutfield/ports"
 )
 
@@ -53,22 +53,22 @@
 }
 
 // rowKey spreads the rows over 256 partitions.
-func (id keyID) rowKey() platform.Key {
-	return platform.Key{
+func (id keyID) rowKey() cloud.Key {
+	return cloud.Key{
 		Partition: fmt.Sprintf("%s%02x", PartitionPrefix, id[0]),
 		Sort:      base64.RawURLEncoding.EncodeToString(id[:]),
 	}
 }
 
-func encodeRow(id keyID, r record, revision uint64, writer string, expires time.Time) (platform.Row, error) {
+func encodeRow(id keyID, r record, revision uint64, writer string, expires time.Time) (cloud.Row, error) {
 	body, err := json.Marshal(r)
 	if err != nil {
-		return platform.Row{}, errors.Wrap(err, "encode order row")
+		return cloud.Row{}, errors.Wrap(err, "encode order row")
 	}
-	return platform.Row{Key: id.rowKey(), Revision: revision, Writer: writer, Body: body, Expires: expires}, nil
+	return cloud.Row{Key: id.rowKey(), Revision: revision, Writer: writer, Body: body, Expires: expires}, nil
 }
 
-func decodeRow(row *platform.Row) (record, error) {
+func decodeRow(row *cloud.Row) (record, error) {
 	var r record
 	if err := json.Unmarshal(row.Body, &r); err != nil {
 		return record{}, errors.Wrapf(err, "decode order row %s", row.Sort)
--- a/ledger/rules_test.go
+++ b/ledger/rules_test.go
@@ -6,15 +6,15 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/chestnutfield/chestnutfield/cloud"
+	"github.com/chestnutfield/chestnutfield/cloud/fake"
 	"github.com/chestnutfield/chestnutfield/outcome"
-	"github.com/chestnutfield/chestnutfield/platform"
-	"github.com/chestnutfield/chestnutfield/platform/fake"
 	"github.com/chestnutfield/chestnutfield/ports"
 )
 
 var now = time.Date(2026, 12, 3, 0, 0, 0, 0, time.UTC)
 
-func rowOf(s state, writer string, expires time.Time) *platform.Row {
+func rowOf(s state, writer string, expires time.Time) *cloud.Row {
 	row, err := encodeRow(keyID{}, record{State: s, Fingerprint: 7}, 3, writer, expires)
 	Expect(err).NotTo(HaveOccurred())
 	return &row
--- a/ledger/settle.go
+++ b/ledger/settle.go
@@ -6,8 +6,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/chestnutfield/chestnutfield/cloud"
 	"github.com/chestnutfield/chestnutfield/outcome"
-	"github.com/chestnutfield/chestnutfield/platform"
 	"github.com/chestnutfield/chestnutfield/ports"
 )
 
@@ -54,7 +54,7 @@
 		row, _ = encodeRow(e.id, end, revision+1, writer, l.opt.Clock.Now().Add(l.retention(end)))
 	}
 	l.outcomes.add(false, &op{
-		write: platform.Write{Row: row, IfRevision: revision},
+		write: cloud.Write{Row: row, IfRevision: revision},
 		done: func(r result) {
 			ours := r.kind == conflicted && r.found != nil && r.found.Writer == writer
 			if r.kind != applied && !ours {
@@ -86,14 +86,14 @@
 
 // release writes the released row over a row of the claim, or where none
 // stands.
-func (l *Ledger) release(e *entry, over *platform.Row) {
+func (l *Ledger) release(e *entry, over *cloud.Row) {
 	writer := l.writer()
 	body := record{State: stateReleased, Host: l.opt.Host}
 	revision := uint64(1)
-	w := platform.Write{IfAbsent: true}
+	w := cloud.Write{IfAbsent: true}
 	if over != nil {
 		revision = over.Revision + 1
-		w = platform.Write{IfRevision: over.Revision}
+		w = cloud.Write{IfRevision: over.Revision}
 	}
 	w.Row, _ = encodeRow(e.id, body, revision, writer, l.opt.Clock.Now().Add(l.retention(body)))
 	l.outcomes.add(false, &op{write: w, done: func(r result) {
@@ -108,7 +108,7 @@
 
 // mayStillClaim reports whether the row found is the claim of the entry, or one
 // that its claim may yet be written over.
-func (l *Ledger) mayStillClaim(e *entry, found *platform.Row) bool {
+func (l *Ledger) mayStillClaim(e *entry, found *cloud.Row) bool {
 	if found == nil || found.Writer == e.writer {
 		return true
 	}
--- a/membership/row.go
+++ b/membership/row.go
@@ -6,26 +6,26 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/cloud"
 )
 
 // Partition is the partition of the table service that holds the rows.
 const Partition = "members"
 
 // encodeRow returns the row of a member.
-func encodeRow(m Member, writer string, expires time.Time) (platform.Row, error) {
+func encodeRow(m Member, writer string, expires time.Time) (cloud.Row, error) {
 	body, err := json.Marshal(m)
 	if err != nil {
-		return platform.Row{}, errors.Wrap(err, "encode member row")
+		return cloud.Row{}, errors.Wrap(err, "encode member row")
 	}
-	return platform.Row{
-		Key:    platform.Key{Partition: Partition, Sort: m.Name},
+	return cloud.Row{
+		Key:    cloud.Key{Partition: Partition, Sort: m.Name},
 		Writer: writer, Body: body, Expires: expires,
 	}, nil
 }
 
 // decodeRow returns the member that a row describes.
-func decodeRow(r platform.Row) (Member, error) {
+func decodeRow(r cloud.Row) (Member, error) {
 	var m Member
 	if err := json.Unmarshal(r.Body, &m); err != nil {
 		return Member{}, errors.Wrapf(err, "decode member row %q", r.Sort)
--- a/membership/rowstore.go
+++ b/membership/rowstore.go
@@ -10,7 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
-	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/cloud"
 )
 
 // callTimeout bounds one call of the table service.
@@ -21,7 +21,7 @@
 
 // rowStore reads and writes member rows.
 type rowStore struct {
-	table     platform.Table
+	table     cloud.Table
 	clock     clockwork.Clock
 	retention time.Duration
 
@@ -58,7 +58,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err = r.writeOnce(ctx, m)
-	var conflict *platform.ConditionError
+	var conflict *cloud.ConditionError
 	if !errors.As(err, &conflict) {
 		return nil, err
 	}
@@ -85,7 +85,7 @@
 		return err
 	}
 	row.Revision = r.revision + 1
-	err = r.table.Write(ctx, platform.Write{Row: row, IfAbsent: r.revision == 0, IfRevision: r.revision})
+	err = r.table.Write(ctx, cloud.Write{Row: row, IfAbsent: r.revision == 0, IfRevision: r.revision})
 	if err != nil {
 		return errors.Wrap(err, "write member row")
 	}
@@ -116,7 +116,7 @@
 	}
 }
 
-func (r *rowStore) usable(row platform.Row) (Member, bool) {
+func (r *rowStore) usable(row cloud.Row) (Member, bool) {
 	if !row.Expires.IsZero() && r.clock.Now().After(row.Expires) {
 		return Member{}, false
 	}
--- a/membership/service.go
+++ b/membership/service.go
@@ -12,8 +12,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/chestnutfield/chestnutfield/cloud"
 	"github.com/chestnutfield/chestnutfield/internal/metric"
-	"github.com/chestnutfield/chestnutfield/platform"
 )
 
 // Options configures a Service.
@@ -23,7 +23,7 @@
 	Self Member
 	// Timing defaults to DefaultTiming.
 	Timing Timing
-	Table  platform.Table
+	Table  cloud.Table
 	// Clock defaults to the real one.
 	Clock clockwork.Clock
 	// Seed and the name drive the choice of peers and the jitter.
--- a/membership/service_test.go
+++ b/membership/service_test.go
@@ -8,8 +8,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/chestnutfield/chestnutfield/platform"
-	"github.com/chestnutfield/chestnutfield/platform/fake"
+	"github.com/chestnutfield/chestnutfield/cloud"
+	"github.com/chestnutfield/chestnutfield/cloud/fake"
 )
 
 var _ = Describe("the service", func() {
@@ -77,7 +77,7 @@
 		row, err := encodeRow(later, "other", time.Time{})
 		Expect(err).NotTo(HaveOccurred())
 		row.Revision = 9
-		Expect(table.Write(ctx, platform.Write{Row: row})).To(Succeed())
+		Expect(table.Write(ctx, cloud.Write{Row: row})).To(Succeed())
 		for range 12 {
 			step(a)
 		}
@@ -120,9 +120,9 @@
 	It("skips rows that ran out or can't be read", func() {
 		old, err := encodeRow(hostNamed(3), "w", epoch)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(table.Write(ctx, platform.Write{Row: old})).To(Succeed())
-		Expect(table.Write(ctx, platform.Write{Row: platform.Row{
-			Key: platform.Key{Partition: Partition, Sort: "entry-04"}, Body: []byte("{"),
+		Expect(table.Write(ctx, cloud.Write{Row: old})).To(Succeed())
+		Expect(table.Write(ctx, cloud.Write{Row: cloud.Row{
+			Key: cloud.Key{Partition: Partition, Sort: "entry-04"}, Body: []byte("{"),
 		}})).To(Succeed())
 		a := start(1)
 		step(a)
--- a/peer/bench_test.go
+++ b/peer/bench_test.go
@@ -12,8 +12,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 
+	"github.com/chestnutfield/chestnutfield/cloud/fake"
 	"github.com/chestnutfield/chestnutfield/membership"
-	"github.com/chestnutfield/chestnutfield/platform/fake"
 )
 
 // listedMembers is the membership of a host that has known hosts others for a
--- a/peer/fleet_test.go
+++ b/peer/fleet_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/prometheus/client_golang/prometheus/testutil"
 
+	"github.com/chestnutfield/chestnutfield/cloud/fake"
 	"github.com/chestnutfield/chestnutfield/membership"
-	"github.com/chestnutfield/chestnutfield/platform/fake"
 	"github.com/chestnutfield/chestnutfield/ports"
 )
 
--- a/resolve/book.go
+++ b/resolve/book.go
@@ -7,7 +7,7 @@
 
 	"github.com/samber/lo"
 
-	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/cloud"
 	"github.com/chestnutfield/chestnutfield/table"
 )
 
@@ -46,13 +46,13 @@
 
 // take takes in a reading of one service and reports whether it changed what
 // targets returns.
-func (b *book) take(now time.Time, name string, listed []platform.ListedHost) bool {
+func (b *book) take(now time.Time, name string, listed []cloud.ListedHost) bool {
 	s := b.services[name]
 	if s == nil {
 		s = &service{entries: map[netip.AddrPort]*entry{}}
 		b.services[name] = s
 	}
-	at := lo.SliceToMap(listed, func(h platform.ListedHost) (netip.AddrPort, platform.ListedHost) { return h.Addr, h })
+	at := lo.SliceToMap(listed, func(h cloud.ListedHost) (netip.AddrPort, cloud.ListedHost) { return h.Addr, h })
 	changed := s.addListed(now, at)
 	if s.doubts(now, at) {
 		return changed
@@ -61,7 +61,7 @@
 }
 
 // addListed adds new entries and notes which listed ones leave or came back.
-func (s *service) addListed(now time.Time, at map[netip.AddrPort]platform.ListedHost) bool {
+func (s *service) addListed(now time.Time, at map[netip.AddrPort]cloud.ListedHost) bool {
 	changed := false
 	for addr, h := range at {
 		e := s.entries[addr]
@@ -81,7 +81,7 @@
 
 // doubts reports whether the reading misses so many targets that it is not
 // believed yet.
-func (s *service) doubts(now time.Time, at map[netip.AddrPort]platform.ListedHost) bool {
+func (s *service) doubts(now time.Time, at map[netip.AddrPort]cloud.ListedHost) bool {
 	open, missing := 0, 0
 	for addr, e := range s.entries {
 		if !e.leavingSince.IsZero() {
@@ -107,7 +107,7 @@
 }
 
 // dropUnlisted lets unlisted targets leave and forgets those that left long ago.
-func (s *service) dropUnlisted(now time.Time, at map[netip.AddrPort]platform.ListedHost) bool {
+func (s *service) dropUnlisted(now time.Time, at map[netip.AddrPort]cloud.ListedHost) bool {
 	changed := false
 	for addr, e := range s.entries {
 		_, ok := at[addr]
--- a/resolve/resolve_test.go
+++ b/resolve/resolve_test.go
@@ -9,7 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/cloud"
 	"github.com/chestnutfield/chestnutfield/table"
 )
 
@@ -20,10 +20,10 @@
 }
 
 // listing lists n hosts of which the last ones leave.
-func listing(n, leaving int) []platform.ListedHost {
-	hosts := make([]platform.ListedHost, n)
+func listing(n, leaving int) []cloud.ListedHost {
+	hosts := make([]cloud.ListedHost, n)
 	for i := range hosts {
-		hosts[i] = platform.ListedHost{Service: "s", Addr: addr(i), FailureDomain: "a", Leaving: i >= n-leaving}
+		hosts[i] = cloud.ListedHost{Service: "s", Addr: addr(i), FailureDomain: "a", Leaving: i >= n-leaving}
 	}
 	return hosts
 }
@@ -34,7 +34,7 @@
 		b = newBook()
 		Expect(b.take(start, "s", listing(6, 0))).To(BeTrue())
 	})
-	after := func(d time.Duration, listed []platform.ListedHost) (open int) {
+	after := func(d time.Duration, listed []cloud.ListedHost) (open int) {
 		b.take(start.Add(d), "s", listed)
 		all, leaving := b.targets("s")
 		return len(all) - len(leaving)
@@ -69,7 +69,7 @@
 	})
 
 	It("still adds what a doubted list shows", func() {
-		moved := []platform.ListedHost{{Service: "s", Addr: addr(99), FailureDomain: "a"}}
+		moved := []cloud.ListedHost{{Service: "s", Addr: addr(99), FailureDomain: "a"}}
 		Expect(after(2*time.Second, moved)).To(Equal(7))
 	})
 
@@ -86,11 +86,11 @@
 func (f fixedTables) Current() *table.Tables { return f.t }
 
 type scriptedList struct {
-	hosts []platform.ListedHost
+	hosts []cloud.ListedHost
 	err   error
 }
 
-func (l *scriptedList) List(context.Context, string) ([]platform.ListedHost, error) {
+func (l *scriptedList) List(context.Context, string) ([]cloud.ListedHost, error) {
 	return l.hosts, l.err
 }
 
--- a/resolve/resolver.go
+++ b/resolve/resolver.go
@@ -16,7 +16,7 @@
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 
-	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/cloud"
 	"github.com/chestnutfield/chestnutfield/ports"
 	"github.com/chestnutfield/chestnutfield/table"
 )
@@ -36,7 +36,7 @@
 
 // Options configure a Resolver.
 type Options struct {
-	List   platform.HostList
+	List   cloud.HostList
 	Tables ports.Tables
 	// Clock is the time source; nil selects the real one.
 	Clock clockwork.Clock
@@ -142,7 +142,7 @@
 	return read
 }
 
-func (r *Resolver) read(ctx context.Context, name string) ([]platform.ListedHost, error) {
+func (r *Resolver) read(ctx context.Context, name string) ([]cloud.ListedHost, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	listed, err := r.opts.List.List(ctx, name)
