proxy, table, router: dialects, split routes, identities of targets, a log of requests

What a deployment with headers of its own lacks in the product: the names of headers are a dialect; an answer that repeats another request's id is skipped and the own one awaited; a success without the upstream's signature, or with an encoded body, is never given on; a target that says it is another one did not run the request; a route may split its requests by weight, and names rank and objective; a balancer may wait for a target (ports.Placer) and say when to come back; answers of unannounced length can be held; Retire asks callers to move before a planned stop; each request's end is told to a log.

--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -60,6 +60,8 @@
 	TooLarge
 	// Stopping: the host is stopping and takes no new request (503).
 	Stopping
+	// NotConfigured: the host knows no configuration yet (503).
+	NotConfigured
 	// CallerGone: the caller closed its connection; nobody reads the answer.
 	CallerGone
 )
@@ -70,7 +72,7 @@
 	LedgerUnavailable: "ledger-unavailable", KeyInFlight: "key-in-flight",
 	KeyReused: "key-reused", UpstreamLost: "upstream-lost",
 	UpstreamTimeout: "upstream-timeout", BadRequest: "bad-request",
-	TooLarge: "too-large", Stopping: "stopping", CallerGone: "caller-gone",
+	TooLarge: "too-large", Stopping: "stopping", NotConfigured: "not-configured", CallerGone: "caller-gone",
 }
 
 // String returns the reason as metric labels and logs spell it.
--- a/ports/ports.go
+++ b/ports/ports.go
@@ -94,6 +94,38 @@
 	Done(now time.Time, d Feedback)
 }
 
+// PlaceQuery asks for a target for a request that may wait for one.
+type PlaceQuery struct {
+	Pool  string
+	Route *table.Route
+	// Received is when the caller's request arrived, Deadline when it ends.
+	Received time.Time
+	Deadline time.Time
+	// Exclude lists targets that this request has already been sent to.
+	Exclude []netip.AddrPort
+	// Further is true for every attempt but the first.
+	Further bool
+	// RequestID names the request in logs.
+	RequestID string
+}
+
+// Placer is a Balancer that may look at targets and wait for room before it
+// chooses one.
+type Placer interface {
+	Balancer
+	// Place chooses a target and counts the attempt as in flight. It returns a
+	// refusal as soon as no target can serve the request in time. Exactly one
+	// of the results is non-nil.
+	Place(ctx context.Context, q PlaceQuery) (Attempt, *Refusal)
+}
+
+// IdentifiedAttempt is an Attempt whose target has an identity beside its
+// address: the address may have passed on to another target.
+type IdentifiedAttempt interface {
+	Attempt
+	Identity() string
+}
+
 // Feedback is what an attempt taught about its target.
 type Feedback struct {
 	Result
@@ -101,6 +133,8 @@
 	LoadReport string
 	// Draining is true when the answer carried Chestnut-Draining: 1.
 	Draining bool
+	// WrongTarget is true when another target answered at the address.
+	WrongTarget bool
 	// ConnectFailed is true when no connection could be opened.
 	ConnectFailed bool
 	// GroupLoad is the value of HeaderGroupLoad on the answer of a peer, ""
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -25,6 +25,8 @@
 	conn  *callerConn
 	in    *inbound
 	match router.Match
+	// version is that of the tables that the request was routed by.
+	version uint64
 
 	received time.Time
 	deadline time.Time
@@ -37,6 +39,8 @@
 	permit ports.Permit
 	// refusal, when set, is answered in place of what the machine says.
 	refusal *problem
+	// retryAfter is what the last refusal of a target said.
+	retryAfter time.Duration
 	// bodyFailed says why the caller's body failed while it was streamed.
 	bodyFailed atomic.Pointer[problem]
 	// waited is the time spent waiting for others: the caller's body,
@@ -71,7 +75,10 @@
 }
 
 func newCall(s *Server, rc *fasthttp.RequestCtx, conn *callerConn, in *inbound, m router.Match) *call {
-	c := &call{server: s, rc: rc, conn: conn, in: in, match: m, received: s.opts.Clock.Now()}
+	c := &call{
+		server: s, rc: rc, conn: conn, in: in, match: m,
+		version: s.router.Router().Version(), received: s.opts.Clock.Now(),
+	}
 	timeout := m.Route.Timeout
 	if timeout <= 0 {
 		timeout = s.limits.Timeout
@@ -103,7 +110,7 @@
 func (s *Server) serve(c *call) {
 	if p := c.prepare(); p != nil {
 		c.cancel()
-		c.server.metrics.ended(c, p.outcome, p.reason, c.now().Sub(c.received))
+		c.ended(attempt.End{Outcome: p.outcome, Reason: p.reason})
 		c.answer(p)
 		return
 	}
--- a/proxy/drive.go
+++ b/proxy/drive.go
@@ -36,8 +36,10 @@
 	notRun bool
 	// sentWhole is true when a streamed request was sent to its end.
 	sentWhole bool
-	feedback  ports.Feedback
-	done      bool
+	// err is why the attempt failed, nil when it did not.
+	err      error
+	feedback ports.Feedback
+	done     bool
 }
 
 // run drives the machine until the request has an answer.
@@ -132,13 +134,10 @@
 	if !c.mayMake(act, pool, now) {
 		return c.step(none)
 	}
-	q := ports.PickQuery{Pool: pool, Class: c.match.Route.Class, Now: now, Exclude: c.tried()}
-	a, ok := c.server.opts.Balancer.Pick(q)
-	if !ok && c.lastWasStale() {
-		q.Exclude = nil
-		a, ok = c.server.opts.Balancer.Pick(q)
-	}
-	if !ok {
+	a, refusal := c.choose(act, pool, now)
+	if refusal != nil {
+		none.Reason = refusal.Reason
+		c.noteRetryAfter(refusal.RetryAfter)
 		return c.step(none)
 	}
 	t := &try{number: act.Attempt, attempt: a, ctx: c.ctx}
@@ -155,6 +154,34 @@
 	return next
 }
 
+// choose asks for a target, and waits for one where the balancer can.
+func (c *call) choose(act attempt.Action, pool string, now time.Time) (ports.Attempt, *ports.Refusal) {
+	if placer, ok := c.server.opts.Balancer.(ports.Placer); ok {
+		began := c.now()
+		defer c.waitedFor(began)
+		return placer.Place(c.ctx, ports.PlaceQuery{
+			Pool: pool, Route: c.match.Route, Received: c.received, Deadline: c.deadline,
+			Exclude: c.tried(), Further: act.Budgeted, RequestID: c.in.id,
+		})
+	}
+	q := ports.PickQuery{Pool: pool, Class: c.match.Route.Class, Now: now, Exclude: c.tried()}
+	a, ok := c.server.opts.Balancer.Pick(q)
+	if !ok && c.lastWasStale() {
+		q.Exclude = nil
+		a, ok = c.server.opts.Balancer.Pick(q)
+	}
+	if !ok {
+		return nil, &ports.Refusal{Reason: outcome.NoTarget}
+	}
+	return a, nil
+}
+
+func (c *call) noteRetryAfter(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.retryAfter = d
+}
+
 // mayMake asks the retry budget about an attempt. Without a budget, nothing
 // follows an attempt that may have run.
 func (c *call) mayMake(act attempt.Action, pool string, now time.Time) bool {
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -90,6 +90,7 @@
 
 func (c *call) notOpened(t *try, err error) attempt.Action {
 	c.note(t, false)
+	t.err = err
 	if c.ctx.Err() != nil || !c.now().Before(c.deadline) {
 		c.done(t, ports.Abandoned)
 		return c.step(attempt.Event{Kind: attempt.Expired})
@@ -113,6 +114,7 @@
 // lost ends an attempt that failed before its answer was accepted.
 func (c *call) lost(t *try, err error) attempt.Action {
 	reused := t.x.Reused()
+	t.err = err
 	t.x.Close()
 	if errors.Is(err, upstream.ErrTimeout) {
 		c.done(t, ports.TimedOut)
@@ -170,7 +172,7 @@
 		body = c.chunkedBody()
 	}
 	sendErr := x.SendWhole(head, body)
-	if err := x.ReadHeader(c.in.head); err != nil {
+	if err := c.readOwn(x); err != nil {
 		if sendErr != nil && !errors.Is(err, upstream.ErrTimeout) {
 			return sendErr
 		}
@@ -202,11 +204,15 @@
 	b = append(b, " HTTP/1.1\r\n"...)
 	b = append(b, in.lines...)
 	left := max(1, c.deadline.Sub(c.now()).Milliseconds())
-	b = append(b, headerDeadline+": "...)
+	b = append(b, c.server.names.Deadline...)
+	b = append(b, ": "...)
 	b = strconv.AppendInt(b, left, 10)
 	b = append(b, "\r\n"...)
-	if in.noRetries || t.number > 1 {
-		b = append(b, headerRetries+": 0\r\n"...)
+	if name := c.server.names.Retries; name != "" && (in.noRetries || t.number > 1) {
+		b = appendLine(b, name, "0")
+	}
+	if id := identityOf(t.attempt); id != "" {
+		b = appendLine(b, c.server.names.Target, id)
 	}
 	b = c.peerLines(b, t.attempt)
 	switch {
@@ -231,16 +237,16 @@
 // readSignals takes what the answer's header says about the target.
 func (c *call) readSignals(t *try, x *upstream.Exchange) error {
 	var handover string
+	n := c.server.names
 	t.status = x.Header().StatusCode()
+	t.notRun = n.notRun(x.Header())
+	t.feedback.WrongTarget = n.WrongTarget != 0 && t.status == n.WrongTarget
 	for name, value := range x.Header().All() {
 		switch {
-		case equalName(name, headerLoad):
+		case equalName(name, n.Load):
 			t.feedback.LoadReport = string(value)
-		case equalName(name, headerDraining):
+		case equalName(name, n.Draining):
 			t.feedback.Draining = string(value) == "1"
-		case equalName(name, headerNotRun):
-			t.notRun = string(value) == "1" &&
-				(t.status == fasthttp.StatusTooManyRequests || t.status == fasthttp.StatusServiceUnavailable)
 		case equalName(name, ports.HeaderGroupLoad):
 			t.feedback.GroupLoad = string(value)
 		case equalName(name, headerHandover):
@@ -251,7 +257,7 @@
 }
 
 func equalName(name []byte, want string) bool {
-	if len(name) != len(want) {
+	if len(name) != len(want) || want == "" {
 		return false
 	}
 	for i := range name {
@@ -275,6 +281,7 @@
 		limit = c.server.limits.PlainAnswerBytes
 	case c.claim != nil && length < 0:
 		limit = c.server.limits.RecordBytes
+	case length < 0 && c.server.limits.HoldUnknownLength:
 	case length < 0 || length > limit:
 		return nil
 	}
@@ -333,4 +340,8 @@
 }
 
 // waitedFor adds the time since a moment to what the call waited for others.
-func (c *call) waitedFor(began time.Time) { c.waited += c.now().Sub(began) }
+func (c *call) waitedFor(began time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waited += c.now().Sub(began)
+}
--- /dev/null
+++ b/proxy/foreign_test.go
@@ -0,0 +1,152 @@
+package proxy
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnutfield/chestnutfield/dialect"
+	"github.com/chestnutfield/chestnutfield/outcome"
+	"github.com/chestnutfield/chestnutfield/ports"
+	"github.com/chestnutfield/chestnutfield/table"
+)
+
+// signedDialect has ids that upstreams repeat and signatures on successes.
+func signedDialect() *dialect.Dialect {
+	d := dialect.Own()
+	d.RequestID, d.Signature, d.PlainBodies = "Bend-Id", "Bend-Seal", true
+	d.Target, d.WrongTarget, d.FractionalRetryAfter = "Bend-Target", http.StatusMisdirectedRequest, true
+	return &d
+}
+
+func withSignedDialect(o *Options, _ *table.Tables) { o.Dialect = signedDialect() }
+
+func signedAnswer(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nBend-Id: " + id + "\r\nBend-Seal: s\r\nContent-Length: " + itoa(len(body)) + "\r\n\r\n" + body
+}
+
+func itoa(n int) string { return string(rune('0'+n/10)) + string(rune('0'+n%10)) }
+
+func idOf(req *http.Request) string { return req.Header.Get("Bend-Id") }
+
+var _ = Describe("answers that belong to another request", func() {
+	get := func(id string) string { return "GET /specs/a HTTP/1.1\r\nHost: h\r\nBend-Id: " + id + "\r\n\r\n" }
+
+	It("are skipped while the own one is awaited, and the connection is not kept", func() {
+		up := newUpstream(func(u *rawConn) {
+			for first := true; ; first = false {
+				req, _, ok := u.request()
+				if !ok {
+					return
+				}
+				id := idOf(req)
+				if !first {
+					u.send(signedAnswer("earlier", "foreign"))
+				}
+				u.send(signedAnswer(id, "own "+id))
+			}
+		})
+		b := newBed([]*rawUpstream{up}, withSignedDialect)
+		for _, id := range []string{"r1", "r2", "r3", "r4"} {
+			resp, body := b.ask(get(id))
+			Expect(resp.StatusCode).To(Equal(200))
+			Expect(body).To(Equal("own " + id))
+		}
+		Expect(up.conns.Load()).To(BeEquivalentTo(2))
+	})
+
+	DescribeTable("a success that is not the upstream's own whole answer is never given on",
+		func(answer string) {
+			up := newUpstream(func(u *rawConn) {
+				for {
+					req, _, ok := u.request()
+					if !ok {
+						return
+					}
+					u.send(strings.ReplaceAll(answer, "ID", idOf(req)))
+				}
+			})
+			b := newBed([]*rawUpstream{up}, withSignedDialect)
+			resp, body := b.ask(get("r1"))
+			Expect(resp.StatusCode).To(Equal(http.StatusBadGateway))
+			Expect(body).NotTo(ContainSubstring("spoilt"))
+		},
+		Entry("no signature", "HTTP/1.1 200 OK\r\nBend-Id: ID\r\nContent-Length: 6\r\n\r\nspoilt"),
+		Entry("encoded", "HTTP/1.1 200 OK\r\nBend-Id: ID\r\nBend-Seal: s\r\nContent-Encoding: gzip\r\nContent-Length: 6\r\n\r\nspoilt"),
+		Entry("no id", "HTTP/1.1 200 OK\r\nBend-Seal: s\r\nContent-Length: 6\r\n\r\nspoilt"),
+		Entry("no HTTP", "spoilt\r\n\r\n"),
+	)
+
+	It("an answer of another target means that nothing ran there", func() {
+		wrong := newUpstream(always("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"))
+		right := newUpstream(func(u *rawConn) {
+			if req, _, ok := u.request(); ok {
+				u.send(signedAnswer(idOf(req), "own"))
+			}
+		})
+		b := newBed([]*rawUpstream{wrong, right}, withSignedDialect)
+		resp, body := b.ask("POST /orders/a HTTP/1.1\r\nHost: h\r\nBend-Id: r1\r\nContent-Length: 5\r\n\r\nhello")
+		Expect(resp.StatusCode).To(Equal(200))
+		Expect(body).To(Equal("own"))
+		Expect(b.balancer.feedback()).To(ContainElement(HaveField("WrongTarget", true)))
+	})
+})
+
+// recordedRequests keeps what the request log was told.
+type recordedRequests chan RequestRecord
+
+func (r recordedRequests) Ended(rec RequestRecord) { r <- rec }
+
+var _ = Describe("the request log", func() {
+	It("tells what became of each attempt", func() {
+		down := newUpstream(func(u *rawConn) { _, _, _ = u.request() })
+		good := newUpstream(always(okAnswer))
+		records := make(recordedRequests, 1)
+		b := newBed([]*rawUpstream{down, good}, func(o *Options, _ *table.Tables) {
+			o.RequestLog = records
+		})
+		b.ask("GET /specs/a HTTP/1.1\r\nHost: h\r\n\r\n")
+		var r RequestRecord
+		Eventually(records).Should(Receive(&r))
+		Expect(r.Route).To(Equal("lookup"))
+		Expect(r.Version).To(BeEquivalentTo(1))
+		Expect(r.Status).To(Equal(200))
+		Expect(r.Outcome).To(Equal(outcome.Ran))
+		Expect(r.Attempts).To(HaveLen(2))
+		Expect(r.Attempts[0].Verdict).To(Equal(ports.Failed))
+		Expect(r.Attempts[0].Error).NotTo(BeEmpty())
+		Expect(r.Attempts[1].Verdict).To(Equal(ports.Succeeded))
+	})
+})
+
+var _ = Describe("before a configuration is known", func() {
+	It("every request is refused as not run", func() {
+		b := newBed(nil, func(o *Options, _ *table.Tables) { o.Configured = func() bool { return false } })
+		resp, _ := b.ask(getSpec)
+		Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(resp.Header.Get("Chestnut-Outcome")).To(Equal("not-run"))
+	})
+})
+
+var _ = Describe("Retire", func() {
+	It("serves on and asks callers to use other connections", func() {
+		b := newBed([]*rawUpstream{newUpstream(always(okAnswer))})
+		b.server.Retire()
+		resp, body := b.ask(getSpec)
+		Expect(resp.StatusCode).To(Equal(200))
+		Expect(body).To(Equal("done"))
+		Expect(resp.Close).To(BeTrue())
+	})
+})
+
+var _ = Describe("Retry-After", func() {
+	It("keeps fractions only where they are understood", func() {
+		Expect(retryAfter(120*time.Millisecond, true)).To(Equal("0.12"))
+		Expect(retryAfter(120*time.Millisecond, false)).To(Equal("1"))
+		Expect(retryAfter(0, true)).To(Equal("1"))
+		Expect(retryAfter(1001*time.Millisecond, false)).To(Equal("2"))
+	})
+})
--- a/proxy/fuzz_test.go
+++ b/proxy/fuzz_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/chestnutfield/chestnutfield/dialect"
+
 	"github.com/chestnutfield/chestnutfield/attempt"
 	"github.com/chestnutfield/chestnutfield/router"
 	"github.com/chestnutfield/chestnutfield/table"
@@ -36,11 +38,11 @@
 		if h.Read(bufio.NewReaderSize(bytes.NewReader(raw), 16<<10)) != nil {
 			return
 		}
-		in, p := parseInbound(&h)
+		in, p := parseInbound(&h, newNames(dialect.Own()))
 		if p != nil {
 			return
 		}
-		c := &call{server: &Server{}, in: in, match: router.Match{Route: &table.Route{}}, machine: attempt.New(attempt.Config{})}
+		c := &call{server: &Server{names: newNames(dialect.Own())}, in: in, match: router.Match{Route: &table.Route{}}, machine: attempt.New(attempt.Config{})}
 		c.server.opts, _ = Options{Tables: &tablesFake{}, Balancer: &orderedBalancer{}}.withDefaults()
 		c.deadline = c.now().Add(time.Hour)
 		c.body.length = in.length
@@ -62,12 +64,12 @@
 func checkForwarded(t *testing.T, h http.Header, head []byte) {
 	for name := range h {
 		kind := kindOf([]byte(name))
-		own := name == headerDeadline || name == headerRetries
+		own := name == dialect.Own().Deadline || name == dialect.Own().Retries
 		if !kind.endToEnd() && !own && kind != lineLength && kind != lineTrailer {
 			t.Fatalf("%q carries %s", head, name)
 		}
 	}
-	if len(h[headerDeadline]) != 1 || len(h[headerRetries]) > 1 {
+	if len(h[dialect.Own().Deadline]) != 1 || len(h[dialect.Own().Retries]) > 1 {
 		t.Fatalf("%q carries a forged deadline or retry allowance", head)
 	}
 }
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -2,14 +2,15 @@
 
 import (
 	"bytes"
+	"math/rand/v2"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
-	"github.com/chestnutfield/chestnutfield/retry"
 	"github.com/chestnutfield/chestnutfield/router"
 )
 
@@ -17,12 +18,6 @@
 const (
 	headerCaller     = "X-Caller"
 	headerKey        = "Idempotency-Key"
-	headerDeadline   = retry.DeadlineHeader
-	headerRetries    = retry.RetriesHeader
-	headerOutcome    = "Chestnut-Outcome"
-	headerNotRun     = "Chestnut-Not-Run"
-	headerDraining   = "Chestnut-Draining"
-	headerLoad       = "endpoint-load-metrics"
 	chestnutPrefix   = "chestnut-"
 	unknownLength    = -1
 	maxHeaderLines   = 256
@@ -40,6 +35,10 @@
 	host   string
 	caller string
 	key    string
+	// id names the request; "" when the caller gave none.
+	id string
+	// draw chooses among the pools of a route that splits its requests.
+	draw uint64
 	// lines are the end-to-end header lines, each with its CRLF.
 	lines []byte
 	// deadline is the caller's own limit, 0 when it set none.
@@ -69,8 +68,10 @@
 	codings   int
 	callers   int
 	keys      int
+	ids       int
 	upgrade   bool
 	nominated []string
+	names     *names
 }
 
 var lineScans = sync.Pool{New: func() any { return &lineScan{lines: make([]headerLine, 0, usualHeaderLines)} }}
@@ -83,13 +84,14 @@
 }
 
 // parseInbound checks a request header byte by byte and keeps what goes on.
-func parseInbound(h *fasthttp.RequestHeader) (*inbound, *problem) {
+func parseInbound(h *fasthttp.RequestHeader, n *names) (*inbound, *problem) {
 	in := &inbound{method: string(h.Method()), head: h.IsHead(), plain: !h.IsHTTP11()}
 	if p := checkProtocol(h); p != nil {
 		return nil, p
 	}
 	scan := lineScans.Get().(*lineScan)
 	defer scan.release()
+	scan.names = n
 	if p := scan.read(h.RawHeaders()); p != nil {
 		return nil, p
 	}
@@ -100,9 +102,20 @@
 		return nil, p
 	}
 	in.keepLines(scan)
+	in.setDraw()
 	return in, nil
 }
 
+// setDraw takes the draw from the request's id, so that every look at one
+// request finds the same pool.
+func (in *inbound) setDraw() {
+	if in.id == "" {
+		in.draw = rand.Uint64()
+		return
+	}
+	in.draw = xxhash.Sum64String(in.id)
+}
+
 func checkProtocol(h *fasthttp.RequestHeader) *problem {
 	switch string(h.Protocol()) {
 	case "HTTP/1.1", "HTTP/1.0":
@@ -149,7 +162,7 @@
 	if !isFieldValue(l.value) {
 		return malformed("header value has a forbidden byte")
 	}
-	l.kind = kindOf(l.name)
+	l.kind = s.names.kindOf(l.name)
 	s.count(&l)
 	s.lines = append(s.lines, l)
 	return nil
@@ -167,6 +180,8 @@
 		s.callers++
 	case lineKey:
 		s.keys++
+	case lineRequestID:
+		s.ids++
 	case lineUpgrade:
 		s.upgrade = s.upgrade || !strings.EqualFold(string(l.value), "h2c")
 	case lineConnection:
@@ -197,8 +212,8 @@
 		return malformed("more than one Content-Length")
 	case s.codings > 1 || (s.codings == 1 && s.lengths == 1):
 		return malformed("conflicting Content-Length and Transfer-Encoding")
-	case s.callers > 1 || s.keys > 1:
-		return malformed("more than one X-Caller or Idempotency-Key")
+	case s.callers > 1 || s.keys > 1 || s.ids > 1:
+		return malformed("more than one X-Caller, Idempotency-Key or request id")
 	case s.upgrade || in.method == fasthttp.MethodConnect:
 		return upgradeRefused()
 	}
@@ -232,6 +247,8 @@
 		in.caller = string(l.value)
 	case lineKey:
 		in.key = string(l.value)
+	case lineRequestID:
+		in.id = string(l.value)
 	case lineDeadline:
 		in.readDeadline(string(l.value))
 	case lineRetries:
@@ -312,5 +329,5 @@
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:i]
 	}
-	return router.Request{Method: in.method, Path: in.path, Caller: in.caller, Host: host}
+	return router.Request{Method: in.method, Path: in.path, Caller: in.caller, Host: host, Draw: in.draw}
 }
--- a/proxy/lines.go
+++ b/proxy/lines.go
@@ -16,6 +16,7 @@
 	lineHost
 	lineCaller
 	lineKey
+	lineRequestID
 	// lineFixed lines go on and can't be nominated hop-by-hop.
 	lineFixed
 	// The kinds from here on do not go on as they came.
@@ -28,6 +29,7 @@
 	lineExpect
 	lineDeadline
 	lineRetries
+	lineTarget
 	lineChestnut
 )
 
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -74,13 +74,19 @@
 		why = reason.String()
 	}
 	route, class := c.match.Route, string(c.match.Route.Class)
-	m.requests.WithLabelValues(route.Name, route.Pool, class, o.String(), why).Inc()
+	m.requests.WithLabelValues(route.Name, c.match.Pool.Name, class, o.String(), why).Inc()
 	m.latency.WithLabelValues(m.callerLabel(c.in.caller), class).Observe(total.Seconds())
-	if c.waited > 0 && !c.streamed {
-		m.added.WithLabelValues(class).Observe(max(0, total-c.waited).Seconds())
+	if waited := c.waitedSoFar(); waited > 0 && !c.streamed {
+		m.added.WithLabelValues(class).Observe(max(0, total-waited).Seconds())
 	}
 }
 
+func (c *call) waitedSoFar() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.waited
+}
+
 var verdictNames = map[ports.Verdict]string{
 	ports.Succeeded: "succeeded", ports.Failed: "failed", ports.Shed: "shed",
 	ports.TimedOut: "timed-out", ports.Abandoned: "abandoned",
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/chestnutfield/chestnutfield/dialect"
 	"github.com/chestnutfield/chestnutfield/ports"
 	"github.com/chestnutfield/chestnutfield/upstream"
 )
@@ -38,6 +39,14 @@
 	// PeerToken is sent with requests that are handed over to peers.
 	PeerToken string
 	Upstream  upstream.Options
+	// Dialect names the headers of callers and upstreams; nil selects the
+	// product's own.
+	Dialect *dialect.Dialect
+	// Configured says that a configuration is in force; until then every
+	// request is refused as not run. nil stands for always.
+	Configured func() bool
+	// RequestLog is told how each request ended; nil tells nobody.
+	RequestLog RequestLog
 }
 
 // Limits bounds what a caller can ask of the host. Zero values select the
@@ -60,6 +69,9 @@
 	// HeldAnswerBytes bounds the answer body that is held before it is
 	// given. Larger ones are streamed.
 	HeldAnswerBytes int
+	// HoldUnknownLength holds answers of unannounced length too, up to
+	// HeldAnswerBytes, so that one that breaks off can be tried again.
+	HoldUnknownLength bool
 	// RecordBytes bounds the answer that is recorded with an order key.
 	RecordBytes int
 	// PlainAnswerBytes bounds an answer of unannounced length to an HTTP/1.0
@@ -133,6 +145,10 @@
 	if o.Clock == nil {
 		o.Clock = clockwork.NewRealClock()
 	}
+	if o.Dialect == nil {
+		own := dialect.Own()
+		o.Dialect = &own
+	}
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
--- a/proxy/problem.go
+++ b/proxy/problem.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math"
 	"strconv"
 	"time"
 
@@ -36,6 +37,7 @@
 	outcome.DeadlinePassed:    fasthttp.StatusServiceUnavailable,
 	outcome.LedgerUnavailable: fasthttp.StatusServiceUnavailable,
 	outcome.Stopping:          fasthttp.StatusServiceUnavailable,
+	outcome.NotConfigured:     fasthttp.StatusServiceUnavailable,
 	outcome.KeyInFlight:       fasthttp.StatusConflict,
 	outcome.KeyReused:         fasthttp.StatusUnprocessableEntity,
 	outcome.UpstreamLost:      fasthttp.StatusBadGateway,
@@ -54,6 +56,7 @@
 	outcome.DeadlinePassed:    "connection_timeout",
 	outcome.LedgerUnavailable: "proxy_internal_error",
 	outcome.Stopping:          "proxy_internal_response",
+	outcome.NotConfigured:     "proxy_internal_response",
 	outcome.KeyInFlight:       "http_request_denied",
 	outcome.KeyReused:         "http_request_denied",
 	outcome.UpstreamLost:      "connection_terminated",
@@ -86,15 +89,17 @@
 }
 
 // answerProblem writes an answer of the host's own.
-func answerProblem(ctx *fasthttp.RequestCtx, p *problem) {
+func answerProblem(ctx *fasthttp.RequestCtx, p *problem, n *names) {
 	resp := &ctx.Response
 	resp.Reset()
 	resp.SetStatusCode(p.status)
 	resp.Header.SetContentType("text/plain; charset=utf-8")
 	resp.Header.Set("Proxy-Status", `chestnutfield; error=`+proxyErrors[p.reason]+`; details="`+p.detail+`"`)
-	resp.Header.Set(headerOutcome, p.outcome.String())
+	if n.Outcome != "" {
+		resp.Header.Set(n.Outcome, p.outcome.String())
+	}
 	if p.status == fasthttp.StatusServiceUnavailable || p.retryAfter > 0 {
-		resp.Header.Set("Retry-After", retryAfterSeconds(p.retryAfter))
+		resp.Header.Set("Retry-After", retryAfter(p.retryAfter, n.FractionalRetryAfter))
 	}
 	resp.SetBodyString(p.reason.String() + ": " + p.detail + "\n")
 	if p.closes {
@@ -102,8 +107,12 @@
 	}
 }
 
-// retryAfterSeconds rounds up to whole seconds.
-func retryAfterSeconds(d time.Duration) string {
+// retryAfter rounds up to whole seconds, or to milliseconds where fractions
+// are understood.
+func retryAfter(d time.Duration, fractions bool) string {
+	if fractions && d > 0 {
+		return strconv.FormatFloat(math.Ceil(d.Seconds()*1000)/1000, 'f', -1, 64)
+	}
 	d = max(d, minRetryAfter)
 	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
 }
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -22,6 +22,7 @@
 type Server struct {
 	opts     Options
 	limits   Limits
+	names    *names
 	router   *router.Holder
 	upstream *upstream.Client
 	metrics  *metrics
@@ -30,6 +31,9 @@
 	// peerToken is expected of peers; unused without a PeerSide.
 	peerToken token.Token
 
+	// retiring is set once the end of a planned stop is near; stopping once
+	// it has begun.
+	retiring atomic.Bool
 	stopping atomic.Bool
 	mu       sync.Mutex
 	listener net.Listener
@@ -56,6 +60,7 @@
 	s := &Server{
 		opts:     opts,
 		limits:   opts.Limits,
+		names:    newNames(*opts.Dialect),
 		router:   router.NewHolder(opts.Tables),
 		upstream: upstream.New(opts.Upstream),
 		metrics:  m,
@@ -83,7 +88,7 @@
 			} else {
 				s.handle(ctx)
 			}
-			if s.stopping.Load() {
+			if s.stopping.Load() || s.retiring.Load() {
 				ctx.SetConnectionClose()
 			}
 		},
@@ -186,7 +191,7 @@
 		bound := int64(l.server.limits.Connections)
 		if open := l.server.connections.Add(1); bound > 0 && open > bound {
 			l.server.connections.Add(-1)
-			refuseConnection(nc)
+			l.server.refuseConnection(nc)
 			continue
 		}
 		c := &callerConn{Conn: nc, server: l.server}
@@ -195,15 +200,20 @@
 	}
 }
 
-// connectionRefusal is the answer to a connection beyond the bound.
-const connectionRefusal = "HTTP/1.1 503 Service Unavailable\r\n" +
-	"Proxy-Status: chestnutfield; error=connection_limit_reached\r\n" +
-	headerOutcome + ": not-run\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+// connectionRefusal returns the answer to a connection beyond the bound.
+func connectionRefusal(n *names) []byte {
+	b := []byte("HTTP/1.1 503 Service Unavailable\r\n" +
+		"Proxy-Status: chestnutfield; error=connection_limit_reached\r\n")
+	if n.Outcome != "" {
+		b = appendLine(b, n.Outcome, outcome.NotRun.String())
+	}
+	return append(b, "Retry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"...)
+}
 
 // refuseConnection answers before any request was read.
-func refuseConnection(nc net.Conn) {
+func (s *Server) refuseConnection(nc net.Conn) {
 	_ = nc.SetWriteDeadline(time.Now().Add(time.Second))
-	_, _ = nc.Write([]byte(connectionRefusal))
+	_, _ = nc.Write(connectionRefusal(s.names))
 	_ = nc.Close()
 }
 
@@ -216,6 +226,10 @@
 // returns their number. The embedder calls it now and then.
 func (s *Server) CloseIdle() int { return s.upstream.CloseIdle(false) }
 
+// Retire prepares a planned stop: everything is served as before, and every
+// answer asks its caller to use another connection.
+func (s *Server) Retire() { s.retiring.Store(true) }
+
 // Shutdown is a planned stop. It refuses new connections at once, answers
 // what is in flight and what still arrives on kept connections for a moment
 // with Connection: close, and returns when the last answer is written. When
@@ -285,7 +299,7 @@
 		c.lingering.Store(true)
 	}
 	s.metrics.refused(p)
-	answerProblem(ctx, p)
+	answerProblem(ctx, p, s.names)
 	if s.opts.PeerSide != nil {
 		ctx.Response.Header.Set(headerHandover, p.outcome.String())
 	}
@@ -295,6 +309,7 @@
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	conn, in, m, p := s.check(ctx)
 	if p != nil {
+		s.logRefused(in, p)
 		s.refuse(ctx, p)
 		return
 	}
@@ -321,7 +336,7 @@
 	if conn.bareLF {
 		return conn, nil, router.Match{}, malformed("request line does not end in CRLF")
 	}
-	in, p := parseInbound(&ctx.Request.Header)
+	in, p := parseInbound(&ctx.Request.Header, s.names)
 	if p != nil {
 		return conn, nil, router.Match{}, p
 	}
@@ -334,6 +349,9 @@
 	if s.opts.PeerSide != nil {
 		return s.peerMatch(h)
 	}
+	if s.opts.Configured != nil && !s.opts.Configured() {
+		return router.Match{}, newProblem(outcome.NotConfigured, outcome.NotRun, "no configuration is in force yet")
+	}
 	return s.route(in)
 }
 
--- a/proxy/settle.go
+++ b/proxy/settle.go
@@ -27,10 +27,17 @@
 			cancel()
 		}
 		c.cancel()
-		c.server.metrics.ended(c, end.Outcome, end.Reason, c.now().Sub(c.received))
+		c.ended(end)
 	})
 }
 
+// ended counts and logs the end of the call.
+func (c *call) ended(end attempt.End) {
+	total := c.now().Sub(c.received)
+	c.server.metrics.ended(c, end.Outcome, end.Reason, total)
+	c.logEnd(end, total)
+}
+
 // lastResult is how the last attempt ended; a call without one says nothing
 // about targets.
 func (c *call) lastResult() ports.Result {
@@ -56,7 +63,7 @@
 	if p.closes {
 		c.conn.lingering.Store(true)
 	}
-	answerProblem(c.rc, p)
+	answerProblem(c.rc, p, c.server.names)
 	c.markPeerAnswer(p.outcome.String())
 }
 
@@ -69,6 +76,7 @@
 	}
 	p := newProblem(end.Reason, end.Outcome, endDetails[end.Reason])
 	p.closes = !c.body.whole()
+	p.retryAfter = c.retryAfter
 	c.refuse(p)
 }
 
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -29,7 +29,7 @@
 		}
 		sent <- err
 	}()
-	headerErr := x.ReadHeader(c.in.head)
+	headerErr := c.readOwn(x)
 	// A failure of the caller's body is noted before it cancels the exchange.
 	bodyFailed := c.bodyFailed.Load()
 	accepted := headerErr == nil && x.Header().StatusCode() < fasthttp.StatusBadRequest
--- a/router/router.go
+++ b/router/router.go
@@ -24,6 +24,9 @@
 	Caller string
 	// Host is the Host header without the port.
 	Host string
+	// Draw chooses the pool of a route that splits its requests; it is uniform
+	// over all values and the same for every look at one request.
+	Draw uint64
 }
 
 // Match is a route and its pool.
@@ -32,8 +35,15 @@
 	Pool  *table.Pool
 }
 
+// share is a pool and the end of its part of the route's weights.
+type share struct {
+	pool *table.Pool
+	end  uint64
+}
+
 type entry struct {
-	match   Match
+	route  *table.Route
+	shares []share
 	methods map[string]struct{}
 	callers map[string]struct{}
 	host    string
@@ -49,17 +59,15 @@
 	lengths []int
 }
 
-// Compile builds the matcher of a version. Routes to a pool that the version
+// Compile builds the matcher of a version. Shares of a pool that the version
 // does not hold are left out; validation refuses them before.
 func Compile(t *table.Tables) *Router {
 	r := &Router{version: t.Version, byPrefix: make(map[string][]entry, len(t.Routes))}
 	for _, name := range slices.Sorted(maps.Keys(t.Routes)) {
 		route := t.Routes[name]
-		pool, ok := t.Pools[route.Pool]
-		if !ok {
-			continue
+		if shares := sharesOf(t, route); len(shares) > 0 {
+			r.byPrefix[route.PathPrefix] = append(r.byPrefix[route.PathPrefix], newEntry(route, shares))
 		}
-		r.byPrefix[route.PathPrefix] = append(r.byPrefix[route.PathPrefix], newEntry(route, pool))
 	}
 	for prefix, entries := range r.byPrefix {
 		slices.SortStableFunc(entries, func(a, b entry) int { return b.weight - a.weight })
@@ -70,9 +78,25 @@
 	return r
 }
 
-func newEntry(route table.Route, pool table.Pool) entry {
+// sharesOf lists the pools of a route with the ends of their parts.
+func sharesOf(t *table.Tables, route table.Route) []share {
+	var shares []share
+	end := uint64(0)
+	for _, s := range route.Shares() {
+		pool, ok := t.Pools[s.Pool]
+		if !ok || s.Weight < 1 {
+			continue
+		}
+		end += uint64(s.Weight)
+		shares = append(shares, share{pool: &pool, end: end})
+	}
+	return shares
+}
+
+func newEntry(route table.Route, shares []share) entry {
 	e := entry{
-		match:   Match{Route: &route, Pool: &pool},
+		route:   &route,
+		shares:  shares,
 		methods: set(route.Methods),
 		callers: set(route.Callers),
 		host:    route.Host,
@@ -108,13 +132,25 @@
 		for i := range r.byPrefix[q.Path[:n]] {
 			e := &r.byPrefix[q.Path[:n]][i]
 			if e.matches(q) {
-				return e.match, true
+				return Match{Route: e.route, Pool: e.pool(q.Draw)}, true
 			}
 		}
 	}
 	return Match{}, false
 }
 
+// pool chooses by weight.
+func (e *entry) pool(draw uint64) *table.Pool {
+	last := e.shares[len(e.shares)-1]
+	at := draw % last.end
+	for _, s := range e.shares {
+		if at < s.end {
+			return s.pool
+		}
+	}
+	return last.pool
+}
+
 func (e *entry) matches(q Request) bool {
 	if e.methods != nil {
 		if _, ok := e.methods[q.Method]; !ok {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -51,6 +51,20 @@
 		Entry("root", Request{Method: "GET", Path: "/spec"}, "root"),
 	)
 
+	It("divides a route's requests by weight, and the same draw leads to the same pool", func() {
+		t := tables()
+		t.Pools["q"] = table.Pool{Name: "q"}
+		t.Routes["split"] = table.Route{Name: "split", PathPrefix: "/", Split: []table.Share{{Pool: "p", Weight: 9}, {Pool: "q", Weight: 1}}}
+		r := Compile(t)
+		counts := map[string]int{}
+		for draw := range uint64(1000) {
+			m, ok := r.Match(Request{Path: "/", Draw: draw})
+			Expect(ok).To(BeTrue())
+			counts[m.Pool.Name]++
+		}
+		Expect(counts).To(Equal(map[string]int{"p": 900, "q": 100}))
+	})
+
 	It("finds nothing in empty tables", func() {
 		_, ok := Compile(tables()).Match(Request{Method: "GET", Path: "/"})
 		Expect(ok).To(BeFalse())
--- a/table/defaults.go
+++ b/table/defaults.go
@@ -44,4 +44,9 @@
 	MaxTimeout = time.Hour
 	// MaxRetries bounds a route's further attempts.
 	MaxRetries = 5
+	// MaxSplit bounds the pools of one route, MaxWeight the weight of each.
+	MaxSplit  = 16
+	MaxWeight = 1_000_000
+	// MaxRank bounds a route's rank.
+	MaxRank = 9
 )
--- a/table/format.go
+++ b/table/format.go
@@ -47,6 +47,9 @@
 		writeKey(&b, "callers", listOrAny(r.Callers))
 		writeKey(&b, "host", r.Host)
 		writeKey(&b, "pool", r.Pool)
+		writeKey(&b, "split", strings.Join(lo.Map(r.Split, func(s Share, _ int) string {
+			return s.Pool + ":" + strconv.Itoa(s.Weight)
+		}), ", "))
 		writeKey(&b, "class", string(r.Class))
 		writeKey(&b, "idempotent", strconv.FormatBool(r.Idempotent))
 		writeKey(&b, "timeout", r.Timeout.String())
@@ -54,6 +57,12 @@
 		if r.HedgeAfter > 0 {
 			writeKey(&b, "hedge_after", r.HedgeAfter.String())
 		}
+		if r.Rank > 0 {
+			writeKey(&b, "rank", strconv.Itoa(r.Rank))
+		}
+		if r.Objective > 0 {
+			writeKey(&b, "objective", r.Objective.String())
+		}
 		b.WriteByte('\n')
 	}
 	return b.Bytes()
--- a/table/roundtrip_test.go
+++ b/table/roundtrip_test.go
@@ -69,6 +69,15 @@
 		Timeout:    time.Duration(rapid.Int64Range(int64(time.Millisecond), int64(table.MaxTimeout)).Draw(t, "timeout")),
 		Host:       rapid.OneOf(rapid.Just(""), rapid.StringMatching(`[a-z0-9]([a-z0-9.-]{0,20}[a-z0-9])?`)).Draw(t, "host"),
 	}
+	if rapid.Bool().Draw(t, "split?") {
+		r.Pool = ""
+		pools := rapid.SliceOfNDistinct(names, 1, 4, rapid.ID[string]).Draw(t, "split")
+		for _, pool := range pools {
+			r.Split = append(r.Split, table.Share{Pool: pool, Weight: rapid.IntRange(1, table.MaxWeight).Draw(t, "weight")})
+		}
+	}
+	r.Rank = rapid.IntRange(0, table.MaxRank).Draw(t, "rank")
+	r.Objective = time.Duration(rapid.Int64Range(0, int64(table.MaxTimeout)).Draw(t, "objective"))
 	if rapid.Bool().Draw(t, "callers?") {
 		r.Callers = rapid.SliceOfNDistinct(callers, 1, 5, rapid.ID[string]).Draw(t, "callers")
 	}
--- a/table/routes.go
+++ b/table/routes.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"strconv"
 	"strings"
 	"time"
 
@@ -33,11 +34,18 @@
 		Methods:    readMethods(s),
 		Callers:    readCallers(s),
 		Host:       readHost(s),
-		Pool:       readPoolName(s),
+		Split:      readSplit(s),
 		Class:      readClass(s),
 		Idempotent: s.boolean("idempotent", false),
 		Timeout:    s.duration("timeout", DefaultTimeout, time.Millisecond),
 		HedgeAfter: s.duration("hedge_after", 0, 0),
+		Rank:       s.integer("rank", 0, 0, MaxRank),
+		Objective:  s.duration("objective", 0, 0),
+	}
+	if len(route.Split) == 0 {
+		route.Pool = readPoolName(s)
+	} else if v, ok := s.raw("pool"); ok {
+		s.fault("pool", v, "either pool or split, not both")
 	}
 	if _, ok := s.required("path_prefix", pathRule); ok {
 		route.PathPrefix = s.path("path_prefix")
@@ -112,6 +120,26 @@
 	return v
 }
 
+const splitRule = "POOL:WEIGHT, comma separated, with whole weights from 1"
+
+// readSplit reads the pools that share a route's requests.
+func readSplit(s *section) []Share {
+	items, _ := s.list("split", splitRule, MaxSplit)
+	var out []Share
+	seen := map[string]bool{}
+	for _, item := range items {
+		pool, weight, _ := strings.Cut(item, ":")
+		n, err := strconv.Atoi(weight)
+		if !validName(pool) || err != nil || n < 1 || n > MaxWeight || seen[pool] {
+			s.fault("split", item, splitRule+", each pool once")
+			continue
+		}
+		seen[pool] = true
+		out = append(out, Share{Pool: pool, Weight: n})
+	}
+	return out
+}
+
 func readClass(s *section) Class {
 	expected := "one of " + strings.Join(classes, ", ")
 	v, ok := s.required("class", expected)
--- a/table/types.go
+++ b/table/types.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -58,8 +59,11 @@
 	// Callers are values of the X-Caller header; empty matches all.
 	Callers []string `json:"callers,omitempty"`
 	// Host matches the Host header without port; "" matches all.
-	Host       string        `json:"host,omitempty"`
-	Pool       string        `json:"pool"`
+	Host string `json:"host,omitempty"`
+	// Pool names the pool; it is empty when Split is set.
+	Pool string `json:"pool,omitempty"`
+	// Split divides the requests among several pools.
+	Split      []Share       `json:"split,omitempty"`
 	Class      Class         `json:"class"`
 	Idempotent bool          `json:"idempotent"`
 	Timeout    time.Duration `json:"timeout"`
@@ -69,6 +73,31 @@
 	// HedgeAfter is the wait before a second copy of a lookup is sent; 0
 	// switches hedging off.
 	HedgeAfter time.Duration `json:"hedge_after,omitempty"`
+	// Rank orders routes when there is no room for all; 0 goes first.
+	Rank int `json:"rank,omitempty"`
+	// Objective is the time within which an answer is worth most to its
+	// caller; 0 names none.
+	Objective time.Duration `json:"objective,omitempty"`
+}
+
+// Share is the part of a route's requests that a pool takes.
+type Share struct {
+	Pool string `json:"pool"`
+	// Weight is the part, relative to the sum of the route's weights.
+	Weight int `json:"weight"`
+}
+
+// Shares returns the pools of a route with their weights.
+func (r Route) Shares() []Share {
+	if len(r.Split) == 0 {
+		return []Share{{Pool: r.Pool, Weight: 1}}
+	}
+	return r.Split
+}
+
+// Uses reports whether the route sends requests to a pool.
+func (r Route) Uses(pool string) bool {
+	return slices.ContainsFunc(r.Shares(), func(s Share) bool { return s.Pool == pool })
 }
 
 // Tables is one version of both tables. A Tables value is immutable once
--- a/table/validate.go
+++ b/table/validate.go
@@ -15,8 +15,11 @@
 	r := &reader{file: file}
 	for _, name := range sortedKeys(t.Routes) {
 		route := t.Routes[name]
-		if _, ok := t.Pools[route.Pool]; !ok {
-			r.fault(name, "pool", route.Pool, "a pool that exists")
+		key := lo.Ternary(len(route.Split) == 0, "pool", "split")
+		for _, share := range route.Shares() {
+			if _, ok := t.Pools[share.Pool]; !ok {
+				r.fault(name, key, share.Pool, "a pool that exists")
+			}
 		}
 	}
 	checkAmbiguous(r, t.Routes)
@@ -27,7 +30,7 @@
 // ValidateDelete refuses to delete a pool that routes use. The error is
 // Problems.
 func ValidateDelete(file string, t *Tables, pool string) error {
-	users := lo.Filter(sortedKeys(t.Routes), func(name string, _ int) bool { return t.Routes[name].Pool == pool })
+	users := lo.Filter(sortedKeys(t.Routes), func(name string, _ int) bool { return t.Routes[name].Uses(pool) })
 	if len(users) == 0 {
 		return nil
 	}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -50,15 +50,22 @@
 	whole bool
 	// bodyDone: the answer was read to its end.
 	bodyDone bool
+	// skipped: an answer to another request came before the own one.
+	skipped bool
 	body     io.Reader
 }
 
 func newExchange(c *Client, cn *conn) *Exchange {
-	resp := fasthttp.AcquireResponse()
-	resp.Header.DisableNormalizing()
-	resp.Header.SetNoDefaultContentType(true)
-	resp.StreamBody = true
-	return &Exchange{client: c, conn: cn, resp: resp}
+	x := &Exchange{client: c, conn: cn, resp: fasthttp.AcquireResponse()}
+	x.prepare()
+	return x
+}
+
+// prepare makes the answer ready to be read.
+func (x *Exchange) prepare() {
+	x.resp.Header.DisableNormalizing()
+	x.resp.Header.SetNoDefaultContentType(true)
+	x.resp.StreamBody = true
 }
 
 // Reused is true when the connection had served an earlier exchange.
@@ -168,6 +175,20 @@
 	return nil
 }
 
+// Skip reads an answer that belongs to another request to its end, so that
+// ReadHeader reads the next one. The connection is not kept afterwards.
+func (x *Exchange) Skip() error {
+	x.skipped = true
+	if _, err := io.Copy(io.Discard, x); err != nil {
+		return err
+	}
+	_ = x.resp.CloseBodyStream()
+	x.resp.Reset()
+	x.prepare()
+	x.body, x.bodyDone = nil, false
+	return nil
+}
+
 // Header is the header of the answer after ReadHeader, and with the trailers
 // after the end of the body.
 func (x *Exchange) Header() *fasthttp.ResponseHeader { return &x.resp.Header }
@@ -205,7 +226,7 @@
 func (x *Exchange) Close() {
 	cancelled := !x.state.CompareAndSwap(exchangeOpen, exchangeEnded)
 	cn := x.conn
-	keep := !cancelled && x.whole && x.bodyDone && !x.resp.Header.ConnectionClose() && cn.br.Buffered() == 0
+	keep := !cancelled && !x.skipped && x.whole && x.bodyDone && !x.resp.Header.ConnectionClose() && cn.br.Buffered() == 0
 	_ = x.resp.CloseBodyStream()
 	fasthttp.ReleaseResponse(x.resp)
 	x.resp, x.body = nil, nil
