--- a/attempt/machine.go
+++ b/attempt/machine.go
@@ -89,6 +89,16 @@
 	return outcome.NotRun
 }
 
+// Live reports whether an attempt that was dispatched may still answer.
+func (m *Machine) Live() bool {
+	for _, t := range m.tries {
+		if t == connecting || t == sent {
+			return true
+		}
+	}
+	return false
+}
+
 // Step feeds one event and returns what to do next.
 func (m *Machine) Step(ev Event) Action {
 	if m.phase == ended {
--- /dev/null
+++ b/cmd/chestnut-gateway/main.go
@@ -0,0 +1,128 @@
+// Command chestnut-gateway runs one entry host on the users' platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/chestnutfield/chestnutfield/gateway"
+	"github.com/chestnutfield/chestnutfield/internal/logging"
+	"github.com/chestnutfield/chestnutfield/platform"
+	"github.com/chestnutfield/chestnutfield/settings"
+)
+
+// flags are the command line.
+type flags struct {
+	Settings string `help:"INI file with the settings of this host; by default the one that the platform names." type:"path" placeholder:"FILE.ini"`
+	Check    bool   `help:"Check the settings and exit."`
+}
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// collectPercent is how far the heap may grow before it is collected; memory
+// costs more here than processor time.
+const collectPercent = 50
+
+func main() {
+	var f flags
+	kong.Parse(&f, kong.Name("chestnut-gateway"), kong.Description("One entry host of chestnutfield on the users' platform."))
+	os.Exit(run(f))
+}
+
+func run(f flags) int {
+	if f.Settings == "" {
+		f.Settings = platform.SettingsPath()
+	}
+	s, err := load(f.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "chestnut-gateway:", err)
+		return exitSettings
+	}
+	if f.Check {
+		fmt.Printf("chestnut-gateway: %s is valid\n", f.Settings)
+		return 0
+	}
+	log, err := logging.New(os.Stdout, s.Log.Level)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "chestnut-gateway:", err)
+		return exitFailed
+	}
+	defer log.Close()
+	if err := serve(f.Settings, s, log); err != nil {
+		log.Error("ended with an error", zap.Error(err))
+		return exitFailed
+	}
+	return 0
+}
+
+func load(path string) (*settings.Settings, error) {
+	s, err := settings.Load(path)
+	if err != nil {
+		return nil, err
+	}
+	if !s.Store.Used() {
+		return nil, errors.Errorf("%s: section [store] key \"address\": the required key is missing; expected IP:PORT", path)
+	}
+	return s, nil
+}
+
+// serve runs the gateway until a signal asks for a planned stop; a second one
+// cuts what is still in flight.
+func serve(path string, s *settings.Settings, log *logging.Logger) error {
+	debug.SetGCPercent(collectPercent)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	g, err := gateway.New(s, gateway.Options{
+		Source: platform.NewStore(s.Store.Address), Dialect: platform.Dialect(), ReadyPath: platform.ReadyPath,
+		Logger: log.Logger.With(zap.String("host", s.Host.Name)),
+	})
+	if err != nil {
+		return err
+	}
+	g.Start()
+	for {
+		select {
+		case <-reloads:
+			reload(path, log)
+			continue
+		case <-signals:
+		}
+		break
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), gateway.StopTime(s.Bounds.StopGrace))
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+	}()
+	return g.Stop(ctx)
+}
+
+// reload takes the level of the log from a changed settings file; the rest of
+// the settings holds until the process starts again.
+func reload(path string, log *logging.Logger) {
+	s, err := load(path)
+	if err != nil {
+		log.Error("settings can't be used; those in force stay", zap.Error(err))
+		return
+	}
+	if err := log.SetLevel(s.Log.Level); err != nil {
+		log.Error("log level can't be used", zap.Error(err))
+		return
+	}
+	log.Info("settings read anew", zap.String("log_level", s.Log.Level))
+}
--- a/cmd/chestnutd/main.go
+++ b/cmd/chestnutd/main.go
@@ -10,9 +10,9 @@
 
 	"github.com/alecthomas/kong"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"github.com/chestnutfield/chestnutfield/host"
+	"github.com/chestnutfield/chestnutfield/internal/logging"
 	"github.com/chestnutfield/chestnutfield/settings"
 )
 
@@ -44,13 +44,17 @@
 		fmt.Printf("chestnutd: %s is valid\n", f.Settings)
 		return 0
 	}
-	log, err := newLogger(s.Log.Level)
+	if s.Store.Used() {
+		fmt.Fprintf(os.Stderr, "chestnutd: %s: section [store]: expected none; a host that reads a store is a chestnut-gateway\n", f.Settings)
+		return exitSettings
+	}
+	log, err := logging.New(os.Stdout, s.Log.Level)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "chestnutd:", err)
 		return exitFailed
 	}
-	defer func() { _ = log.Sync() }()
-	if err := serve(s, log); err != nil {
+	defer log.Close()
+	if err := serve(s, log.Logger); err != nil {
 		log.Error("ended with an error", zap.Error(err))
 		return exitFailed
 	}
@@ -76,16 +80,3 @@
 	}()
 	return h.Stop(ctx)
 }
-
-func newLogger(level string) (*zap.Logger, error) {
-	parsed, err := zapcore.ParseLevel(level)
-	if err != nil {
-		return nil, err
-	}
-	c := zap.NewProductionConfig()
-	c.Level = zap.NewAtomicLevelAt(parsed)
-	c.DisableCaller = true
-	c.DisableStacktrace = true
-	c.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
-	return c.Build(zap.WrapCore(func(core zapcore.Core) zapcore.Core { return plainErrors{core} }))
-}
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -4,7 +4,11 @@
 // forwarding path.
 package dialect
 
-import "net/http"
+import (
+	"net/http"
+
+	"github.com/chestnutfield/chestnutfield/load"
+)
 
 // Dialect is one set of names. A name that is empty is not used.
 type Dialect struct {
@@ -33,6 +37,10 @@
 	Signature string
 	// Load carries an upstream's load report on its answers.
 	Load string
+	// ParseLoad reads a load report.
+	ParseLoad func(text string) (load.Report, error)
+	// Identity names the upstream that answered, on answers of its health path.
+	Identity string
 	// Draining is set to 1 on the answers of an upstream that leaves.
 	Draining string
 	// Outcome tells callers whether a request that got no answer of an
@@ -54,6 +62,7 @@
 		NotRunValue:    "1",
 		NotRunStatuses: []int{http.StatusTooManyRequests, http.StatusServiceUnavailable},
 		Load:           "endpoint-load-metrics",
+		ParseLoad:      load.Parse,
 		Draining:       "Chestnut-Draining",
 		Outcome:        "Chestnut-Outcome",
 	}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,208 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/do/v2"
+	"go.uber.org/zap"
+
+	"github.com/chestnutfield/chestnutfield/dialect"
+	"github.com/chestnutfield/chestnutfield/placement"
+	"github.com/chestnutfield/chestnutfield/proxy"
+	"github.com/chestnutfield/chestnutfield/retry"
+	"github.com/chestnutfield/chestnutfield/settings"
+	"github.com/chestnutfield/chestnutfield/upstream"
+)
+
+const (
+	// rotationTime is how long a stopping host serves new connections: it is
+	// asked each second and gets none after two answers that it is not ready.
+	rotationTime = 2600 * time.Millisecond
+	// stopReserve is left of the grace for the end of the process itself.
+	stopReserve = 400 * time.Millisecond
+	// retryBurst is the number of further attempts that one host may make at
+	// once beyond its ratio.
+	retryBurst = 2
+	// targetIdle is how long a connection to a target is kept unused where the
+	// target does not say.
+	targetIdle = 4 * time.Second
+	// connectTimeout bounds the opening of a connection to a target: several
+	// times the way there and back between failure domains.
+	connectTimeout = 250 * time.Millisecond
+)
+
+// Options are what an embedder brings. Source, Dialect and ReadyPath are
+// required.
+type Options struct {
+	Source  Source
+	Dialect dialect.Dialect
+	// ReadyPath is where the deployment asks whether the host is ready.
+	ReadyPath string
+	// Logger writes changes of state and requests; nil writes none.
+	Logger *zap.Logger
+	// Registry takes the metrics; nil makes a new one.
+	Registry *prometheus.Registry
+	// Clock is the clock of decisions; nil selects the real one.
+	Clock clockwork.Clock
+}
+
+// Gateway is one entry host.
+type Gateway struct {
+	settings  *settings.Settings
+	log       *zap.Logger
+	follower  *follower
+	callers   *proxy.Server
+	ready     *readyServer
+	clock     clockwork.Clock
+	callersLn net.Listener
+	readyLn   net.Listener
+
+	cancel  context.CancelFunc
+	loops   sync.WaitGroup
+	servers sync.WaitGroup
+}
+
+// New binds the addresses and wires a gateway; it calls nobody.
+func New(s *settings.Settings, o Options) (*Gateway, error) {
+	if o.Source == nil || o.ReadyPath == "" {
+		return nil, errors.New("gateway: Source and ReadyPath are required")
+	}
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
+	if o.Registry == nil {
+		o.Registry = prometheus.NewRegistry()
+	}
+	if o.Clock == nil {
+		o.Clock = clockwork.NewRealClock()
+	}
+	i := do.New()
+	do.ProvideValue(i, s)
+	do.ProvideValue(i, o)
+	do.Provide(i, newClient)
+	do.Provide(i, newPlacement)
+	do.Provide(i, provideFollower)
+	do.Provide(i, newCallers)
+	callers, err := do.Invoke[*proxy.Server](i)
+	if err != nil {
+		return nil, errors.Wrap(err, "assemble gateway")
+	}
+	f := do.MustInvoke[*follower](i)
+	g := &Gateway{
+		settings: s, log: o.Logger, follower: f, callers: callers, clock: o.Clock,
+		ready: newReadyServer(o.ReadyPath, f.configured, o.Registry),
+	}
+	return g, g.listen()
+}
+
+func (g *Gateway) listen() (err error) {
+	if g.callersLn, err = net.Listen("tcp", g.settings.Listen.Callers.String()); err != nil {
+		return errors.Wrap(err, "callers address")
+	}
+	if g.readyLn, err = net.Listen("tcp", g.settings.Listen.Ready.String()); err != nil {
+		g.callersLn.Close()
+		return errors.Wrap(err, "ready address")
+	}
+	return nil
+}
+
+func newClient(i do.Injector) (*upstream.Client, error) {
+	return upstream.New(upstream.Options{
+		Clock: do.MustInvoke[Options](i).Clock, ConnectTimeout: connectTimeout, IdleTimeout: targetIdle,
+		// A target may close a kept connection as an order is written to it.
+		FreshIdle: -1,
+	}), nil
+}
+
+func newPlacement(i do.Injector) (*placement.Balancer, error) {
+	o, s := do.MustInvoke[Options](i), do.MustInvoke[*settings.Settings](i)
+	return placement.New(placement.Options{
+		Asker:         placement.HTTPAsker{Client: do.MustInvoke[*upstream.Client](i), Dialect: o.Dialect},
+		FailureDomain: s.Host.FailureDomain,
+		ParseLoad:     o.Dialect.ParseLoad,
+		Seed:          xxhash.Sum64String(s.Host.Name),
+		Clock:         o.Clock,
+		Registerer:    o.Registry,
+	})
+}
+
+func provideFollower(i do.Injector) (*follower, error) {
+	o := do.MustInvoke[Options](i)
+	return newFollower(o.Source, do.MustInvoke[*placement.Balancer](i), o.Clock, o.Logger, o.Registry)
+}
+
+func newCallers(i do.Injector) (*proxy.Server, error) {
+	o, s := do.MustInvoke[Options](i), do.MustInvoke[*settings.Settings](i)
+	budget, err := retry.New(retry.Options{
+		Ratio: s.Bounds.RetryRatio, Floor: retry.NoFloor, Burst: retryBurst, Registerer: o.Registry,
+	})
+	if err != nil {
+		return nil, err
+	}
+	f := do.MustInvoke[*follower](i)
+	return proxy.New(proxy.Options{
+		Tables: f, Configured: f.configured,
+		Balancer: do.MustInvoke[*placement.Balancer](i), Retries: budget,
+		Client: do.MustInvoke[*upstream.Client](i), Dialect: &o.Dialect,
+		Clock: o.Clock, Registerer: o.Registry, Logger: o.Logger,
+		RequestLog: requestLog{o.Logger},
+		Limits: proxy.Limits{
+			HeaderBytes: s.Limits.MaxHeaderBytes, HeaderTimeout: s.Limits.HeaderTimeout,
+			Connections: s.Limits.MaxCallerConnections, HoldUnknownLength: true,
+		},
+	})
+}
+
+// Start runs the gateway.
+func (g *Gateway) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.cancel = cancel
+	g.loops.Go(func() { g.follower.followTables(ctx) })
+	g.loops.Go(func() { g.follower.followRegister(ctx) })
+	g.loops.Go(func() { g.follower.place(ctx) })
+	g.serve("ready", func() error { return g.ready.serve(g.readyLn) })
+	g.serve("callers", func() error { return g.callers.Serve(g.callersLn) })
+	g.log.Info("started", zap.Stringer("callers", g.callersLn.Addr()), zap.Stringer("ready", g.readyLn.Addr()))
+}
+
+func (g *Gateway) serve(name string, run func() error) {
+	g.servers.Go(func() {
+		if err := run(); err != nil && !errors.Is(err, net.ErrClosed) {
+			g.log.Error("server ended", zap.String("server", name), zap.Error(err))
+		}
+	})
+}
+
+// CallersAddr returns the address that takes callers' requests.
+func (g *Gateway) CallersAddr() net.Addr { return g.callersLn.Addr() }
+
+// ReadyAddr returns the address that answers whether the host is ready.
+func (g *Gateway) ReadyAddr() net.Addr { return g.readyLn.Addr() }
+
+// Stop is a planned stop: the host says that it is not ready, serves on until
+// it gets no new connections, and returns when the last answer is given. What
+// is left when the context ends is cut.
+func (g *Gateway) Stop(ctx context.Context) error {
+	g.log.Info("planned stop")
+	g.ready.stopping.Store(true)
+	g.callers.Retire()
+	select {
+	case <-ctx.Done():
+	case <-g.clock.After(rotationTime):
+	}
+	err := g.callers.Shutdown(ctx)
+	g.cancel()
+	_ = g.ready.http.Shutdown()
+	g.log.Info("stopped", zap.Error(err))
+	return err
+}
+
+// StopTime is how long Stop may take within the grace of the deployment.
+func StopTime(grace time.Duration) time.Duration { return max(grace-stopReserve, grace/2) }
--- /dev/null
+++ b/gateway/requestlog.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/chestnutfield/chestnutfield/proxy"
+)
+
+// requestLog writes one line for each request.
+type requestLog struct{ log *zap.Logger }
+
+// Ended implements proxy.RequestLog.
+func (l requestLog) Ended(r proxy.RequestRecord) {
+	fields := []zap.Field{
+		zap.String("request", r.ID), zap.String("route", r.Route), zap.String("pool", r.Pool),
+		zap.Uint64("tables", r.Version), zap.Stringer("outcome", r.Outcome), zap.Int("status", r.Status),
+		zap.Duration("total", r.Total), zap.Duration("allowed", r.Deadline),
+	}
+	if r.Reason != 0 {
+		fields = append(fields, zap.Stringer("reason", r.Reason), zap.Duration("retry_after", r.RetryAfter))
+	}
+	if len(r.Attempts) > 0 {
+		fields = append(fields, zap.Array("attempts", attempts(r.Attempts)))
+	}
+	l.log.Info("request", fields...)
+}
+
+type attempts []proxy.AttemptRecord
+
+// MarshalLogArray implements zapcore.ArrayMarshaler.
+func (a attempts) MarshalLogArray(enc zapcore.ArrayEncoder) error {
+	for _, r := range a {
+		if err := enc.AppendObject(attemptLine(r)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type attemptLine proxy.AttemptRecord
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (a attemptLine) MarshalLogObject(enc zapcore.ObjectEncoder) error {
+	enc.AddString("target", a.Identity)
+	enc.AddString("address", a.Target.String())
+	enc.AddString("verdict", a.Verdict.String())
+	enc.AddDuration("after", a.After)
+	enc.AddDuration("latency", a.Latency)
+	if a.Error != "" {
+		enc.AddString("error", a.Error)
+	}
+	return nil
+}
--- a/cmd/chestnutd/log.go
+++ b/internal/logging/plainerrors.go
@@ -1,4 +1,4 @@
-package main
+package logging
 
 import (
 	"go.uber.org/zap"
--- a/load/parse.go
+++ b/load/parse.go
@@ -16,6 +16,9 @@
 // target accepts far fewer connections.
 const MaxCount = 10_000
 
+// maxSlowdown is the highest slowdown that is believed.
+const maxSlowdown = 1000
+
 // maxUtilization is the highest utilization that is believed. ORCA lets an
 // application report more than 1 when it is overloaded.
 const maxUtilization = 100
@@ -24,6 +27,8 @@
 const (
 	metricInFlight    = "in_flight"
 	metricQueued      = "queued"
+	metricSlots       = "slots"
+	metricSlowdown    = "slowdown"
 	metricUtilization = "application_utilization"
 	namedPrefix       = "named_metrics."
 	textPrefix        = "TEXT "
@@ -53,6 +58,12 @@
 	Queued int
 	// Utilization is the busy share of the slots, negative when not reported.
 	Utilization float64
+	// Slots is the number of requests that the target serves at once, 0 when
+	// not reported.
+	Slots int
+	// Slowdown is how many times as long as usual work takes at this moment,
+	// 0 when not reported.
+	Slowdown float64
 }
 
 // Empty reports whether none of the metrics that are used is present.
@@ -122,7 +133,8 @@
 
 func used(name string) bool {
 	switch name {
-	case metricUtilization, namedPrefix + metricInFlight, namedPrefix + metricQueued:
+	case metricUtilization, namedPrefix + metricInFlight, namedPrefix + metricQueued,
+		namedPrefix + metricSlots, namedPrefix + metricSlowdown:
 		return true
 	default:
 		return false
@@ -131,8 +143,11 @@
 
 func (r *Report) set(metric string, f float64) error {
 	limit := float64(MaxCount)
-	if metric == metricUtilization {
+	switch metric {
+	case metricUtilization:
 		limit = maxUtilization
+	case metricSlowdown:
+		limit = maxSlowdown
 	}
 	if math.IsNaN(f) || f < 0 || f > limit {
 		return errors.Wrapf(ErrAbsurd, "%s is %g, expected 0 to %g", metric, f, limit)
@@ -144,6 +159,10 @@
 		r.InFlight = int(math.Round(f))
 	case metricQueued:
 		r.Queued = int(math.Round(f))
+	case metricSlots:
+		r.Slots = int(math.Round(f))
+	case metricSlowdown:
+		r.Slowdown = f
 	}
 	return nil
 }
@@ -164,7 +183,7 @@
 			return Report{}, err
 		}
 	}
-	for _, name := range []string{metricInFlight, metricQueued} {
+	for _, name := range []string{metricInFlight, metricQueued, metricSlots, metricSlowdown} {
 		f, ok := j.Named[name]
 		if !ok {
 			continue
--- /dev/null
+++ b/placement/pool.go
@@ -0,0 +1,189 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/chestnutfield/chestnutfield/load"
+	"github.com/chestnutfield/chestnutfield/ports"
+	"github.com/chestnutfield/chestnutfield/registry"
+)
+
+const (
+	// reuseFor is the age up to which a report is used again: shorter than the
+	// time in which a target's speed or load is likely to change.
+	reuseFor = 4 * time.Millisecond
+	// workWeight is the weight of one call in the usual time of work.
+	workWeight = 0.05
+	// firstWork is the usual time of work before any call has ended.
+	firstWork = 100 * time.Millisecond
+)
+
+// target is what this host knows of one target.
+type target struct {
+	registry.Target
+	health health
+	// inFlight counts this host's calls there, sinceReport those that were
+	// sent after the last report.
+	inFlight    int
+	sinceReport int
+	report      load.Report
+	reportAt    time.Time
+}
+
+// pool is the targets of one pool, a shard with its own lock.
+type pool struct {
+	mu sync.Mutex
+	// healthPath is what is asked.
+	healthPath string
+	// reported is true once a target told its load; silences counts answers
+	// without a report before that.
+	reported bool
+	silences int
+	targets  []*target
+	// work is the usual time of a request on an idle target.
+	work time.Duration
+	rng  *rand.Rand
+}
+
+// update replaces the targets; what is known of an instance stays.
+func (p *pool) update(healthPath string, targets []registry.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := lo.KeyBy(p.targets, func(t *target) registry.Instance { return t.Instance })
+	p.healthPath = healthPath
+	p.targets = lo.Map(targets, func(t registry.Target, _ int) *target {
+		if k := known[t.Instance]; k != nil && k.Addr == t.Addr {
+			k.Target = t
+			return k
+		}
+		return &target{Target: t}
+	})
+}
+
+// candidates draws up to n targets that may be chosen. Targets in the host's
+// own failure domain are drawn first for half of them.
+func (p *pool) candidates(now time.Time, n int, domain string, exclude []netip.AddrPort) []*target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	usable := lo.Filter(p.targets, func(t *target, _ int) bool { return !slices.Contains(exclude, t.Addr) })
+	open := lo.Filter(usable, func(t *target, _ int) bool { return t.health.open(now, t.inFlight) })
+	if len(open) == 0 {
+		open = usable
+	}
+	p.rng.Shuffle(len(open), func(i, j int) { open[i], open[j] = open[j], open[i] })
+	near, far := lo.FilterReject(open, func(t *target, _ int) bool { return t.FailureDomain == domain })
+	fromNear := min(len(near), max((n+1)/2, n-len(far)))
+	chosen := append(slices.Clone(near[:fromNear]), far...)
+	return chosen[:min(n, len(chosen))]
+}
+
+// take records a report.
+func (p *pool) take(now time.Time, t *target, r load.Report) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reported = true
+	t.report, t.reportAt, t.sinceReport = r, now, 0
+}
+
+// fresh says that the last report may be used as it is.
+func (p *pool) fresh(now time.Time, t *target) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !t.reportAt.IsZero() && now.Sub(t.reportAt) <= reuseFor
+}
+
+// view is what is known of a target now. The caller holds the lock.
+func (p *pool) view(now time.Time, t *target, domain string) view {
+	v := view{
+		slots: max(t.Slots, 1), cold: now.Before(t.ColdUntil),
+		far: t.FailureDomain != domain, failures: t.health.failures, present: t.inFlight,
+	}
+	if t.reportAt.IsZero() {
+		return v
+	}
+	v.age = now.Sub(t.reportAt)
+	if t.report.Slots > 0 {
+		v.slots = t.report.Slots
+	}
+	v.slowdown = t.report.Slowdown
+	if n, ok := t.report.Count(v.slots); ok {
+		v.present = max(n+t.sinceReport, t.inFlight)
+	}
+	return v
+}
+
+// choose returns the target of the least cost and what is known of it.
+func (p *pool) choose(now time.Time, among []*target, domain string) (*target, view) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var best *target
+	var at view
+	for _, t := range among {
+		if v := p.view(now, t, domain); best == nil || v.cost() < at.cost() {
+			best, at = t, v
+		}
+	}
+	return best, at
+}
+
+// send counts a call that is about to be sent.
+func (p *pool) send(t *target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t.inFlight++
+	t.sinceReport++
+}
+
+// usualWork returns the usual time of work.
+func (p *pool) usualWork() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.work == 0 {
+		return firstWork
+	}
+	return p.work
+}
+
+// ended takes the end of a call that was expected to take cost times the
+// usual work.
+func (p *pool) ended(now time.Time, t *target, cost float64, f ports.Feedback, r *load.Report) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t.inFlight--
+	t.health.ended(now, f)
+	if r != nil {
+		t.report, t.reportAt, t.sinceReport = *r, now, 0
+	}
+	if f.Verdict != ports.Succeeded || f.Latency <= 0 {
+		return
+	}
+	unit := time.Duration(float64(f.Latency) / max(cost, 1))
+	if p.work == 0 {
+		p.work = unit
+	}
+	p.work += time.Duration(workWeight * float64(unit-p.work))
+}
+
+// asks returns the path to ask, or that asking is of no use.
+func (p *pool) asks() (path string, silent bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.healthPath, p.healthPath == "" || !p.reported && p.silences >= silentAfter
+}
+
+// silentAfter is the number of answers without a report after which the
+// targets of a pool count as telling no load.
+const silentAfter = 8
+
+// noteSilent counts an answer without a report.
+func (p *pool) noteSilent() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silences++
+}
--- a/ports/ports.go
+++ b/ports/ports.go
@@ -71,6 +71,18 @@
 	Abandoned
 )
 
+var verdictNames = map[Verdict]string{
+	Succeeded: "succeeded", Failed: "failed", Shed: "shed", TimedOut: "timed-out", Abandoned: "abandoned",
+}
+
+// String returns the verdict as logs and metrics spell it.
+func (v Verdict) String() string {
+	if name, ok := verdictNames[v]; ok {
+		return name
+	}
+	return "under-way"
+}
+
 // PickQuery asks for a target.
 type PickQuery struct {
 	Pool  string
@@ -103,8 +115,10 @@
 	Deadline time.Time
 	// Exclude lists targets that this request has already been sent to.
 	Exclude []netip.AddrPort
-	// Further is true for every attempt but the first.
+	// Further is true for every attempt but the first, Beside when another
+	// attempt of the request is still under way.
 	Further bool
+	Beside  bool
 	// RequestID names the request in logs.
 	RequestID string
 }
--- a/proxy/drive.go
+++ b/proxy/drive.go
@@ -161,7 +161,7 @@
 		defer c.waitedFor(began)
 		return placer.Place(c.ctx, ports.PlaceQuery{
 			Pool: pool, Route: c.match.Route, Received: c.received, Deadline: c.deadline,
-			Exclude: c.tried(), Further: act.Budgeted, RequestID: c.in.id,
+			Exclude: c.tried(), Further: act.Budgeted, Beside: c.underWay(), RequestID: c.in.id,
 		})
 	}
 	q := ports.PickQuery{Pool: pool, Class: c.match.Route.Class, Now: now, Exclude: c.tried()}
@@ -215,6 +215,13 @@
 	return c.stale
 }
 
+// underWay says that an attempt was made that has not ended.
+func (c *call) underWay() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machine.Live()
+}
+
 // tried lists the targets of earlier attempts.
 func (c *call) tried() []netip.AddrPort {
 	c.mu.Lock()
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -87,14 +87,9 @@
 	return c.waited
 }
 
-var verdictNames = map[ports.Verdict]string{
-	ports.Succeeded: "succeeded", ports.Failed: "failed", ports.Shed: "shed",
-	ports.TimedOut: "timed-out", ports.Abandoned: "abandoned",
-}
-
 // attempted counts an attempt.
 func (m *metrics) attempted(pool string, v ports.Verdict) {
-	m.attempts.WithLabelValues(pool, verdictNames[v]).Inc()
+	m.attempts.WithLabelValues(pool, v.String()).Inc()
 }
 
 // callerLabel gives the first callers a label of their own and the rest one
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -39,6 +39,8 @@
 	// PeerToken is sent with requests that are handed over to peers.
 	PeerToken string
 	Upstream  upstream.Options
+	// Client holds the connections to targets; nil makes one by Upstream.
+	Client *upstream.Client
 	// Dialect names the headers of callers and upstreams; nil selects the
 	// product's own.
 	Dialect *dialect.Dialect
@@ -155,6 +157,9 @@
 	if o.Upstream.Clock == nil {
 		o.Upstream.Clock = o.Clock
 	}
+	if o.Client == nil {
+		o.Client = upstream.New(o.Upstream)
+	}
 	o.Limits = o.Limits.withDefaults()
 	return o, nil
 }
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -62,7 +62,7 @@
 		limits:   opts.Limits,
 		names:    newNames(*opts.Dialect),
 		router:   router.NewHolder(opts.Tables),
-		upstream: upstream.New(opts.Upstream),
+		upstream: opts.Client,
 		metrics:  m,
 		watcher:  w,
 	}
--- /dev/null
+++ b/registry/book_test.go
@@ -0,0 +1,93 @@
+package registry_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
+
+	"github.com/chestnutfield/chestnutfield/registry"
+)
+
+func TestRegistry(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "registry")
+}
+
+var start = time.Unix(1_700_000_000, 0)
+
+func entry(id string, born, seq int64) registry.Entry {
+	return registry.Entry{
+		Instance: registry.Instance{ID: id, Born: born}, Service: "catalogue",
+		Addr: netip.MustParseAddrPort("10.0.0.1:80"), FailureDomain: "a", Slots: 2, Sequence: seq,
+	}
+}
+
+func leaving(e registry.Entry) registry.Entry {
+	e.Leaving = true
+	return e
+}
+
+func kinds(changes []registry.Change) map[string]registry.ChangeKind {
+	return lo.SliceToMap(changes, func(c registry.Change) (string, registry.ChangeKind) { return c.ID, c.Kind })
+}
+
+var _ = Describe("a book of targets", func() {
+	var (
+		b   *registry.Book
+		now time.Time
+	)
+	take := func(after time.Duration, entries ...registry.Entry) map[string]registry.ChangeKind {
+		now = now.Add(after)
+		return kinds(b.Take(now, entries))
+	}
+	open := func() []string {
+		return lo.Map(b.Targets()["catalogue"], func(t registry.Target, _ int) string { return t.ID })
+	}
+	BeforeEach(func() {
+		b, now = registry.NewBook(), start
+		Expect(take(0, entry("t1", 1, 1), entry("t2", 1, 1))).To(Equal(map[string]registry.ChangeKind{
+			"t1": registry.Joined, "t2": registry.Joined}))
+	})
+
+	It("takes leaving and vanished targets out at once", func() {
+		Expect(take(time.Second, leaving(entry("t1", 1, 2)), entry("t2", 1, 2))).To(HaveKeyWithValue("t1", registry.Left))
+		Expect(open()).To(Equal([]string{"t2"}))
+		Expect(take(time.Second, leaving(entry("t1", 1, 2)))).To(Equal(map[string]registry.ChangeKind{"t2": registry.Gone}))
+		Expect(open()).To(BeEmpty())
+	})
+
+	It("waits for entries that lapsed while the register was out of reach", func() {
+		Expect(take(8*time.Second, entry("t1", 1, 2))).To(Equal(map[string]registry.ChangeKind{"t2": registry.Missing}))
+		Expect(open()).To(Equal([]string{"t1", "t2"}))
+		Expect(take(time.Second, entry("t1", 1, 3))).To(BeEmpty())
+		Expect(take(time.Second, entry("t1", 1, 4), entry("t2", 1, 2))).To(Equal(map[string]registry.ChangeKind{"t2": registry.Returned}))
+	})
+
+	It("gives up on them once the register was readable for the grace", func() {
+		take(8*time.Second, entry("t1", 1, 2))
+		Expect(take(1100*time.Millisecond, entry("t1", 1, 3))).To(BeEmpty())
+		Expect(take(1200*time.Millisecond, entry("t1", 1, 4))).To(Equal(map[string]registry.ChangeKind{"t2": registry.Gone}))
+	})
+
+	It("does not wait for a target that had said that it leaves", func() {
+		take(time.Second, leaving(entry("t1", 1, 2)), entry("t2", 1, 2))
+		Expect(take(8*time.Second, entry("t2", 1, 3))).To(HaveKeyWithValue("t1", registry.Gone))
+	})
+
+	It("takes a target that starts again under its name for another", func() {
+		take(time.Second, leaving(entry("t1", 1, 9)), entry("t2", 1, 2))
+		Expect(take(time.Second, entry("t1", 2, 1), entry("t2", 1, 2))).To(Equal(map[string]registry.ChangeKind{"t1": registry.Joined}))
+		Expect(open()).To(Equal([]string{"t1", "t2"}))
+	})
+
+	It("does not believe an entry that arrives after a newer one", func() {
+		take(time.Second, leaving(entry("t1", 2, 9)), entry("t2", 1, 2))
+		Expect(take(time.Second, entry("t1", 2, 8), entry("t2", 1, 3))).To(BeEmpty())
+		Expect(take(time.Second, entry("t1", 1, 50), entry("t2", 1, 3))).To(BeEmpty())
+		Expect(open()).To(Equal([]string{"t2"}))
+	})
+})
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -23,13 +23,17 @@
 	DefaultBurst = 36.0
 )
 
+// NoFloor is the Floor of a budget that only requests pay into.
+const NoFloor = -1
+
 // Options configure a Budget. Zero values select the defaults.
 type Options struct {
 	// Name labels the metrics, "retry" by default.
 	Name string
 	// Ratio is paid in by every first attempt.
 	Ratio float64
-	// Floor is paid in a second, divided by the number of hosts.
+	// Floor is paid in a second, divided by the number of hosts; NoFloor pays
+	// in nothing.
 	Floor float64
 	// Burst is the largest sum of tokens, divided by the number of hosts; a
 	// host may always keep one.
@@ -103,7 +107,7 @@
 	}
 	return rates{
 		ratio: b.opts.Ratio,
-		floor: b.opts.Floor / hosts,
+		floor: max(b.opts.Floor, 0) / hosts,
 		limit: max(b.opts.Burst/hosts, 1),
 	}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -42,8 +42,8 @@
 }
 
 type entry struct {
-	route  *table.Route
-	shares []share
+	route   *table.Route
+	shares  []share
 	methods map[string]struct{}
 	callers map[string]struct{}
 	host    string
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -11,11 +11,23 @@
 	"github.com/pkg/errors"
 )
 
+// need says when a key must be there.
+type need uint8
+
+const (
+	optional need = iota
+	always
+	// withoutStore keys are required unless the section [store] names a store,
+	// withStore keys where it does.
+	withoutStore
+	withStore
+)
+
 // field is one key of the file.
 type field struct {
 	section  string
 	key      string
-	required bool
+	need     need
 	expected string
 	set      func(s *Settings, text string) error
 }
@@ -25,30 +37,35 @@
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
 
 var fields = []field{
-	{"host", "name", true, "a name of 1 to 63 letters, digits, dots, dashes", name(func(s *Settings) *string { return &s.Host.Name })},
-	{"host", "failure_domain", true, "a name of 1 to 63 letters, digits, dots, dashes", name(func(s *Settings) *string { return &s.Host.FailureDomain })},
-	{"host", "handoff", false, "true or false", boolean(func(s *Settings) *bool { return &s.Host.Handoff })},
-	{"listen", "callers", true, "IP:PORT", addr(func(s *Settings) *netip.AddrPort { return &s.Listen.Callers })},
-	{"listen", "admin", true, "IP:PORT", addr(func(s *Settings) *netip.AddrPort { return &s.Listen.Admin })},
-	{"listen", "peers", true, "IP:PORT", addr(func(s *Settings) *netip.AddrPort { return &s.Listen.Peers })},
-	{"platform", "table", true, "http://IP:PORT or https://IP:PORT", baseURL(func(s *Settings) *string { return &s.Platform.Table })},
-	{"platform", "objects", true, "http://IP:PORT or https://IP:PORT", baseURL(func(s *Settings) *string { return &s.Platform.Objects })},
-	{"platform", "hosts", false, "http://IP:PORT or https://IP:PORT", baseURL(func(s *Settings) *string { return &s.Platform.Hosts })},
-	{"admin", "token", false, "a token of any printable characters", text(func(s *Settings) *string { return &s.Admin.Token })},
-	{"admin", "tls_cert", false, "a PEM file", text(func(s *Settings) *string { return &s.Admin.Cert })},
-	{"admin", "tls_key", false, "a PEM file", text(func(s *Settings) *string { return &s.Admin.Key })},
-	{"admin", "tls_ca", false, "a PEM file", text(func(s *Settings) *string { return &s.Admin.CA })},
-	{"peers", "token", false, "a token of any printable characters", text(func(s *Settings) *string { return &s.Peers.Token })},
-	{"peers", "tls_cert", false, "a PEM file", text(func(s *Settings) *string { return &s.Peers.Cert })},
-	{"peers", "tls_key", false, "a PEM file", text(func(s *Settings) *string { return &s.Peers.Key })},
-	{"peers", "tls_ca", false, "a PEM file", text(func(s *Settings) *string { return &s.Peers.CA })},
-	{"peers", "seeds", false, "IP:PORT, IP:PORT, ...", addrs(func(s *Settings) *[]netip.AddrPort { return &s.Peers.Seeds })},
-	{"limits", "drain_timeout", false, "a duration from 0s to 1h, such as 30s", duration(0, time.Hour, func(s *Settings) *time.Duration { return &s.Limits.DrainTimeout })},
-	{"limits", "header_timeout", false, "a duration from 100ms to 10m", duration(100*time.Millisecond, 10*time.Minute, func(s *Settings) *time.Duration { return &s.Limits.HeaderTimeout })},
-	{"limits", "max_header_bytes", false, "a number from 1024 to 1048576", number(1<<10, 1<<20, func(s *Settings) *int { return &s.Limits.MaxHeaderBytes })},
-	{"limits", "max_keyed_body_bytes", false, "a number from 1024 to 67108864", number(1<<10, 64<<20, func(s *Settings) *int { return &s.Limits.MaxKeyedBodyBytes })},
-	{"limits", "max_caller_connections", false, "a number from 1 to 1000000", number(1, 1_000_000, func(s *Settings) *int { return &s.Limits.MaxCallerConnections })},
-	{"log", "level", false, "debug, info, warn or error", level},
+	{"host", "name", always, "a name of 1 to 63 letters, digits, dots, dashes", name(func(s *Settings) *string { return &s.Host.Name })},
+	{"host", "failure_domain", always, "a name of 1 to 63 letters, digits, dots, dashes", name(func(s *Settings) *string { return &s.Host.FailureDomain })},
+	{"host", "handoff", optional, "true or false", boolean(func(s *Settings) *bool { return &s.Host.Handoff })},
+	{"listen", "callers", always, "IP:PORT", addr(func(s *Settings) *netip.AddrPort { return &s.Listen.Callers })},
+	{"listen", "ready", withStore, "IP:PORT", addr(func(s *Settings) *netip.AddrPort { return &s.Listen.Ready })},
+	{"store", "address", optional, "IP:PORT", addr(func(s *Settings) *netip.AddrPort { return &s.Store.Address })},
+	{"bounds", "retry_ratio", optional, "a number from 0 to 1", ratio(func(s *Settings) *float64 { return &s.Bounds.RetryRatio })},
+	{"bounds", "stop_grace", optional, "a duration from 1s to 1h", duration(time.Second, time.Hour, func(s *Settings) *time.Duration { return &s.Bounds.StopGrace })},
+	{"limits", "memory_bytes", optional, "a number from 0 to 1099511627776", number(0, 1<<40, func(s *Settings) *int { return &s.Limits.MemoryBytes })},
+	{"listen", "admin", withoutStore, "IP:PORT", addr(func(s *Settings) *netip.AddrPort { return &s.Listen.Admin })},
+	{"listen", "peers", withoutStore, "IP:PORT", addr(func(s *Settings) *netip.AddrPort { return &s.Listen.Peers })},
+	{"platform", "table", withoutStore, "http://IP:PORT or https://IP:PORT", baseURL(func(s *Settings) *string { return &s.Platform.Table })},
+	{"platform", "objects", withoutStore, "http://IP:PORT or https://IP:PORT", baseURL(func(s *Settings) *string { return &s.Platform.Objects })},
+	{"platform", "hosts", optional, "http://IP:PORT or https://IP:PORT", baseURL(func(s *Settings) *string { return &s.Platform.Hosts })},
+	{"admin", "token", optional, "a token of any printable characters", text(func(s *Settings) *string { return &s.Admin.Token })},
+	{"admin", "tls_cert", optional, "a PEM file", text(func(s *Settings) *string { return &s.Admin.Cert })},
+	{"admin", "tls_key", optional, "a PEM file", text(func(s *Settings) *string { return &s.Admin.Key })},
+	{"admin", "tls_ca", optional, "a PEM file", text(func(s *Settings) *string { return &s.Admin.CA })},
+	{"peers", "token", optional, "a token of any printable characters", text(func(s *Settings) *string { return &s.Peers.Token })},
+	{"peers", "tls_cert", optional, "a PEM file", text(func(s *Settings) *string { return &s.Peers.Cert })},
+	{"peers", "tls_key", optional, "a PEM file", text(func(s *Settings) *string { return &s.Peers.Key })},
+	{"peers", "tls_ca", optional, "a PEM file", text(func(s *Settings) *string { return &s.Peers.CA })},
+	{"peers", "seeds", optional, "IP:PORT, IP:PORT, ...", addrs(func(s *Settings) *[]netip.AddrPort { return &s.Peers.Seeds })},
+	{"limits", "drain_timeout", optional, "a duration from 0s to 1h, such as 30s", duration(0, time.Hour, func(s *Settings) *time.Duration { return &s.Limits.DrainTimeout })},
+	{"limits", "header_timeout", optional, "a duration from 100ms to 10m", duration(100*time.Millisecond, 10*time.Minute, func(s *Settings) *time.Duration { return &s.Limits.HeaderTimeout })},
+	{"limits", "max_header_bytes", optional, "a number from 1024 to 1048576", number(1<<10, 1<<20, func(s *Settings) *int { return &s.Limits.MaxHeaderBytes })},
+	{"limits", "max_keyed_body_bytes", optional, "a number from 1024 to 67108864", number(1<<10, 64<<20, func(s *Settings) *int { return &s.Limits.MaxKeyedBodyBytes })},
+	{"limits", "max_caller_connections", optional, "a number from 1 to 1000000", number(1, 1_000_000, func(s *Settings) *int { return &s.Limits.MaxCallerConnections })},
+	{"log", "level", optional, "debug, info, warn or error", level},
 }
 
 func text(at func(*Settings) *string) func(*Settings, string) error {
@@ -140,6 +157,20 @@
 	}
 }
 
+func ratio(at func(*Settings) *float64) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		f, err := strconv.ParseFloat(v, 64)
+		if err != nil {
+			return err
+		}
+		if !(f >= 0 && f <= 1) {
+			return errValue
+		}
+		*at(s) = f
+		return nil
+	}
+}
+
 func boolean(at func(*Settings) *bool) func(*Settings, string) error {
 	return func(s *Settings, v string) error {
 		b, err := strconv.ParseBool(v)
--- a/settings/load.go
+++ b/settings/load.go
@@ -42,7 +42,7 @@
 		return nil, err
 	}
 	s := defaults()
-	for _, f := range fields {
+	for _, f := range storeFirst(fields) {
 		if err := apply(path, file, f, s); err != nil {
 			return nil, err
 		}
@@ -51,6 +51,27 @@
 	return s, checkWhole(path, s)
 }
 
+// storeFirst puts the section [store] first, since the keys that are required
+// depend on it.
+func storeFirst(fields []field) []field {
+	store, others := lo.FilterReject(fields, func(f field, _ int) bool { return f.section == "store" })
+	return append(store, others...)
+}
+
+// required says whether the key must be there, with or without a store.
+func (f field) required(store bool) bool {
+	switch f.need {
+	case always:
+		return true
+	case withStore:
+		return store
+	case withoutStore:
+		return !store
+	default:
+		return false
+	}
+}
+
 func defaults() *Settings {
 	return &Settings{
 		Host: Host{Handoff: true},
@@ -59,20 +80,29 @@
 			MaxHeaderBytes: DefaultMaxHeaderBytes, MaxKeyedBodyBytes: DefaultMaxKeyedBodyBytes,
 			MaxCallerConnections: DefaultMaxCallerConnections,
 		},
-		Log: Log{Level: defaultLogLevel},
+		Bounds: Bounds{RetryRatio: DefaultRetryRatio, StopGrace: DefaultStopGrace},
+		Log:    Log{Level: defaultLogLevel},
 	}
 }
 
+// secretKey is the key whose value must not be shown.
+const secretKey = "token"
+
 func apply(path string, file *ini.File, f field, s *Settings) error {
 	section := file.Section(f.section)
 	if !section.HasKey(f.key) {
-		if f.required {
+		if f.required(s.Store.Used()) {
 			return &Error{path, f.section, f.key, "the required key is missing", f.expected}
 		}
 		return nil
 	}
-	if err := f.set(s, section.Key(f.key).String()); err != nil {
-		return &Error{path, f.section, f.key, "the value can't be used", f.expected}
+	value := section.Key(f.key).String()
+	if err := f.set(s, value); err != nil {
+		problem := "the value can't be used"
+		if f.key != secretKey {
+			problem = fmt.Sprintf("the value %q can't be used", value)
+		}
+		return &Error{path, f.section, f.key, problem, f.expected}
 	}
 	return nil
 }
@@ -131,6 +161,9 @@
 
 // checkWhole checks what concerns several keys.
 func checkWhole(path string, s *Settings) error {
+	if s.Store.Used() {
+		return nil
+	}
 	if err := checkAccess(path, "admin", s.Admin); err != nil {
 		return err
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -17,6 +17,28 @@
 	Peers    Peers
 	Limits   Limits
 	Log      Log
+	// Store is set where targets and tables come from a store in which targets
+	// register; the services of Platform are not used there.
+	Store  Store
+	Bounds Bounds
+}
+
+// Store is where targets register and operators leave the tables.
+type Store struct {
+	// Address is IP:PORT; the zero value stands for none.
+	Address netip.AddrPort
+}
+
+// Used reports whether targets and tables come from a store.
+func (s Store) Used() bool { return s.Address.IsValid() }
+
+// Bounds are what the deployment promises its callers and upstreams.
+type Bounds struct {
+	// RetryRatio is the share of requests that may be sent to a further
+	// target, all hosts together.
+	RetryRatio float64
+	// StopGrace is the time from a planned stop's signal to the kill.
+	StopGrace time.Duration
 }
 
 // Host names this entry host.
@@ -33,8 +55,11 @@
 // Listen holds the addresses that the host binds.
 type Listen struct {
 	Callers netip.AddrPort
-	Admin   netip.AddrPort
-	Peers   netip.AddrPort
+	// Ready answers whether the host takes callers, and serves the metrics,
+	// where targets and tables come from a store.
+	Ready netip.AddrPort
+	Admin netip.AddrPort
+	Peers netip.AddrPort
 }
 
 // Platform holds the base URLs of the platform's services.
@@ -74,6 +99,8 @@
 	MaxKeyedBodyBytes int
 	// HeaderTimeout bounds the time a caller takes to send a header.
 	HeaderTimeout time.Duration
+	// MemoryBytes is the memory that the process may take; 0 sets no limit.
+	MemoryBytes int
 	// MaxCallerConnections bounds the connections of all callers.
 	MaxCallerConnections int
 }
@@ -91,6 +118,8 @@
 	DefaultMaxKeyedBodyBytes    = 1 << 20
 	DefaultHeaderTimeout        = 10 * time.Second
 	DefaultMaxCallerConnections = 10_000
+	DefaultRetryRatio           = 0.1
+	DefaultStopGrace            = 30 * time.Second
 	defaultLogLevel             = "info"
 )
 
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -36,7 +36,8 @@
 	// IdleTimeout is how long a kept connection stays open without use.
 	IdleTimeout time.Duration
 	// FreshIdle is how long a kept connection may have been idle to be used
-	// for a request that is not idempotent.
+	// for a request that is not idempotent; a negative value opens a new one
+	// for each.
 	FreshIdle time.Duration
 	// HeaderBytes bounds the header of an answer.
 	HeaderBytes int
@@ -57,7 +58,7 @@
 	if o.IdleTimeout <= 0 {
 		o.IdleTimeout = DefaultIdleTimeout
 	}
-	if o.FreshIdle <= 0 {
+	if o.FreshIdle == 0 {
 		o.FreshIdle = DefaultFreshIdle
 	}
 	if o.HeaderBytes <= 0 {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -23,6 +23,9 @@
 	target    *target
 	idleSince time.Time
 	reused    bool
+	// keepFor is how long the target keeps the connection open without use, 0
+	// when it did not say.
+	keepFor time.Duration
 	// raw holds the header of the last answer.
 	raw []byte
 	// poll and peeked serve live, so that a peek allocates nothing.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"io"
 	"os"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -52,7 +53,7 @@
 	bodyDone bool
 	// skipped: an answer to another request came before the own one.
 	skipped bool
-	body     io.Reader
+	body    io.Reader
 }
 
 func newExchange(c *Client, cn *conn) *Exchange {
@@ -175,11 +176,28 @@
 	return nil
 }
 
+// Drain reads the rest of the answer's body and drops it.
+func (x *Exchange) Drain() error {
+	_, err := io.Copy(io.Discard, x)
+	return err
+}
+
+// Value returns a header line of the answer, whatever the case of its name;
+// "" when there is none or name is empty.
+func (x *Exchange) Value(name string) string {
+	for n, v := range x.resp.Header.All() {
+		if name != "" && strings.EqualFold(string(n), name) {
+			return string(v)
+		}
+	}
+	return ""
+}
+
 // Skip reads an answer that belongs to another request to its end, so that
 // ReadHeader reads the next one. The connection is not kept afterwards.
 func (x *Exchange) Skip() error {
 	x.skipped = true
-	if _, err := io.Copy(io.Discard, x); err != nil {
+	if err := x.Drain(); err != nil {
 		return err
 	}
 	_ = x.resp.CloseBodyStream()
@@ -228,6 +246,9 @@
 	cn := x.conn
 	keep := !cancelled && !x.skipped && x.whole && x.bodyDone && !x.resp.Header.ConnectionClose() && cn.br.Buffered() == 0
 	_ = x.resp.CloseBodyStream()
+	if limit, ok := keepAlive(&x.resp.Header); ok {
+		cn.keepFor = limit
+	}
 	fasthttp.ReleaseResponse(x.resp)
 	x.resp, x.body = nil, nil
 	if !keep {
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -37,7 +37,7 @@
 	defer t.mu.Unlock()
 	if n := len(t.idle); n > 0 {
 		last := t.idle[n-1]
-		if now.Sub(last.idleSince) <= maxIdle {
+		if idle := now.Sub(last.idleSince); idle <= maxIdle && !last.expired(idle) {
 			t.idle[n-1] = nil
 			t.idle = t.idle[:n-1]
 			return last, true
@@ -86,12 +86,17 @@
 func (t *target) closeIdle(now time.Time, maxIdle time.Duration) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n := 0
-	for n < len(t.idle) && now.Sub(t.idle[n].idleSince) > maxIdle {
-		t.idle[n].nc.Close()
-		n++
+	kept := t.idle[:0]
+	for _, cn := range t.idle {
+		if idle := now.Sub(cn.idleSince); idle > maxIdle || cn.expired(idle) {
+			cn.nc.Close()
+			continue
+		}
+		kept = append(kept, cn)
 	}
-	t.idle = append(t.idle[:0], t.idle[n:]...)
+	n := len(t.idle) - len(kept)
+	clear(t.idle[len(kept):])
+	t.idle = kept
 	t.open -= n
 	return n
 }
