--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,7 +29,7 @@
 	// retryFirst is the pause after a reading that failed, retryLongest the
 	// longest; a host must be up to date soon after the store is back.
 	retryFirst   = 100 * time.Millisecond
-	retryLongest = 500 * time.Millisecond
+	retryLongest = 150 * time.Millisecond
 	// mostProblems bounds the log lines about one reading of the register.
 	mostProblems = 3
 )
@@ -42,15 +43,15 @@
 	reads  *prometheus.CounterVec
 
 	tables atomic.Pointer[table.Tables]
-	// kick asks for an update of the placement.
-	kick chan struct{}
+	// mu orders what is handed to the placement.
+	mu sync.Mutex
 	// targets are those of the last reading of the register.
 	targets atomic.Pointer[map[string][]registry.Target]
 }
 
 func newFollower(source Source, placer *placement.Balancer, clock clockwork.Clock, log *zap.Logger, reg prometheus.Registerer) (*follower, error) {
 	f := &follower{
-		source: source, placer: placer, clock: clock, log: log, kick: make(chan struct{}, 1),
+		source: source, placer: placer, clock: clock, log: log,
 		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "chestnut_store_readings_total",
 			Help: "Readings of the store, by what was read and the result.",
@@ -131,13 +132,16 @@
 	if r.Tables == nil {
 		return
 	}
-	before := f.Current().Version
-	if r.Tables.Version <= before {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := f.Current()
+	if r.Tables.Version <= before.Version {
 		return
 	}
+	// Requests that were routed by the tables before still find their pools.
+	f.place(before, r.Tables)
 	f.tables.Store(r.Tables)
-	f.update()
-	f.log.Info("tables in force", zap.Uint64("version", r.Tables.Version), zap.Uint64("before", before),
+	f.log.Info("tables in force", zap.Uint64("version", r.Tables.Version), zap.Uint64("before", before.Version),
 		zap.Int("routes", len(r.Tables.Routes)), zap.Int("pools", len(r.Tables.Pools)))
 }
 
@@ -150,21 +154,30 @@
 		now := f.clock.Now()
 		pause := d.read(now, err)
 		if err == nil {
-			f.takeRegister(now, book, entries, problems)
+			f.noteProblems(problems)
+			f.takeChanges(book, book.Take(now, entries))
 			pause = registerEvery
 		}
-		f.sleep(ctx, pause)
+		next := now.Add(pause)
+		if until, ok := book.WaitsUntil(); ok && until.Before(next) {
+			f.sleep(ctx, until.Sub(now))
+			f.takeChanges(book, book.Expire(f.clock.Now()))
+		}
+		f.sleep(ctx, next.Sub(f.clock.Now()))
 	}
 }
 
-func (f *follower) takeRegister(now time.Time, book *registry.Book, entries []registry.Entry, problems []error) {
+func (f *follower) noteProblems(problems []error) {
 	for i, p := range problems {
 		f.reads.WithLabelValues("entry", "unusable").Inc()
 		if i < mostProblems {
 			f.log.Debug("entry names no target", zap.Error(p))
 		}
 	}
-	changes := book.Take(now, entries)
+}
+
+// takeChanges puts what changed in the register in force.
+func (f *follower) takeChanges(book *registry.Book, changes []registry.Change) {
 	for _, c := range changes {
 		f.log.Info("target "+c.Kind.String(), zap.String("target", c.ID), zap.String("service", c.Service),
 			zap.Stringer("address", c.Addr), zap.Int64("born", c.Born), zap.Int64("sequence", c.Sequence))
@@ -173,36 +186,25 @@
 		return
 	}
 	targets := book.Targets()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.targets.Store(&targets)
-	f.update()
+	f.place(f.Current())
 }
 
-// update asks for an update of the placement.
-func (f *follower) update() {
-	select {
-	case f.kick <- struct{}{}:
-	default:
+// place hands the targets of the pools of some tables to the placement.
+func (f *follower) place(all ...*table.Tables) {
+	targets := f.targets.Load()
+	if targets == nil {
+		return
 	}
-}
-
-// place hands the targets of the pools in force to the placement.
-func (f *follower) place(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-f.kick:
-		}
-		targets := f.targets.Load()
-		if targets == nil {
-			continue
-		}
-		specs := map[string]placement.PoolSpec{}
-		for name, pool := range f.Current().Pools {
+	specs := map[string]placement.PoolSpec{}
+	for _, t := range all {
+		for name, pool := range t.Pools {
 			specs[name] = placement.PoolSpec{HealthPath: pool.HealthPath, Targets: (*targets)[pool.Service]}
 		}
-		f.placer.Update(specs)
 	}
+	f.placer.Update(specs)
 }
 
 func (f *follower) sleep(ctx context.Context, d time.Duration) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -166,7 +166,6 @@
 	g.cancel = cancel
 	g.loops.Go(func() { g.follower.followTables(ctx) })
 	g.loops.Go(func() { g.follower.followRegister(ctx) })
-	g.loops.Go(func() { g.follower.place(ctx) })
 	g.serve("ready", func() error { return g.ready.serve(g.readyLn) })
 	g.serve("callers", func() error { return g.callers.Serve(g.callersLn) })
 	g.log.Info("started", zap.Stringer("callers", g.callersLn.Addr()), zap.Stringer("ready", g.readyLn.Addr()))
--- a/registry/book.go
+++ b/registry/book.go
@@ -12,8 +12,9 @@
 const (
 	// returnGrace is how long after the register came back an entry that
 	// lapsed meanwhile is waited for: targets write again within about two
-	// seconds of the store's return.
-	returnGrace = 2200 * time.Millisecond
+	// seconds of the store's return. It ends before a host that was cut off
+	// alone has to know of every target that left meanwhile.
+	returnGrace = 2 * time.Second
 	// gapAfter is the time without a reading after which entries may have
 	// lapsed: it is shorter than the three heartbeats after which they do.
 	gapAfter = 2500 * time.Millisecond
@@ -22,6 +23,8 @@
 // known is what the book holds of one target.
 type known struct {
 	Target
+	// listedAt is when the entry was last in a reading.
+	listedAt time.Time
 	// missing is true while the entry is missing and waited for.
 	missing bool
 }
@@ -57,19 +60,17 @@
 			changes = append(changes, Change{Target: b.targets[e.ID].Target, Kind: kind})
 		}
 	}
-	changes = append(changes, b.dropUnlisted(now, listed)...)
-	slices.SortFunc(changes, func(x, y Change) int { return strings.Compare(x.ID, y.ID) })
-	return changes
+	return sorted(append(changes, b.dropUnlisted(now, listed)...))
 }
 
 // list takes in an entry and says what it changed.
 func (b *Book) list(now time.Time, e Entry) (ChangeKind, bool) {
 	before := b.targets[e.ID]
 	if before != nil && e.older(before.Entry) {
-		before.missing = false
+		before.missing, before.listedAt = false, now
 		return 0, false
 	}
-	after := &known{Target: Target{Entry: e, ColdUntil: now.Add(e.ColdFor)}}
+	after := &known{Target: Target{Entry: e, ColdUntil: now.Add(e.ColdFor)}, listedAt: now}
 	b.targets[e.ID] = after
 	switch {
 	case before == nil || before.Instance != e.Instance:
@@ -85,13 +86,12 @@
 // dropUnlisted forgets targets whose entry is gone, or marks them missing
 // while they may come back.
 func (b *Book) dropUnlisted(now time.Time, listed map[string]bool) []Change {
-	waits := !b.backSince.IsZero() && now.Sub(b.backSince) < returnGrace
 	var changes []Change
 	for id, k := range b.targets {
 		switch {
 		case listed[id]:
-		case waits && k.missing:
-		case waits && !k.Leaving:
+		case k.missing && now.Before(b.backSince.Add(returnGrace)):
+		case !k.missing && !k.Leaving && b.mayHaveLapsed(now, k):
 			k.missing = true
 			changes = append(changes, Change{Target: k.Target, Kind: Missing})
 		default:
@@ -102,6 +102,43 @@
 	return changes
 }
 
+// mayHaveLapsed says that a missing entry was last seen before a gap that
+// ended a short time ago.
+func (b *Book) mayHaveLapsed(now time.Time, k *known) bool {
+	return k.listedAt.Before(b.backSince) && now.Before(b.backSince.Add(returnGrace))
+}
+
+// WaitsUntil returns when the wait for missing entries ends; ok is false when
+// none is waited for.
+func (b *Book) WaitsUntil() (at time.Time, ok bool) {
+	for _, k := range b.targets {
+		if k.missing {
+			return b.backSince.Add(returnGrace), true
+		}
+	}
+	return time.Time{}, false
+}
+
+// Expire gives up on missing entries whose time has passed.
+func (b *Book) Expire(now time.Time) []Change {
+	if until, ok := b.WaitsUntil(); !ok || now.Before(until) {
+		return nil
+	}
+	var changes []Change
+	for id, k := range b.targets {
+		if k.missing {
+			delete(b.targets, id)
+			changes = append(changes, Change{Target: k.Target, Kind: Gone})
+		}
+	}
+	return sorted(changes)
+}
+
+func sorted(changes []Change) []Change {
+	slices.SortFunc(changes, func(x, y Change) int { return strings.Compare(x.ID, y.ID) })
+	return changes
+}
+
 // Targets returns the targets that may take new work, by service, each list
 // in order of name.
 func (b *Book) Targets() map[string][]Target {
--- a/registry/book_test.go
+++ b/registry/book_test.go
@@ -73,6 +73,21 @@
 		Expect(take(1200*time.Millisecond, entry("t1", 1, 4))).To(Equal(map[string]registry.ChangeKind{"t2": registry.Gone}))
 	})
 
+	It("does not wait for an entry that was there after the gap", func() {
+		Expect(take(8*time.Second, entry("t1", 1, 2), entry("t2", 1, 2))).To(BeEmpty())
+		Expect(take(time.Second, entry("t1", 1, 3))).To(Equal(map[string]registry.ChangeKind{"t2": registry.Gone}))
+	})
+
+	It("gives up on them at the end of the grace without another reading", func() {
+		take(8*time.Second, entry("t1", 1, 2))
+		until, ok := b.WaitsUntil()
+		Expect(ok).To(BeTrue())
+		Expect(b.Expire(until.Add(-time.Millisecond))).To(BeEmpty())
+		Expect(kinds(b.Expire(until))).To(Equal(map[string]registry.ChangeKind{"t2": registry.Gone}))
+		_, ok = b.WaitsUntil()
+		Expect(ok).To(BeFalse())
+	})
+
 	It("does not wait for a target that had said that it leaves", func() {
 		take(time.Second, leaving(entry("t1", 1, 2)), entry("t2", 1, 2))
 		Expect(take(8*time.Second, entry("t2", 1, 3))).To(HaveKeyWithValue("t1", registry.Gone))
