placement: one queue a pool, a budget of questions, unknown targets are not idle ones

Change: requests that wait for room stand in one queue a pool; one dispatcher wakes when a call of this host ends (its answer reports a slot that has just become free) or a look is due; questions draw on the host's part of the bound. Waiting requests are ordered by rank, then those that can still meet their objective, then by the time left.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -124,12 +124,13 @@
 func newPlacement(i do.Injector) (*placement.Balancer, error) {
 	o, s := do.MustInvoke[Options](i), do.MustInvoke[*settings.Settings](i)
 	return placement.New(placement.Options{
-		Asker:         placement.HTTPAsker{Client: do.MustInvoke[*upstream.Client](i), Dialect: o.Dialect},
-		FailureDomain: s.Host.FailureDomain,
-		ParseLoad:     o.Dialect.ParseLoad,
-		Seed:          xxhash.Sum64String(s.Host.Name),
-		Clock:         o.Clock,
-		Registerer:    o.Registry,
+		Asker:              placement.HTTPAsker{Client: do.MustInvoke[*upstream.Client](i), Dialect: o.Dialect},
+		FailureDomain:      s.Host.FailureDomain,
+		ParseLoad:          o.Dialect.ParseLoad,
+		QuestionsPerSecond: s.Bounds.ProbesPerSecond, Hosts: func() int { return 18 },
+		Seed:       xxhash.Sum64String(s.Host.Name),
+		Clock:      o.Clock,
+		Registerer: o.Registry,
 	})
 }
 
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -47,6 +47,13 @@
 	enc.AddString("verdict", a.Verdict.String())
 	enc.AddDuration("after", a.After)
 	enc.AddDuration("latency", a.Latency)
+	if b := a.Basis; b != nil {
+		enc.AddInt("present", b.Present)
+		enc.AddInt("slots", b.Slots)
+		enc.AddFloat64("slowdown", b.Slowdown)
+		enc.AddDuration("report_age", b.Age)
+		enc.AddFloat64("cost", b.Cost)
+	}
 	if a.Error != "" {
 		enc.AddString("error", a.Error)
 	}
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -22,6 +23,8 @@
 const (
 	// DefaultAsked is the number of targets that are asked for a request.
 	DefaultAsked = 5
+	// DefaultQuestions is the bound of questions a second to one target.
+	DefaultQuestions = 20.0
 	// askTimeout bounds the wait for reports: several times the way to a
 	// target in another failure domain, short against a request's work.
 	askTimeout = 12 * time.Millisecond
@@ -40,6 +43,11 @@
 	// Asked is the number of targets that are asked for a request; 0 selects
 	// DefaultAsked.
 	Asked int
+	// QuestionsPerSecond bounds the questions to one target, all hosts
+	// together; 0 selects DefaultQuestions.
+	QuestionsPerSecond float64
+	// Hosts is the number of hosts that share the bound; nil stands for one.
+	Hosts func() int
 	// Seed makes choices repeatable.
 	Seed uint64
 	// Clock is the clock of decisions; nil selects the real one.
@@ -68,6 +76,9 @@
 	if o.Clock == nil {
 		o.Clock = clockwork.NewRealClock()
 	}
+	if o.QuestionsPerSecond <= 0 {
+		o.QuestionsPerSecond = DefaultQuestions
+	}
 	if o.Asked <= 0 {
 		o.Asked = DefaultAsked
 	}
@@ -95,25 +106,38 @@
 	for name, spec := range specs {
 		p := old[name]
 		if p == nil {
-			p = &pool{rng: rand.New(rand.NewPCG(b.opts.Seed, uint64(len(name))))}
+			p = newPool(rand.New(rand.NewPCG(b.opts.Seed, xxhash.Sum64String(name))))
 		}
 		p.update(spec.HealthPath, spec.Targets)
+		p.budget.set(b.questionRate(len(spec.Targets)))
 		next[name] = p
 	}
 	b.pools.Store(&next)
 }
 
+// questionRate is this host's part of the questions a second that the targets
+// of a pool may be asked.
+func (b *Balancer) questionRate(targets int) float64 {
+	hosts := 1
+	if b.opts.Hosts != nil {
+		hosts = max(b.opts.Hosts(), 1)
+	}
+	return b.opts.QuestionsPerSecond * float64(targets) / float64(hosts)
+}
+
 // Pick chooses by what is known already, without asking.
 func (b *Balancer) Pick(q ports.PickQuery) (ports.Attempt, bool) {
 	p := (*b.pools.Load())[q.Pool]
 	if p == nil {
 		return nil, false
 	}
-	t, v := p.choose(q.Now, p.candidates(q.Now, b.opts.Asked, b.opts.FailureDomain, q.Exclude), b.opts.FailureDomain)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t, v := p.best(q.Now, b.opts.FailureDomain, q.Exclude)
 	if t == nil {
 		return nil, false
 	}
-	return b.dispatch(p, t, v), true
+	return b.sendTo(p, t, v), true
 }
 
 // Place implements ports.Placer.
@@ -122,28 +146,44 @@
 	if p == nil {
 		return nil, b.refuse(q, outcome.NoTarget, noTargetReturn)
 	}
-	for looks := 0; ; looks++ {
-		t, v := b.look(ctx, p, q.Exclude)
-		if t == nil {
-			return nil, b.refuse(q, outcome.NoTarget, noTargetReturn)
-		}
-		s := situation{
-			now: b.opts.Clock.Now(), received: q.Received, deadline: q.Deadline,
-			objective: q.Route.Objective, work: p.usualWork(), beside: q.Beside, best: v,
-		}
-		switch s.decide() {
-		case send:
-			b.metrics.placed(q.Pool, s.now.Sub(q.Received))
-			return b.dispatch(p, t, v), nil
-		case refuse:
-			return nil, b.refuse(q, outcome.QueueFull, s.comeBack())
-		}
-		select {
-		case <-ctx.Done():
-			return nil, b.refuse(q, outcome.DeadlinePassed, 0)
-		case <-b.opts.Clock.After(b.pause()):
+	if !p.crowded() || q.Beside {
+		if result, done := b.placeNow(ctx, p, q); done {
+			return result.give()
 		}
 	}
+	w := &waiter{q: q, placed: make(chan placed, 1)}
+	b.enqueue(p, w)
+	select {
+	case result := <-w.placed:
+		return result.give()
+	case <-ctx.Done():
+		p.leave(w)
+	}
+	// The dispatcher may have placed it meanwhile.
+	select {
+	case result := <-w.placed:
+		return result.give()
+	default:
+		return nil, b.refuse(q, outcome.DeadlinePassed, 0)
+	}
+}
+
+// placeNow asks a few targets and decides, unless the request has to wait.
+func (b *Balancer) placeNow(ctx context.Context, p *pool, q ports.PlaceQuery) (placed, bool) {
+	among := b.ask(ctx, p, b.draw(p, q.Exclude))
+	now := b.opts.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t, v := p.bestOf(now, among, b.opts.FailureDomain)
+	return b.settle(p, q, t, v, now)
+}
+
+// give returns the result in the form of ports.Placer.
+func (r placed) give() (ports.Attempt, *ports.Refusal) {
+	if r.refusal != nil {
+		return nil, r.refusal
+	}
+	return r.attempt, nil
 }
 
 // pause spreads the looks of waiting requests.
@@ -156,30 +196,24 @@
 	return &ports.Refusal{Reason: reason, RetryAfter: after}
 }
 
-// look asks a few targets and returns the best of those that answered in time.
-func (b *Balancer) look(ctx context.Context, p *pool, exclude []netip.AddrPort) (*target, view) {
+// draw returns the targets to ask for a request.
+func (b *Balancer) draw(p *pool, exclude []netip.AddrPort) []*target {
 	now := b.opts.Clock.Now()
-	among := p.candidates(now, b.opts.Asked, b.opts.FailureDomain, exclude)
-	if len(among) == 0 {
-		return nil, view{}
-	}
-	answered := b.ask(ctx, p, among)
-	if len(answered) == 0 {
-		answered = among
-	}
-	return p.choose(b.opts.Clock.Now(), answered, b.opts.FailureDomain)
+	return p.candidates(now, b.opts.Asked, b.opts.FailureDomain, exclude)
 }
 
-// ask returns the targets whose reports are fresh after asking the others.
+// ask returns the targets whose reports are fresh after asking the others, or
+// all of them when none answers in time or asking would exceed the budget.
 func (b *Balancer) ask(ctx context.Context, p *pool, among []*target) []*target {
 	path, silent := p.asks()
 	if silent {
 		return among
 	}
 	now := b.opts.Clock.Now()
-	fresh, old := lo.FilterReject(among, func(t *target, _ int) bool { return p.fresh(now, t) })
+	fresh, old := p.split(now, among)
+	old = old[:p.budget.take(now, len(old))]
 	if len(old) == 0 {
-		return fresh
+		return lo.Ternary(len(fresh) > 0, fresh, among)
 	}
 	// A question outlives the wait for it: its answer may serve others.
 	askCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), questionTimeout)
@@ -198,12 +232,12 @@
 				fresh = append(fresh, t)
 			}
 		case <-late.Chan():
-			return fresh
+			return lo.Ternary(len(fresh) > 0, fresh, among)
 		case <-ctx.Done():
-			return fresh
+			return lo.Ternary(len(fresh) > 0, fresh, among)
 		}
 	}
-	return fresh
+	return lo.Ternary(len(fresh) > 0, fresh, among)
 }
 
 // questionTimeout bounds one question; its connection is closed then.
@@ -224,9 +258,12 @@
 	return t
 }
 
-func (b *Balancer) dispatch(p *pool, t *target, v view) *attempt {
-	p.send(t)
-	return &attempt{balancer: b, pool: p, target: t, cost: v.cost()}
+// sendTo counts a call that is about to be sent. The caller holds the pool's
+// lock.
+func (b *Balancer) sendTo(p *pool, t *target, v view) *attempt {
+	t.inFlight++
+	t.sinceReport++
+	return &attempt{balancer: b, pool: p, target: t, basis: v.basis()}
 }
 
 // attempt is one dispatch; it implements ports.IdentifiedAttempt.
@@ -234,11 +271,14 @@
 	balancer *Balancer
 	pool     *pool
 	target   *target
-	cost     float64
+	basis    ports.Basis
 	ended    atomic.Bool
 }
 
-var _ ports.IdentifiedAttempt = (*attempt)(nil)
+var (
+	_ ports.IdentifiedAttempt = (*attempt)(nil)
+	_ ports.ReasonedAttempt   = (*attempt)(nil)
+)
 
 // Target returns the address to send to.
 func (a *attempt) Target() netip.AddrPort { return a.target.Addr }
@@ -246,6 +286,9 @@
 // Identity returns the name of the target.
 func (a *attempt) Identity() string { return a.target.ID }
 
+// Basis returns what the choice rested on.
+func (a *attempt) Basis() ports.Basis { return a.basis }
+
 // Done ends the attempt; only the first call counts.
 func (a *attempt) Done(now time.Time, f ports.Feedback) {
 	if !a.ended.CompareAndSwap(false, true) {
@@ -257,5 +300,5 @@
 			report = &r
 		}
 	}
-	a.pool.ended(now, a.target, a.cost, f, report)
+	a.pool.ended(now, a.target, a.basis.Cost, f, report)
 }
--- a/placement/estimate.go
+++ b/placement/estimate.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/chestnutfield/chestnutfield/ports"
 )
 
 // Shape of the time that a target needs, in multiples of the work of a usual
@@ -21,10 +23,10 @@
 	// farFactor is added for a target in another failure domain: the way there
 	// and back, and the bytes across.
 	farFactor = 0.15
-	// ageFactor is added for a report of each ageUnit of age: others may have
-	// sent work meanwhile.
-	ageFactor = 0.05
-	ageUnit   = 5 * time.Millisecond
+	// ageFactor is added for a report of ageUnit of age or more, in proportion
+	// below: others may have sent work meanwhile.
+	ageFactor = 0.5
+	ageUnit   = 100 * time.Millisecond
 )
 
 // view is what is known of a target at the moment of a choice.
@@ -46,6 +48,10 @@
 // free says that a request would find a free slot.
 func (v view) free() bool { return v.present < v.slots }
 
+func (v view) basis() ports.Basis {
+	return ports.Basis{Present: v.present, Slots: v.slots, Slowdown: v.slowdown, Age: v.age, Cost: v.cost()}
+}
+
 // cost is the expected time of a request in multiples of usual work.
 func (v view) cost() float64 {
 	slots := float64(max(v.slots, 1))
@@ -70,5 +76,5 @@
 	if v.far {
 		work += farFactor
 	}
-	return work + ageFactor*float64(v.age)/float64(ageUnit)
+	return work + ageFactor*min(float64(v.age)/float64(ageUnit), 1)
 }
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -18,6 +18,9 @@
 	// reuseFor is the age up to which a report is used again: shorter than the
 	// time in which a target's speed or load is likely to change.
 	reuseFor = 4 * time.Millisecond
+	// staleAfter is the age from which a report says nothing any more: the
+	// work that it counted has ended.
+	staleAfter = 300 * time.Millisecond
 	// workWeight is the weight of one call in the usual time of work.
 	workWeight = 0.05
 	// firstWork is the usual time of work before any call has ended.
@@ -49,8 +52,17 @@
 	// work is the usual time of a request on an idle target.
 	work time.Duration
 	rng  *rand.Rand
+	// budget bounds the questions.
+	budget budget
+	// waiters wait for room; dispatching is true while a dispatcher runs, and
+	// wake tells it that a call has ended.
+	waiters     []*waiter
+	dispatching bool
+	wake        chan struct{}
 }
 
+func newPool(rng *rand.Rand) *pool { return &pool{rng: rng, wake: make(chan struct{}, 1)} }
+
 // update replaces the targets; what is known of an instance stays.
 func (p *pool) update(healthPath string, targets []registry.Target) {
 	p.mu.Lock()
@@ -71,11 +83,7 @@
 func (p *pool) candidates(now time.Time, n int, domain string, exclude []netip.AddrPort) []*target {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	usable := lo.Filter(p.targets, func(t *target, _ int) bool { return !slices.Contains(exclude, t.Addr) })
-	open := lo.Filter(usable, func(t *target, _ int) bool { return t.health.open(now, t.inFlight) })
-	if len(open) == 0 {
-		open = usable
-	}
+	open := p.open(now, exclude)
 	p.rng.Shuffle(len(open), func(i, j int) { open[i], open[j] = open[j], open[i] })
 	near, far := lo.FilterReject(open, func(t *target, _ int) bool { return t.FailureDomain == domain })
 	fromNear := min(len(near), max((n+1)/2, n-len(far)))
@@ -91,11 +99,20 @@
 	t.report, t.reportAt, t.sinceReport = r, now, 0
 }
 
-// fresh says that the last report may be used as it is.
-func (p *pool) fresh(now time.Time, t *target) bool {
+// split parts targets by whether their last report may be used as it is.
+func (p *pool) split(now time.Time, among []*target) (fresh, old []*target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !t.reportAt.IsZero() && now.Sub(t.reportAt) <= reuseFor
+	return lo.FilterReject(among, func(t *target, _ int) bool {
+		return !t.reportAt.IsZero() && now.Sub(t.reportAt) <= reuseFor
+	})
+}
+
+// crowded says that requests wait for room already.
+func (p *pool) crowded() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.waiters) > 0
 }
 
 // view is what is known of a target now. The caller holds the lock.
@@ -104,10 +121,13 @@
 		slots: max(t.Slots, 1), cold: now.Before(t.ColdUntil),
 		far: t.FailureDomain != domain, failures: t.health.failures, present: t.inFlight,
 	}
-	if t.reportAt.IsZero() {
+	v.age = staleAfter
+	if !t.reportAt.IsZero() {
+		v.age = min(now.Sub(t.reportAt), staleAfter)
+	}
+	if v.age == staleAfter {
 		return v
 	}
-	v.age = now.Sub(t.reportAt)
 	if t.report.Slots > 0 {
 		v.slots = t.report.Slots
 	}
@@ -118,10 +138,9 @@
 	return v
 }
 
-// choose returns the target of the least cost and what is known of it.
-func (p *pool) choose(now time.Time, among []*target, domain string) (*target, view) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// bestOf returns the target of the least cost and what is known of it. The
+// caller holds the lock.
+func (p *pool) bestOf(now time.Time, among []*target, domain string) (*target, view) {
 	var best *target
 	var at view
 	for _, t := range among {
@@ -132,18 +151,25 @@
 	return best, at
 }
 
-// send counts a call that is about to be sent.
-func (p *pool) send(t *target) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	t.inFlight++
-	t.sinceReport++
+// best returns the best of all targets that may be chosen. The caller holds
+// the lock.
+func (p *pool) best(now time.Time, domain string, exclude []netip.AddrPort) (*target, view) {
+	return p.bestOf(now, p.open(now, exclude), domain)
 }
 
-// usualWork returns the usual time of work.
-func (p *pool) usualWork() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// open returns the targets that may be chosen; when all are set aside, they
+// all may. The caller holds the lock.
+func (p *pool) open(now time.Time, exclude []netip.AddrPort) []*target {
+	usable := lo.Filter(p.targets, func(t *target, _ int) bool { return !slices.Contains(exclude, t.Addr) })
+	open := lo.Filter(usable, func(t *target, _ int) bool { return t.health.open(now, t.inFlight) })
+	if len(open) == 0 {
+		return usable
+	}
+	return open
+}
+
+// usualWorkLocked returns the usual time of work. The caller holds the lock.
+func (p *pool) usualWorkLocked() time.Duration {
 	if p.work == 0 {
 		return firstWork
 	}
@@ -157,6 +183,12 @@
 	defer p.mu.Unlock()
 	t.inFlight--
 	t.health.ended(now, f)
+	if p.dispatching {
+		select {
+		case p.wake <- struct{}{}:
+		default:
+		}
+	}
 	if r != nil {
 		t.report, t.reportAt, t.sinceReport = *r, now, 0
 	}
--- /dev/null
+++ b/placement/queue.go
@@ -0,0 +1,131 @@
+package placement
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/chestnutfield/chestnutfield/outcome"
+	"github.com/chestnutfield/chestnutfield/ports"
+)
+
+// waiter is a request that waits for room in a pool.
+type waiter struct {
+	q ports.PlaceQuery
+	// placed is given the result; it has room for one.
+	placed chan placed
+	// result is set under the pool's lock once the waiter left the queue.
+	left bool
+}
+
+// placed is what became of a waiter.
+type placed struct {
+	attempt *attempt
+	refusal *ports.Refusal
+}
+
+// hope says what a caller can still gain: requests that can meet their
+// objective go before those that can only be late.
+func hope(now time.Time, q ports.PlaceQuery, work time.Duration) int {
+	if q.Route.Objective <= 0 || now.Add(work).Before(q.Received.Add(q.Route.Objective)) {
+		return 0
+	}
+	return 1
+}
+
+// order sorts waiters for the heaviest load, when not all can be served in
+// time: by rank; then those that can still meet their objective before those
+// that can't, so that a request that is late anyway takes no slot from one
+// that is not; then by the time left.
+func order(now time.Time, work time.Duration, waiters []*waiter) {
+	slices.SortStableFunc(waiters, func(a, b *waiter) int {
+		return cmp.Or(
+			cmp.Compare(a.q.Route.Rank, b.q.Route.Rank),
+			cmp.Compare(hope(now, a.q, work), hope(now, b.q, work)),
+			a.q.Received.Add(a.q.Route.Objective).Compare(b.q.Received.Add(b.q.Route.Objective)),
+		)
+	})
+}
+
+// enqueue puts a waiter in the queue and starts the pool's dispatcher when
+// none runs.
+func (b *Balancer) enqueue(p *pool, w *waiter) {
+	p.mu.Lock()
+	p.waiters = append(p.waiters, w)
+	start := !p.dispatching
+	p.dispatching = true
+	p.mu.Unlock()
+	if start {
+		go b.dispatchWaiters(p)
+	}
+}
+
+// leave takes a waiter that has gone out of the queue.
+func (p *pool) leave(w *waiter) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w.left = true
+	p.waiters = slices.DeleteFunc(p.waiters, func(x *waiter) bool { return x == w })
+}
+
+// dispatchWaiters places waiting requests whenever a call of this host ends or
+// a look at the targets is due, until nobody waits.
+func (b *Balancer) dispatchWaiters(p *pool) {
+	ctx := context.Background()
+	for {
+		if !b.match(p) {
+			return
+		}
+		select {
+		case <-p.wake:
+		case <-b.opts.Clock.After(b.pause()):
+			b.ask(ctx, p, b.draw(p, nil))
+		}
+	}
+}
+
+// match places or refuses the waiters for whom that can be decided; it
+// returns false when none is left.
+func (b *Balancer) match(p *pool) bool {
+	now := b.opts.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	order(now, p.usualWorkLocked(), p.waiters)
+	kept := p.waiters[:0]
+	for _, w := range p.waiters {
+		t, v := p.best(now, b.opts.FailureDomain, w.q.Exclude)
+		result, done := b.settle(p, w.q, t, v, now)
+		if done {
+			w.left = true
+			w.placed <- result
+			continue
+		}
+		kept = append(kept, w)
+	}
+	clear(p.waiters[len(kept):])
+	p.waiters = kept
+	p.dispatching = len(kept) > 0
+	return p.dispatching
+}
+
+// settle decides about one request with the best target there is. The caller
+// holds the pool's lock.
+func (b *Balancer) settle(p *pool, q ports.PlaceQuery, t *target, v view, now time.Time) (placed, bool) {
+	if t == nil {
+		return placed{refusal: b.refuse(q, outcome.NoTarget, noTargetReturn)}, true
+	}
+	s := situation{
+		now: now, received: q.Received, deadline: q.Deadline, objective: q.Route.Objective,
+		work: p.usualWorkLocked(), beside: q.Beside, best: v,
+	}
+	switch s.decide() {
+	case send:
+		b.metrics.placed(q.Pool, now.Sub(q.Received))
+		return placed{attempt: b.sendTo(p, t, v)}, true
+	case refuse:
+		return placed{refusal: b.refuse(q, outcome.QueueFull, s.comeBack())}, true
+	default:
+		return placed{}, false
+	}
+}
--- a/ports/ports.go
+++ b/ports/ports.go
@@ -140,6 +140,25 @@
 	Identity() string
 }
 
+// Basis is what the choice of a target rested on.
+type Basis struct {
+	// Present is the number of requests believed to be at the target, Slots
+	// the number that it serves at once.
+	Present, Slots int
+	// Slowdown is how many times as long as usual work takes there, 0 when
+	// unknown.
+	Slowdown float64
+	// Age is the age of the report, Cost what the choice compared.
+	Age  time.Duration
+	Cost float64
+}
+
+// ReasonedAttempt is an Attempt that says what its choice rested on.
+type ReasonedAttempt interface {
+	Attempt
+	Basis() Basis
+}
+
 // Feedback is what an attempt taught about its target.
 type Feedback struct {
 	Result
--- a/proxy/requestlog.go
+++ b/proxy/requestlog.go
@@ -44,6 +44,8 @@
 type AttemptRecord struct {
 	Target   netip.AddrPort
 	Identity string
+	// Basis is what the choice of the target rested on, nil when unknown.
+	Basis *ports.Basis
 	// Verdict is zero while the attempt has not ended.
 	Verdict ports.Verdict
 	// Error says why the attempt failed; "" when it did not.
@@ -84,6 +86,10 @@
 		Target: t.attempt.Target(), Identity: identityOf(t.attempt),
 		Verdict: t.feedback.Verdict, Latency: t.feedback.Latency,
 	}
+	if a, ok := t.attempt.(ports.ReasonedAttempt); ok {
+		basis := a.Basis()
+		r.Basis = &basis
+	}
 	if !t.started.IsZero() {
 		r.After = t.started.Sub(received)
 	}
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -43,7 +43,8 @@
 	{"listen", "callers", always, "IP:PORT", addr(func(s *Settings) *netip.AddrPort { return &s.Listen.Callers })},
 	{"listen", "ready", withStore, "IP:PORT", addr(func(s *Settings) *netip.AddrPort { return &s.Listen.Ready })},
 	{"store", "address", optional, "IP:PORT", addr(func(s *Settings) *netip.AddrPort { return &s.Store.Address })},
-	{"bounds", "retry_ratio", optional, "a number from 0 to 1", ratio(func(s *Settings) *float64 { return &s.Bounds.RetryRatio })},
+	{"bounds", "retry_ratio", optional, "a number from 0 to 1", amount(1, func(s *Settings) *float64 { return &s.Bounds.RetryRatio })},
+	{"bounds", "probes_per_second", optional, "a number from 0 to 10000", amount(10_000, func(s *Settings) *float64 { return &s.Bounds.ProbesPerSecond })},
 	{"bounds", "stop_grace", optional, "a duration from 1s to 1h", duration(time.Second, time.Hour, func(s *Settings) *time.Duration { return &s.Bounds.StopGrace })},
 	{"limits", "memory_bytes", optional, "a number from 0 to 1099511627776", number(0, 1<<40, func(s *Settings) *int { return &s.Limits.MemoryBytes })},
 	{"listen", "admin", withoutStore, "IP:PORT", addr(func(s *Settings) *netip.AddrPort { return &s.Listen.Admin })},
@@ -157,13 +158,13 @@
 	}
 }
 
-func ratio(at func(*Settings) *float64) func(*Settings, string) error {
+func amount(highest float64, at func(*Settings) *float64) func(*Settings, string) error {
 	return func(s *Settings, v string) error {
 		f, err := strconv.ParseFloat(v, 64)
 		if err != nil {
 			return err
 		}
-		if !(f >= 0 && f <= 1) {
+		if !(f >= 0 && f <= highest) {
 			return errValue
 		}
 		*at(s) = f
