mesh, roster, news, desk: hosts know each other; one reads the store for all, one places the requests of a pool

Hosts announce themselves in the store and talk over UDP (mesh, CBOR). They agree on a reader and on a desk for each pool by weighted rendezvous hashing (roster). The reader's readings are asked for by the others, with their age; who gets none that are recent reads the store itself (news). A desk chooses the target of a request; the host that received the request sends it there and tells the desk how it ended (desk).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,11 +13,17 @@
 	"github.com/samber/do/v2"
 	"go.uber.org/zap"
 
+	"github.com/chestnutfield/chestnutfield/desk"
 	"github.com/chestnutfield/chestnutfield/dialect"
+	"github.com/chestnutfield/chestnutfield/mesh"
+	"github.com/chestnutfield/chestnutfield/news"
 	"github.com/chestnutfield/chestnutfield/placement"
 	"github.com/chestnutfield/chestnutfield/proxy"
+	"github.com/chestnutfield/chestnutfield/registry"
 	"github.com/chestnutfield/chestnutfield/retry"
+	"github.com/chestnutfield/chestnutfield/roster"
 	"github.com/chestnutfield/chestnutfield/settings"
+	"github.com/chestnutfield/chestnutfield/table"
 	"github.com/chestnutfield/chestnutfield/upstream"
 )
 
@@ -41,7 +47,7 @@
 // Options are what an embedder brings. Source, Dialect and ReadyPath are
 // required.
 type Options struct {
-	Source  Source
+	Source  news.Source
 	Dialect dialect.Dialect
 	// ReadyPath is where the deployment asks whether the host is ready.
 	ReadyPath string
@@ -57,7 +63,8 @@
 type Gateway struct {
 	settings  *settings.Settings
 	log       *zap.Logger
-	follower  *follower
+	follower  *news.Follower
+	node      *mesh.Node
 	callers   *proxy.Server
 	ready     *readyServer
 	clock     clockwork.Clock
@@ -88,18 +95,26 @@
 	do.ProvideValue(i, o)
 	do.Provide(i, newClient)
 	do.Provide(i, newPlacement)
-	do.Provide(i, provideFollower)
+	do.Provide(i, newNode)
+	do.Provide(i, newRoster)
+	do.Provide(i, newDesk)
+	do.Provide(i, newFollower)
 	do.Provide(i, newCallers)
 	callers, err := do.Invoke[*proxy.Server](i)
 	if err != nil {
 		return nil, errors.Wrap(err, "assemble gateway")
 	}
-	f := do.MustInvoke[*follower](i)
+	f, node := do.MustInvoke[*news.Follower](i), do.MustInvoke[*mesh.Node](i)
+	desk.Serve(node, do.MustInvoke[*placement.Balancer](i), o.Clock, o.Logger)
 	g := &Gateway{
-		settings: s, log: o.Logger, follower: f, callers: callers, clock: o.Clock,
-		ready: newReadyServer(o.ReadyPath, f.configured, o.Registry),
+		settings: s, log: o.Logger, follower: f, node: node, callers: callers, clock: o.Clock,
+		ready: newReadyServer(o.ReadyPath, f.Configured, o.Registry),
 	}
-	return g, g.listen()
+	if err := g.listen(); err != nil {
+		node.Close()
+		return nil, err
+	}
+	return g, nil
 }
 
 func (g *Gateway) listen() (err error) {
@@ -121,22 +136,72 @@
 	}), nil
 }
 
+func newRoster(i do.Injector) (*roster.Roster, error) {
+	s := do.MustInvoke[*settings.Settings](i)
+	return roster.New(roster.Host{
+		Name: s.Host.Name, Addr: s.Listen.Peers, FailureDomain: s.Host.FailureDomain, Strength: s.Host.Strength,
+	}), nil
+}
+
+func newNode(i do.Injector) (*mesh.Node, error) {
+	o, s := do.MustInvoke[Options](i), do.MustInvoke[*settings.Settings](i)
+	return mesh.Listen(s.Listen.Peers, o.Logger, o.Registry)
+}
+
+// The parts of the questions about a pool that its desk and all other hosts
+// together may ask.
+const (
+	deskQuestions  = 0.7
+	otherQuestions = 0.25
+)
+
 func newPlacement(i do.Injector) (*placement.Balancer, error) {
 	o, s := do.MustInvoke[Options](i), do.MustInvoke[*settings.Settings](i)
+	hosts := do.MustInvoke[*roster.Roster](i)
 	return placement.New(placement.Options{
 		Asker:              placement.HTTPAsker{Client: do.MustInvoke[*upstream.Client](i), Dialect: o.Dialect},
 		FailureDomain:      s.Host.FailureDomain,
 		ParseLoad:          o.Dialect.ParseLoad,
-		QuestionsPerSecond: s.Bounds.ProbesPerSecond, Hosts: func() int { return 18 },
+		QuestionsPerSecond: s.Bounds.ProbesPerSecond,
+		Share: func(pool string) float64 {
+			if hosts.Order(o.Clock.Now(), desk.Task(pool))[0].Name == s.Host.Name {
+				return deskQuestions
+			}
+			return otherQuestions / float64(hosts.Count())
+		},
 		Seed:       xxhash.Sum64String(s.Host.Name),
 		Clock:      o.Clock,
 		Registerer: o.Registry,
 	})
 }
 
-func provideFollower(i do.Injector) (*follower, error) {
-	o := do.MustInvoke[Options](i)
-	return newFollower(o.Source, do.MustInvoke[*placement.Balancer](i), o.Clock, o.Logger, o.Registry)
+func newDesk(i do.Injector) (*desk.Client, error) {
+	o, s := do.MustInvoke[Options](i), do.MustInvoke[*settings.Settings](i)
+	return desk.NewClient(desk.Options{
+		Node: do.MustInvoke[*mesh.Node](i), Roster: do.MustInvoke[*roster.Roster](i),
+		Local: do.MustInvoke[*placement.Balancer](i), FailureDomain: s.Host.FailureDomain,
+		Clock: o.Clock, Logger: o.Logger, Registerer: o.Registry,
+	})
+}
+
+func newFollower(i do.Injector) (*news.Follower, error) {
+	o, placer := do.MustInvoke[Options](i), do.MustInvoke[*placement.Balancer](i)
+	return news.New(news.Options{
+		Source: o.Source, Node: do.MustInvoke[*mesh.Node](i), Roster: do.MustInvoke[*roster.Roster](i),
+		Place: func(targets map[string][]registry.Target, all ...*table.Tables) { placer.Update(specs(targets, all)) },
+		Clock: o.Clock, Logger: o.Logger, Registerer: o.Registry,
+	})
+}
+
+// specs are the pools of some tables with their targets.
+func specs(targets map[string][]registry.Target, all []*table.Tables) map[string]placement.PoolSpec {
+	out := map[string]placement.PoolSpec{}
+	for _, t := range all {
+		for name, pool := range t.Pools {
+			out[name] = placement.PoolSpec{HealthPath: pool.HealthPath, Targets: targets[pool.Service]}
+		}
+	}
+	return out
 }
 
 func newCallers(i do.Injector) (*proxy.Server, error) {
@@ -147,10 +212,10 @@
 	if err != nil {
 		return nil, err
 	}
-	f := do.MustInvoke[*follower](i)
+	f := do.MustInvoke[*news.Follower](i)
 	return proxy.New(proxy.Options{
-		Tables: f, Configured: f.configured,
-		Balancer: do.MustInvoke[*placement.Balancer](i), Retries: budget,
+		Tables: f, Configured: f.Configured,
+		Balancer: do.MustInvoke[*desk.Client](i), Retries: budget,
 		Client: do.MustInvoke[*upstream.Client](i), Dialect: &o.Dialect,
 		Clock: o.Clock, Registerer: o.Registry, Logger: o.Logger,
 		RequestLog: requestLog{o.Logger},
@@ -165,8 +230,8 @@
 func (g *Gateway) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
-	g.loops.Go(func() { g.follower.followTables(ctx) })
-	g.loops.Go(func() { g.follower.followRegister(ctx) })
+	g.loops.Go(func() { g.follower.Run(ctx) })
+	g.serve("mesh", g.node.Run)
 	g.serve("ready", func() error { return g.ready.serve(g.readyLn) })
 	g.serve("callers", func() error { return g.callers.Serve(g.callersLn) })
 	g.log.Info("started", zap.Stringer("callers", g.callersLn.Addr()), zap.Stringer("ready", g.readyLn.Addr()))
@@ -200,6 +265,7 @@
 	err := g.callers.Shutdown(ctx)
 	g.cancel()
 	_ = g.ready.http.Shutdown()
+	_ = g.node.Close()
 	g.log.Info("stopped", zap.Error(err))
 	return err
 }
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -53,6 +53,9 @@
 		enc.AddFloat64("slowdown", b.Slowdown)
 		enc.AddDuration("report_age", b.Age)
 		enc.AddFloat64("cost", b.Cost)
+		if b.By != "" {
+			enc.AddString("placed_by", b.By)
+		}
 	}
 	if a.Error != "" {
 		enc.AddString("error", a.Error)
--- /dev/null
+++ b/news/message.go
@@ -0,0 +1,70 @@
+package news
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/chestnutfield/chestnutfield/mesh"
+	"github.com/chestnutfield/chestnutfield/registry"
+)
+
+// kindSync is the question for news.
+const kindSync mesh.Kind = 20
+
+// question asks what changed since the versions that the asker has.
+type question struct {
+	_        struct{} `cbor:",toarray"`
+	Register uint64
+}
+
+// answer tells it. Ages are in milliseconds.
+type answer struct {
+	_ struct{} `cbor:",toarray"`
+	// Register is the version of the reading, RegisterAge its age.
+	Register    uint64
+	RegisterAge int64
+	// Known is false when the changes since the asker's version are not known
+	// or too many.
+	Known   bool
+	Changed []entry
+	Dropped []string
+	// Tables is the version in force, TablesAge the time since the store
+	// confirmed it.
+	Tables    uint64
+	TablesAge int64
+	// Hosts is a hash over the hosts known.
+	Hosts uint64
+}
+
+// entry is a registry.Entry on the wire.
+type entry struct {
+	_             struct{} `cbor:",toarray"`
+	ID            string
+	Born          int64
+	Service       string
+	Addr          netip.AddrPort
+	FailureDomain string
+	Slots         int
+	Leaving       bool
+	ColdFor       int64
+	Sequence      int64
+}
+
+func toWire(e registry.Entry, _ int) entry {
+	return entry{
+		ID: e.ID, Born: e.Born, Service: e.Service, Addr: e.Addr, FailureDomain: e.FailureDomain,
+		Slots: e.Slots, Leaving: e.Leaving, ColdFor: e.ColdFor.Milliseconds(), Sequence: e.Sequence,
+	}
+}
+
+func fromWire(e entry, _ int) registry.Entry {
+	return registry.Entry{
+		Instance: registry.Instance{ID: e.ID, Born: e.Born}, Service: e.Service, Addr: e.Addr,
+		FailureDomain: e.FailureDomain, Slots: e.Slots, Leaving: e.Leaving,
+		ColdFor: time.Duration(e.ColdFor) * time.Millisecond, Sequence: e.Sequence,
+	}
+}
+
+func (a answer) changed() []registry.Entry { return lo.Map(a.Changed, fromWire) }
--- a/gateway/source.go
+++ b/news/source.go
@@ -1,4 +1,4 @@
-package gateway
+package news
 
 import (
 	"time"
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chestnutfield/chestnutfield/registry"
+	"github.com/chestnutfield/chestnutfield/roster"
 	"github.com/chestnutfield/chestnutfield/table"
 )
 
@@ -26,13 +27,25 @@
 	Cursor Cursor
 }
 
-// Source is the store as a gateway reads it. Methods are safe for concurrent
+// RegisterReading is what the targets say of themselves at one moment.
+type RegisterReading struct {
+	// Version is the version of the store at that moment.
+	Version uint64
+	Entries []registry.Entry
+	// Problems says what is wrong with entries that name no target.
+	Problems []error
+}
+
+// Source is the store as a host reads it. Methods are safe for concurrent
 // use; their errors mean that nothing was learned.
 type Source interface {
 	// Tables returns the tables when they have changed after a cursor, and
 	// waits for that as long as it is told. Cursor 0 reads them at once.
 	Tables(after Cursor, wait time.Duration) (TablesReading, error)
-	// Register returns what the targets say of themselves, and what is wrong
-	// with entries that name no target.
-	Register() (entries []registry.Entry, problems []error, err error)
+	// Register returns what the targets say of themselves.
+	Register() (RegisterReading, error)
+	// Announce makes this host known to the others.
+	Announce(h roster.Host) error
+	// Hosts returns the hosts that announced themselves.
+	Hosts() ([]roster.Host, error)
 }
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/netip"
@@ -46,8 +47,8 @@
 	// QuestionsPerSecond bounds the questions to one target, all hosts
 	// together; 0 selects DefaultQuestions.
 	QuestionsPerSecond float64
-	// Hosts is the number of hosts that share the bound; nil stands for one.
-	Hosts func() int
+	// Share is this host's part of the questions about a pool; nil is all.
+	Share func(pool string) float64
 	// Seed makes choices repeatable.
 	Seed uint64
 	// Clock is the clock of decisions; nil selects the real one.
@@ -106,10 +107,9 @@
 	for name, spec := range specs {
 		p := old[name]
 		if p == nil {
-			p = newPool(rand.New(rand.NewPCG(b.opts.Seed, xxhash.Sum64String(name))))
+			p = newPool(name, rand.New(rand.NewPCG(b.opts.Seed, xxhash.Sum64String(name))))
 		}
 		p.update(spec.HealthPath, spec.Targets)
-		p.budget.set(b.questionRate(len(spec.Targets)))
 		next[name] = p
 	}
 	b.pools.Store(&next)
@@ -117,12 +117,12 @@
 
 // questionRate is this host's part of the questions a second that the targets
 // of a pool may be asked.
-func (b *Balancer) questionRate(targets int) float64 {
-	hosts := 1
-	if b.opts.Hosts != nil {
-		hosts = max(b.opts.Hosts(), 1)
+func (b *Balancer) questionRate(pool string, targets int) float64 {
+	share := 1.0
+	if b.opts.Share != nil {
+		share = b.opts.Share(pool)
 	}
-	return b.opts.QuestionsPerSecond * float64(targets) / float64(hosts)
+	return b.opts.QuestionsPerSecond * float64(targets) * share
 }
 
 // Pick chooses by what is known already, without asking.
@@ -142,6 +142,7 @@
 
 // Place implements ports.Placer.
 func (b *Balancer) Place(ctx context.Context, q ports.PlaceQuery) (ports.Attempt, *ports.Refusal) {
+	q.FailureDomain = cmp.Or(q.FailureDomain, b.opts.FailureDomain)
 	p := (*b.pools.Load())[q.Pool]
 	if p == nil {
 		return nil, b.refuse(q, outcome.NoTarget, noTargetReturn)
@@ -170,11 +171,11 @@
 
 // placeNow asks a few targets and decides, unless the request has to wait.
 func (b *Balancer) placeNow(ctx context.Context, p *pool, q ports.PlaceQuery) (placed, bool) {
-	among := b.ask(ctx, p, b.draw(p, q.Exclude))
+	among := b.ask(ctx, p, b.draw(p, q.FailureDomain, q.Exclude))
 	now := b.opts.Clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	t, v := p.bestOf(now, among, b.opts.FailureDomain)
+	t, v := p.bestOf(now, among, q.FailureDomain)
 	return b.settle(p, q, t, v, now)
 }
 
@@ -197,9 +198,9 @@
 }
 
 // draw returns the targets to ask for a request.
-func (b *Balancer) draw(p *pool, exclude []netip.AddrPort) []*target {
+func (b *Balancer) draw(p *pool, domain string, exclude []netip.AddrPort) []*target {
 	now := b.opts.Clock.Now()
-	return p.candidates(now, b.opts.Asked, b.opts.FailureDomain, exclude)
+	return p.candidates(now, b.opts.Asked, domain, exclude)
 }
 
 // ask returns the targets whose reports are fresh after asking the others, or
@@ -211,7 +212,7 @@
 	}
 	now := b.opts.Clock.Now()
 	fresh, old := p.split(now, among)
-	old = old[:p.budget.take(now, len(old))]
+	old = old[:b.allowed(now, p, len(old))]
 	if len(old) == 0 {
 		return lo.Ternary(len(fresh) > 0, fresh, among)
 	}
@@ -240,6 +241,20 @@
 	return lo.Ternary(len(fresh) > 0, fresh, among)
 }
 
+// allowed returns how many of the wanted questions the budget has room for.
+func (b *Balancer) allowed(now time.Time, p *pool, wanted int) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.rated) >= rateEvery {
+		p.rated = now
+		p.budget.set(b.questionRate(p.name, len(p.targets)))
+	}
+	return p.budget.take(now, wanted)
+}
+
+// rateEvery is the time between two looks at this host's share of questions.
+const rateEvery = 500 * time.Millisecond
+
 // questionTimeout bounds one question; its connection is closed then.
 const questionTimeout = 250 * time.Millisecond
 
@@ -286,6 +301,9 @@
 // Identity returns the name of the target.
 func (a *attempt) Identity() string { return a.target.ID }
 
+// Instance returns the target's run.
+func (a *attempt) Instance() registry.Instance { return a.target.Instance }
+
 // Basis returns what the choice rested on.
 func (a *attempt) Basis() ports.Basis { return a.basis }
 
@@ -294,11 +312,28 @@
 	if !a.ended.CompareAndSwap(false, true) {
 		return
 	}
-	var report *load.Report
-	if parse := a.balancer.opts.ParseLoad; parse != nil && f.LoadReport != "" {
-		if r, err := parse(f.LoadReport); err == nil {
-			report = &r
+	a.pool.ended(now, a.target, a.basis.Cost, f, a.balancer.report(f))
+}
+
+// report reads the load report of an answer; nil when there is none.
+func (b *Balancer) report(f ports.Feedback) *load.Report {
+	if b.opts.ParseLoad == nil || f.LoadReport == "" {
+		return nil
+	}
+	r, err := b.opts.ParseLoad(f.LoadReport)
+	if err != nil {
+		b.metrics.asked(err)
+		return nil
+	}
+	return &r
+}
+
+// Observe takes the end of a request that another host placed: its target's
+// health and load are known here as well, in case this host has to choose.
+func (b *Balancer) Observe(now time.Time, at registry.Instance, f ports.Feedback) {
+	for _, p := range *b.pools.Load() {
+		if p.observe(now, at, f, b.report(f)) {
+			return
 		}
 	}
-	a.pool.ended(now, a.target, a.basis.Cost, f, report)
 }
--- a/placement/budget.go
+++ b/placement/budget.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"sync"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -11,16 +10,14 @@
 // of requests is placed by fresh reports, the mean stays within the bound.
 const budgetBurst = 2 * time.Second
 
-// budget bounds the questions of a pool. The zero value allows none.
+// budget bounds the questions of a pool. The zero value allows none. It is not
+// safe for concurrent use.
 type budget struct {
-	mu      sync.Mutex
 	limiter *rate.Limiter
 }
 
 // set changes the number of questions a second.
 func (b *budget) set(perSecond float64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	burst := max(int(perSecond*budgetBurst.Seconds()), 1)
 	if b.limiter == nil {
 		b.limiter = rate.NewLimiter(rate.Limit(perSecond), burst)
@@ -32,8 +29,6 @@
 
 // take returns how many of the wanted questions may be asked now.
 func (b *budget) take(now time.Time, wanted int) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	if b.limiter == nil || wanted == 0 {
 		return 0
 	}
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -41,7 +41,8 @@
 
 // pool is the targets of one pool, a shard with its own lock.
 type pool struct {
-	mu sync.Mutex
+	name string
+	mu   sync.Mutex
 	// healthPath is what is asked.
 	healthPath string
 	// reported is true once a target told its load; silences counts answers
@@ -52,8 +53,9 @@
 	// work is the usual time of a request on an idle target.
 	work time.Duration
 	rng  *rand.Rand
-	// budget bounds the questions.
+	// budget bounds the questions; rated is when its rate was set.
 	budget budget
+	rated  time.Time
 	// waiters wait for room; dispatching is true while a dispatcher runs, and
 	// wake tells it that a call has ended.
 	waiters     []*waiter
@@ -61,7 +63,9 @@
 	wake        chan struct{}
 }
 
-func newPool(rng *rand.Rand) *pool { return &pool{rng: rng, wake: make(chan struct{}, 1)} }
+func newPool(name string, rng *rand.Rand) *pool {
+	return &pool{name: name, rng: rng, wake: make(chan struct{}, 1)}
+}
 
 // update replaces the targets; what is known of an instance stays.
 func (p *pool) update(healthPath string, targets []registry.Target) {
@@ -176,6 +180,22 @@
 	return p.work
 }
 
+// observe takes the end of a call of another host; false when the target is
+// none of this pool.
+func (p *pool) observe(now time.Time, at registry.Instance, f ports.Feedback, r *load.Report) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t, ok := lo.Find(p.targets, func(t *target) bool { return t.Instance == at })
+	if !ok {
+		return false
+	}
+	t.health.ended(now, f)
+	if r != nil {
+		t.report, t.reportAt, t.sinceReport = *r, now, 0
+	}
+	return true
+}
+
 // ended takes the end of a call that was expected to take cost times the
 // usual work.
 func (p *pool) ended(now time.Time, t *target, cost float64, f ports.Feedback, r *load.Report) {
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -15,8 +15,6 @@
 	q ports.PlaceQuery
 	// placed is given the result; it has room for one.
 	placed chan placed
-	// result is set under the pool's lock once the waiter left the queue.
-	left bool
 }
 
 // placed is what became of a waiter.
@@ -65,7 +63,6 @@
 func (p *pool) leave(w *waiter) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	w.left = true
 	p.waiters = slices.DeleteFunc(p.waiters, func(x *waiter) bool { return x == w })
 }
 
@@ -80,7 +77,7 @@
 		select {
 		case <-p.wake:
 		case <-b.opts.Clock.After(b.pause()):
-			b.ask(ctx, p, b.draw(p, nil))
+			b.ask(ctx, p, b.draw(p, b.opts.FailureDomain, nil))
 		}
 	}
 }
@@ -94,10 +91,9 @@
 	order(now, p.usualWorkLocked(), p.waiters)
 	kept := p.waiters[:0]
 	for _, w := range p.waiters {
-		t, v := p.best(now, b.opts.FailureDomain, w.q.Exclude)
+		t, v := p.best(now, w.q.FailureDomain, w.q.Exclude)
 		result, done := b.settle(p, w.q, t, v, now)
 		if done {
-			w.left = true
 			w.placed <- result
 			continue
 		}
--- a/ports/ports.go
+++ b/ports/ports.go
@@ -121,6 +121,8 @@
 	Beside  bool
 	// RequestID names the request in logs.
 	RequestID string
+	// FailureDomain is where the request is sent from.
+	FailureDomain string
 }
 
 // Placer is a Balancer that may look at targets and wait for room before it
@@ -151,6 +153,8 @@
 	// Age is the age of the report, Cost what the choice compared.
 	Age  time.Duration
 	Cost float64
+	// By names the host that chose, "" for this one.
+	By string
 }
 
 // ReasonedAttempt is an Attempt that says what its choice rested on.
--- a/registry/book.go
+++ b/registry/book.go
@@ -66,7 +66,7 @@
 // list takes in an entry and says what it changed.
 func (b *Book) list(now time.Time, e Entry) (ChangeKind, bool) {
 	before := b.targets[e.ID]
-	if before != nil && e.older(before.Entry) {
+	if before != nil && e.Older(before.Entry) {
 		before.missing, before.listedAt = false, now
 		return 0, false
 	}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -38,8 +38,8 @@
 	Sequence int64
 }
 
-// older reports whether e was written before other by the same target.
-func (e Entry) older(other Entry) bool {
+// Older reports whether e was written before other by the same target.
+func (e Entry) Older(other Entry) bool {
 	if e.Born != other.Born {
 		return e.Born < other.Born
 	}
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,158 @@
+// Package roster knows the entry hosts of a deployment and orders them for a
+// task, so that all hosts agree on who does it without talking about it.
+//
+// Hosts announce themselves in the store and are never struck off by a single
+// observer: a host that does not answer, or answers with old news, is passed
+// over by the one that noticed for a while. Two hosts that disagree on who does
+// a task both do it; every task is safe to be done twice.
+package roster
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
+)
+
+// Host is one entry host.
+type Host struct {
+	Name string `json:"name"`
+	// Addr takes messages of other hosts.
+	Addr          netip.AddrPort `json:"addr"`
+	FailureDomain string         `json:"failure_domain"`
+	// Strength is the host's part of a processor core.
+	Strength float64 `json:"strength"`
+}
+
+const (
+	// passFirst is how long a host is passed over at first, passLongest at
+	// most; it doubles while the host stays unfit.
+	passFirst   = time.Second
+	passLongest = 30 * time.Second
+)
+
+// Task is something that one host does for all.
+type Task struct {
+	// Kind groups tasks for which a host is fit or unfit alike.
+	Kind string
+	// Name tells tasks of a kind apart.
+	Name string
+}
+
+// role is a host in a kind of tasks.
+type role struct{ kind, host string }
+
+// standing is what this host has seen of another.
+type standing struct {
+	unfitUntil time.Time
+	times      int
+}
+
+// Roster holds the hosts. It is safe for concurrent use.
+type Roster struct {
+	self Host
+
+	mu    sync.Mutex
+	hosts map[string]Host
+	seen  map[role]*standing
+}
+
+// New returns a roster of one host.
+func New(self Host) *Roster {
+	return &Roster{self: self, hosts: map[string]Host{self.Name: self}, seen: map[role]*standing{}}
+}
+
+// Self returns this host.
+func (r *Roster) Self() Host { return r.self }
+
+// Set takes the hosts that announced themselves; it returns true when that
+// changed anything. This host is always among them.
+func (r *Roster) Set(hosts []Host) bool {
+	next := lo.KeyBy(hosts, func(h Host) string { return h.Name })
+	next[r.self.Name] = r.self
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changed := len(next) != len(r.hosts)
+	for name, h := range next {
+		if r.hosts[name] != h {
+			// A host that announced itself anew is another process.
+			maps.DeleteFunc(r.seen, func(at role, _ *standing) bool { return at.host == name })
+			changed = true
+		}
+	}
+	r.hosts = next
+	return changed
+}
+
+// Known reports whether a host has announced an address.
+func (r *Roster) Known(addr netip.AddrPort) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return lo.SomeBy(lo.Values(r.hosts), func(h Host) bool { return h.Addr == addr })
+}
+
+// Count is the number of hosts that announced themselves, those included that
+// are passed over: limits that hosts share are divided by it.
+func (r *Roster) Count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.hosts)
+}
+
+// Unfit passes a host over in a kind of tasks for a while.
+func (r *Roster) Unfit(now time.Time, kind, host string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at := role{kind, host}
+	s := r.seen[at]
+	if s == nil {
+		s = &standing{}
+		r.seen[at] = s
+	}
+	s.unfitUntil = now.Add(min(passFirst<<min(s.times, 10), passLongest))
+	s.times++
+}
+
+// Fit notes that a host did what it was asked.
+func (r *Roster) Fit(kind, host string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.seen, role{kind, host})
+}
+
+// Order returns the hosts that are not passed over, the one that should do a
+// task first: rendezvous hashing, weighted by strength, so that a host that
+// comes or goes moves only its own tasks.
+func (r *Roster) Order(now time.Time, task Task) []Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fit := lo.Filter(lo.Values(r.hosts), func(h Host, _ int) bool {
+		s := r.seen[role{task.Kind, h.Name}]
+		return h.Name == r.self.Name || s == nil || !now.Before(s.unfitUntil)
+	})
+	slices.SortFunc(fit, func(a, b Host) int {
+		return cmp.Or(cmp.Compare(weight(task, b), weight(task, a)), cmp.Compare(a.Name, b.Name))
+	})
+	return fit
+}
+
+// weight is the rendezvous weight of a host for a task: a host of twice the
+// strength comes first twice as often.
+func weight(task Task, h Host) float64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(h.Name)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(task.Kind)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(task.Name)
+	// Uniform over (0, 1).
+	u := (float64(d.Sum64()>>11) + 0.5) / (1 << 53)
+	return -max(h.Strength, math.SmallestNonzeroFloat32) / math.Log(u)
+}
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,89 @@
+package roster_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
+
+	"github.com/chestnutfield/chestnutfield/roster"
+)
+
+func TestRoster(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "roster")
+}
+
+func hosts(n int, strength func(i int) float64) []roster.Host {
+	return lo.Times(n, func(i int) roster.Host {
+		return roster.Host{
+			Name: fmt.Sprintf("h%d", i), Strength: strength(i),
+			Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000),
+		}
+	})
+}
+
+var _ = Describe("a roster", func() {
+	now := time.Unix(1_700_000_000, 0)
+	equal := func(int) float64 { return 1 }
+	names := func(hs []roster.Host) []string {
+		return lo.Map(hs, func(h roster.Host, _ int) string { return h.Name })
+	}
+
+	It("orders alike at every host, and a loss moves the lost host's tasks alone", func() {
+		all := hosts(18, equal)
+		a, b := roster.New(all[0]), roster.New(all[1])
+		a.Set(all)
+		b.Set(all)
+		c := roster.New(all[0])
+		c.Set(all[:17])
+		for i := range 200 {
+			task := roster.Task{Name: fmt.Sprint("task", i)}
+			first := a.Order(now, task)
+			Expect(names(b.Order(now, task))).To(Equal(names(first)))
+			if first[0].Name != "h17" {
+				Expect(c.Order(now, task)[0].Name).To(Equal(first[0].Name))
+			}
+		}
+	})
+
+	It("gives a host of four times the strength about four times the tasks", func() {
+		all := hosts(10, func(i int) float64 { return lo.Ternary(i == 0, 4.0, 1.0) })
+		r := roster.New(all[0])
+		r.Set(all)
+		strong := lo.CountBy(lo.Range(13_000), func(i int) bool { return r.Order(now, roster.Task{Name: fmt.Sprint(i)})[0].Name == "h0" })
+		Expect(strong).To(BeNumerically("~", 4000, 300))
+	})
+
+	It("passes an unfit host over for a time that doubles, never itself", func() {
+		all := hosts(3, equal)
+		r := roster.New(all[0])
+		r.Set(all)
+		r.Unfit(now, "t", "h1")
+		r.Unfit(now, "t", "h0")
+		Expect(names(r.Order(now, roster.Task{Kind: "t"}))).To(ConsistOf("h0", "h2"))
+		Expect(r.Order(now, roster.Task{Kind: "other"})).To(HaveLen(3))
+		Expect(r.Count()).To(Equal(3))
+		Expect(r.Order(now.Add(time.Second), roster.Task{Kind: "t"})).To(HaveLen(3))
+		r.Unfit(now, "t", "h1")
+		Expect(r.Order(now.Add(1900*time.Millisecond), roster.Task{Kind: "t"})).To(HaveLen(2))
+		r.Fit("t", "h1")
+		Expect(r.Order(now, roster.Task{Kind: "t"})).To(HaveLen(3))
+	})
+
+	It("takes a host that announces another address for another process", func() {
+		all := hosts(3, equal)
+		r := roster.New(all[0])
+		Expect(r.Set(all)).To(BeTrue())
+		Expect(r.Set(all)).To(BeFalse())
+		r.Unfit(now, "t", "h1")
+		all[1].Addr = netip.MustParseAddrPort("10.0.0.99:7000")
+		Expect(r.Set(all)).To(BeTrue())
+		Expect(r.Order(now, roster.Task{Kind: "t"})).To(HaveLen(3))
+		Expect(r.Known(all[1].Addr)).To(BeTrue())
+	})
+})
--- a/settings/load.go
+++ b/settings/load.go
@@ -74,7 +74,7 @@
 
 func defaults() *Settings {
 	return &Settings{
-		Host: Host{Handoff: true},
+		Host: Host{Handoff: true, Strength: 1},
 		Limits: Limits{
 			DrainTimeout: DefaultDrainTimeout, HeaderTimeout: DefaultHeaderTimeout,
 			MaxHeaderBytes: DefaultMaxHeaderBytes, MaxKeyedBodyBytes: DefaultMaxKeyedBodyBytes,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -50,6 +50,9 @@
 	Name string
 	// FailureDomain is where the host stands.
 	FailureDomain string
+	// Strength is the part of a processor core that the host has, by which hosts
+	// divide what one of them does for all.
+	Strength float64
 	// Handoff makes the host hand requests over to the owners of groups; a
 	// host without it always dispatches directly.
 	Handoff bool
