placement: newest first, few late ones wait, the rest is refused at once

Before that, a failing target's penalty counted as time, and requests were refused that a target could serve. Change: waiting requests that can still meet their objective go first, newest first; of the others no more wait than the pool serves in 150 ms, the rest is refused at once with a spread Retry-After; the penalty of failures only compares targets.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -169,6 +169,7 @@
 			}
 			return otherQuestions / float64(hosts.Count())
 		},
+		Logger:     o.Logger,
 		Seed:       xxhash.Sum64String(s.Host.Name),
 		Clock:      o.Clock,
 		Registerer: o.Registry,
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/lo"
+	"go.uber.org/zap"
 
 	"github.com/chestnutfield/chestnutfield/load"
 	"github.com/chestnutfield/chestnutfield/outcome"
@@ -51,6 +52,8 @@
 	Share func(pool string) float64
 	// Seed makes choices repeatable.
 	Seed uint64
+	// Logger writes refusals; nil writes none.
+	Logger *zap.Logger
 	// Clock is the clock of decisions; nil selects the real one.
 	Clock clockwork.Clock
 	// Registerer takes the metrics; nil keeps none.
@@ -77,6 +80,9 @@
 	if o.Clock == nil {
 		o.Clock = clockwork.NewRealClock()
 	}
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
 	if o.QuestionsPerSecond <= 0 {
 		o.QuestionsPerSecond = DefaultQuestions
 	}
@@ -278,7 +284,7 @@
 func (b *Balancer) sendTo(p *pool, t *target, v view) *attempt {
 	t.inFlight++
 	t.sinceReport++
-	return &attempt{balancer: b, pool: p, target: t, basis: v.basis()}
+	return &attempt{balancer: b, pool: p, target: t, basis: v.basis(), duration: v.duration()}
 }
 
 // attempt is one dispatch; it implements ports.IdentifiedAttempt.
@@ -287,6 +293,8 @@
 	pool     *pool
 	target   *target
 	basis    ports.Basis
+	// duration is the expected time in multiples of usual work.
+	duration float64
 	ended    atomic.Bool
 }
 
@@ -312,7 +320,7 @@
 	if !a.ended.CompareAndSwap(false, true) {
 		return
 	}
-	a.pool.ended(now, a.target, a.basis.Cost, f, a.balancer.report(f))
+	a.pool.ended(now, a.target, a.duration, f, a.balancer.report(f))
 }
 
 // report reads the load report of an answer; nil when there is none.
--- a/placement/estimate.go
+++ b/placement/estimate.go
@@ -52,8 +52,8 @@
 	return ports.Basis{Present: v.present, Slots: v.slots, Slowdown: v.slowdown, Age: v.age, Cost: v.cost()}
 }
 
-// cost is the expected time of a request in multiples of usual work.
-func (v view) cost() float64 {
+// duration is the expected time of a request in multiples of usual work.
+func (v view) duration() float64 {
 	slots := float64(max(v.slots, 1))
 	speed := 1.0
 	if v.slowdown > 1 {
@@ -72,9 +72,15 @@
 	if waiting := float64(v.present+1) - slots; waiting > 0 {
 		work += waiting / slots * speed * nearFull
 	}
-	work *= 1 + failureFactor*v.failures
+	return work
+}
+
+// cost is what targets are compared by: the duration, with what speaks
+// against a target beside it.
+func (v view) cost() float64 {
+	cost := v.duration() * (1 + failureFactor*v.failures)
 	if v.far {
-		work += farFactor
+		cost += farFactor
 	}
-	return work + ageFactor*min(float64(v.age)/float64(ageUnit), 1)
+	return cost + ageFactor*min(float64(v.age)/float64(ageUnit), 1)
 }
--- a/placement/patience.go
+++ b/placement/patience.go
@@ -67,7 +67,7 @@
 	if queued < queuedMost && s.waitedLong() {
 		return send
 	}
-	if expected := time.Duration(s.best.cost() * float64(s.work)); expected > left {
+	if s.expected() > left {
 		return refuse
 	}
 	return wait
@@ -84,6 +84,10 @@
 // comeBack is when a refused caller may find room: after the work that is
 // ahead of it has ended.
 func (s situation) comeBack() time.Duration {
-	ahead := time.Duration(s.best.cost() * float64(s.work))
-	return min(max(ahead, leastReturn), mostReturn)
+	return min(max(s.expected(), leastReturn), mostReturn)
+}
+
+// expected is the time until a request that is sent to the best target ends.
+func (s situation) expected() time.Duration {
+	return time.Duration(s.best.duration() * float64(s.work))
 }
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -53,6 +53,7 @@
 	// work is the usual time of a request on an idle target.
 	work time.Duration
 	rng  *rand.Rand
+	pace pace
 	// budget bounds the questions; rated is when its rate was set.
 	budget budget
 	rated  time.Time
@@ -202,6 +203,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t.inFlight--
+	p.pace.count(now)
 	t.health.ended(now, f)
 	if p.dispatching {
 		select {
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -3,9 +3,12 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/chestnutfield/chestnutfield/outcome"
 	"github.com/chestnutfield/chestnutfield/ports"
 )
@@ -35,13 +38,14 @@
 // order sorts waiters for the heaviest load, when not all can be served in
 // time: by rank; then those that can still meet their objective before those
 // that can't, so that a request that is late anyway takes no slot from one
-// that is not; then by the time left.
+// that is not; then the newest first, since where room is short for long, the
+// oldest first would make every request wait until it is almost late.
 func order(now time.Time, work time.Duration, waiters []*waiter) {
 	slices.SortStableFunc(waiters, func(a, b *waiter) int {
 		return cmp.Or(
 			cmp.Compare(a.q.Route.Rank, b.q.Route.Rank),
 			cmp.Compare(hope(now, a.q, work), hope(now, b.q, work)),
-			a.q.Received.Add(a.q.Route.Objective).Compare(b.q.Received.Add(b.q.Route.Objective)),
+			b.q.Received.Compare(a.q.Received),
 		)
 	})
 }
@@ -88,9 +92,18 @@
 	now := b.opts.Clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	order(now, p.usualWorkLocked(), p.waiters)
+	work := p.usualWorkLocked()
+	order(now, work, p.waiters)
 	kept := p.waiters[:0]
+	late, lateMost := 0, lateRoom(p.pace.rate(now))
 	for _, w := range p.waiters {
+		if hope(now, w.q, work) > 0 {
+			late++
+		}
+		if late > lateMost {
+			w.placed <- placed{refusal: b.refuseLate(p, w.q, now)}
+			continue
+		}
 		t, v := p.best(now, w.q.FailureDomain, w.q.Exclude)
 		result, done := b.settle(p, w.q, t, v, now)
 		if done {
@@ -105,6 +118,45 @@
 	return p.dispatching
 }
 
+const (
+	// lateWait is the time in which a pool must be able to serve the requests
+	// that wait although they can no longer meet their objective; what goes
+	// beyond is refused, so that nobody is held without hope.
+	lateWait = 150 * time.Millisecond
+	// lateLeast is the number of such requests that may wait in any case.
+	lateLeast = 2
+)
+
+// lateRoom is the number of late requests that may wait in a pool in which
+// that many calls end a second.
+func lateRoom(rate float64) int {
+	return max(int(rate*lateWait.Seconds()), lateLeast)
+}
+
+// refuseLate refuses a request for which too many late ones wait. The caller
+// holds the pool's lock.
+func (b *Balancer) refuseLate(p *pool, q ports.PlaceQuery, now time.Time) *ports.Refusal {
+	after := spread(lateWait + p.usualWorkLocked())
+	b.opts.Logger.Info("too many late requests wait", zap.String("request", q.RequestID), zap.String("pool", q.Pool),
+		zap.Duration("waited", now.Sub(q.Received)), zap.Duration("left", q.Deadline.Sub(now)),
+		zap.Int("waiting", len(p.waiters)), zap.Float64("ended_per_second", p.pace.rate(now)), zap.Duration("retry_after", after))
+	return b.refuse(q, outcome.QueueFull, after)
+}
+
+// spread draws a time around d, so that callers that were refused together do
+// not come back together.
+func spread(d time.Duration) time.Duration { return d/2 + rand.N(d) }
+
+// logRefusal writes what a refusal rests on.
+func (b *Balancer) logRefusal(p *pool, q ports.PlaceQuery, s situation) {
+	b.opts.Logger.Info("no target can serve in time", zap.String("request", q.RequestID), zap.String("pool", q.Pool),
+		zap.Duration("waited", s.now.Sub(s.received)), zap.Duration("left", s.deadline.Sub(s.now)),
+		zap.Duration("usual_work", s.work), zap.Duration("expected", s.expected()),
+		zap.Int("waiting", len(p.waiters)), zap.Int("targets", len(p.targets)),
+		zap.Int("present", s.best.present), zap.Int("slots", s.best.slots),
+		zap.Float64("slowdown", s.best.slowdown), zap.Duration("report_age", s.best.age))
+}
+
 // settle decides about one request with the best target there is. The caller
 // holds the pool's lock.
 func (b *Balancer) settle(p *pool, q ports.PlaceQuery, t *target, v view, now time.Time) (placed, bool) {
@@ -120,7 +172,10 @@
 		b.metrics.placed(q.Pool, now.Sub(q.Received))
 		return placed{attempt: b.sendTo(p, t, v)}, true
 	case refuse:
-		return placed{refusal: b.refuse(q, outcome.QueueFull, s.comeBack())}, true
+		if !q.Beside {
+			b.logRefusal(p, q, s)
+		}
+		return placed{refusal: b.refuse(q, outcome.QueueFull, spread(s.comeBack()))}, true
 	default:
 		return placed{}, false
 	}
