placement: late requests wait by the pace at which late ones are placed

Cause, found by the test that plays an overload in virtual time (placement/load_test.go): the bound on late requests took the pace of the whole pool, of which late ones get what is left; those that were refused had waited 0.84 s of 1.2 s in the median. Change: the bound takes the pace at which late requests are placed. Tests: cost, decisions, order, health, budget, pace, pool.

--- /dev/null
+++ b/placement/load_test.go
@@ -0,0 +1,231 @@
+package placement_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+
+	"github.com/chestnutfield/chestnutfield/load"
+	"github.com/chestnutfield/chestnutfield/placement"
+	"github.com/chestnutfield/chestnutfield/ports"
+	"github.com/chestnutfield/chestnutfield/registry"
+	"github.com/chestnutfield/chestnutfield/table"
+)
+
+// server is a target in virtual time: two slots, work that takes longer near
+// full and in slow spells, a short queue, silence beyond it.
+type server struct {
+	slots, queue int
+	mu           sync.Mutex
+	running      int
+	waiting      []chan struct{}
+	slowdown     float64
+	dropped      int
+}
+
+const (
+	usualWork  = 60 * time.Millisecond
+	nearFull   = 1.7
+	wayThere   = time.Millisecond
+	sliceOfRun = 5 * time.Millisecond
+)
+
+// run serves one request; false when it was dropped.
+func (s *server) run(ctx context.Context, work time.Duration) bool {
+	time.Sleep(wayThere)
+	s.mu.Lock()
+	switch {
+	case s.running < s.slots:
+		s.running++
+		s.mu.Unlock()
+	case len(s.waiting) < s.queue:
+		turn := make(chan struct{})
+		s.waiting = append(s.waiting, turn)
+		s.mu.Unlock()
+		<-turn
+	default:
+		s.dropped++
+		s.mu.Unlock()
+		<-ctx.Done()
+		return false
+	}
+	for left := float64(work); left > 0; {
+		time.Sleep(sliceOfRun)
+		s.mu.Lock()
+		speed := 1 / s.slowdown
+		if s.running >= s.slots {
+			speed /= nearFull
+		}
+		s.mu.Unlock()
+		left -= float64(sliceOfRun) * speed
+	}
+	s.mu.Lock()
+	if len(s.waiting) > 0 {
+		close(s.waiting[0])
+		s.waiting = s.waiting[1:]
+	} else {
+		s.running--
+	}
+	s.mu.Unlock()
+	time.Sleep(wayThere)
+	return true
+}
+
+func (s *server) report() load.Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return load.Report{InFlight: s.running, Queued: len(s.waiting), Utilization: load.Absent, Slots: s.slots, Slowdown: s.slowdown}
+}
+
+// spells makes the target five times as slow for a quarter of the time.
+func (s *server) spells(ctx context.Context, rng *rand.Rand) {
+	for ctx.Err() == nil {
+		slow := rng.Float64() < 0.25
+		s.mu.Lock()
+		s.slowdown = lo.Ternary(slow, 5.0, 1.0)
+		s.mu.Unlock()
+		time.Sleep(time.Duration(rng.ExpFloat64() * float64(150*time.Millisecond)))
+	}
+}
+
+// fleet is the targets of one pool.
+type fleet struct {
+	servers   map[netip.AddrPort]*server
+	questions int
+	mu        sync.Mutex
+}
+
+func (f *fleet) Ask(_ context.Context, t registry.Target, _ string) (load.Report, error) {
+	f.mu.Lock()
+	f.questions++
+	s := f.servers[t.Addr]
+	f.mu.Unlock()
+	if s == nil {
+		return load.Report{}, errors.New("no such target")
+	}
+	time.Sleep(wayThere)
+	r := s.report()
+	time.Sleep(wayThere)
+	return r, nil
+}
+
+// caught is what callers got.
+type caught struct {
+	asked, inTime, late, refused, failed int
+	held                                 []time.Duration
+}
+
+// play sends requests of one route for a time and returns what callers got.
+func play(t *testing.T, targets int, perSecond float64, length time.Duration) (got caught, f *fleet) {
+	t.Helper()
+	const objective, timeout = 200 * time.Millisecond, 1200 * time.Millisecond
+	f = &fleet{servers: map[netip.AddrPort]*server{}}
+	rng := rand.New(rand.NewPCG(7, 7))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer func() {
+		cancel()
+		// The spells that are under way end.
+		time.Sleep(time.Minute)
+	}()
+	var registered []registry.Target
+	for i := range targets {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80)
+		s := &server{slots: 2, queue: 4, slowdown: 1}
+		f.servers[addr] = s
+		registered = append(registered, registry.Target{Entry: registry.Entry{
+			Instance: registry.Instance{ID: fmt.Sprint("t", i), Born: 1}, Addr: addr, FailureDomain: "a", Slots: 2}})
+		go s.spells(ctx, rand.New(rand.NewPCG(uint64(i), 3)))
+	}
+	b, err := placement.New(placement.Options{Asker: f, FailureDomain: "a", QuestionsPerSecond: 60, Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Update(map[string]placement.PoolSpec{"catalogue": {HealthPath: "/health", Targets: registered}})
+	route := &table.Route{Objective: objective, Timeout: timeout, Idempotent: true}
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		time.Sleep(time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second)))
+		work := time.Duration((0.5 + rng.Float64()) * float64(usualWork))
+		got.asked++
+		all.Go(func() {
+			began := time.Now()
+			callCtx, done := context.WithTimeout(ctx, timeout)
+			defer done()
+			a, refusal := b.Place(callCtx, ports.PlaceQuery{Pool: "catalogue", Route: route, Received: began, Deadline: began.Add(timeout)})
+			if refusal != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				got.refused++
+				got.held = append(got.held, time.Since(began))
+				return
+			}
+			sent := time.Now()
+			ok := f.servers[a.Target()].run(callCtx, work)
+			v := lo.Ternary(ok, ports.Succeeded, ports.TimedOut)
+			a.Done(time.Now(), ports.Feedback{Result: ports.Result{Verdict: v, Latency: time.Since(sent)}})
+			mu.Lock()
+			defer mu.Unlock()
+			switch took := time.Since(began); {
+			case !ok:
+				got.failed++
+			case took <= objective:
+				got.inTime++
+			default:
+				got.late++
+			}
+		})
+	}
+	all.Wait()
+	return got, f
+}
+
+func (c caught) share(n int) float64 { return float64(n) / float64(c.asked) }
+
+// The load is that of a usual day: targets are busy for half of the time and
+// slow for a quarter of it.
+func TestUsualLoadIsServedInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		got, f := play(t, 13, 90, 30*time.Second)
+		t.Log(got.short())
+		g.Expect(got.share(got.inTime)).To(BeNumerically(">=", 0.9))
+		g.Expect(got.refused + got.failed).To(BeZero())
+		g.Expect(float64(f.questions) / 30 / 13).To(BeNumerically("<=", 60*1.1))
+	})
+}
+
+// The load is a third above what the targets can serve for half a minute: not
+// all can be served, and the test asks what callers get then. Oldest first and
+// without a bound on late requests, 0.064 were in time; newest first, with a
+// bound by the pace of the whole pool, 0.595, but half of the refused ones were
+// held for 0.84 s of 1.2 s. A refusal must leave a caller two thirds of its
+// time to come back.
+func TestOverloadServesWhatItCanInTimeAndRefusesTheRestSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		got, f := play(t, 13, 200, 30*time.Second)
+		t.Log(got.short())
+		g.Expect(got.share(got.inTime)).To(BeNumerically(">=", 0.5))
+		g.Expect(got.share(got.failed)).To(BeNumerically("<=", 0.01), "requests that a target dropped")
+		slices.Sort(got.held)
+		t.Log("refused after", got.held[len(got.held)/2], got.held[len(got.held)*9/10], got.held[len(got.held)-1])
+		g.Expect(got.held[len(got.held)*9/10]).To(BeNumerically("<=", 400*time.Millisecond), "a refused request's wait")
+		g.Expect(float64(f.questions) / 30 / 13).To(BeNumerically("<=", 60*1.1))
+	})
+}
+
+func (c caught) short() string {
+	return fmt.Sprintf("asked %d in time %.3f late %.3f refused %.3f failed %.3f",
+		c.asked, c.share(c.inTime), c.share(c.late), c.share(c.refused), c.share(c.failed))
+}
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -53,7 +53,8 @@
 	// work is the usual time of a request on an idle target.
 	work time.Duration
 	rng  *rand.Rand
-	pace pace
+	// latePace is the number of late requests placed a second.
+	latePace pace
 	// budget bounds the questions; rated is when its rate was set.
 	budget budget
 	rated  time.Time
@@ -203,7 +204,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t.inFlight--
-	p.pace.count(now)
 	t.health.ended(now, f)
 	if p.dispatching {
 		select {
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -95,9 +95,10 @@
 	work := p.usualWorkLocked()
 	order(now, work, p.waiters)
 	kept := p.waiters[:0]
-	late, lateMost := 0, lateRoom(p.pace.rate(now))
+	late, lateMost := 0, lateRoom(p.latePace.rate(now))
 	for _, w := range p.waiters {
-		if hope(now, w.q, work) > 0 {
+		isLate := hope(now, w.q, work) > 0
+		if isLate {
 			late++
 		}
 		if late > lateMost {
@@ -107,6 +108,9 @@
 		t, v := p.best(now, w.q.FailureDomain, w.q.Exclude)
 		result, done := b.settle(p, w.q, t, v, now)
 		if done {
+			if isLate && result.attempt != nil {
+				p.latePace.count(now)
+			}
 			w.placed <- result
 			continue
 		}
@@ -119,16 +123,17 @@
 }
 
 const (
-	// lateWait is the time in which a pool must be able to serve the requests
-	// that wait although they can no longer meet their objective; what goes
-	// beyond is refused, so that nobody is held without hope.
+	// lateWait is the time in which the requests that wait although they can no
+	// longer meet their objective must be placed, at the pace at which such
+	// requests are; what goes beyond is refused, so that nobody is held without
+	// hope.
 	lateWait = 150 * time.Millisecond
 	// lateLeast is the number of such requests that may wait in any case.
 	lateLeast = 2
 )
 
 // lateRoom is the number of late requests that may wait in a pool in which
-// that many calls end a second.
+// that many of them are placed a second.
 func lateRoom(rate float64) int {
 	return max(int(rate*lateWait.Seconds()), lateLeast)
 }
@@ -139,7 +144,7 @@
 	after := spread(lateWait + p.usualWorkLocked())
 	b.opts.Logger.Info("too many late requests wait", zap.String("request", q.RequestID), zap.String("pool", q.Pool),
 		zap.Duration("waited", now.Sub(q.Received)), zap.Duration("left", q.Deadline.Sub(now)),
-		zap.Int("waiting", len(p.waiters)), zap.Float64("ended_per_second", p.pace.rate(now)), zap.Duration("retry_after", after))
+		zap.Int("waiting", len(p.waiters)), zap.Float64("late_placed_per_second", p.latePace.rate(now)), zap.Duration("retry_after", after))
 	return b.refuse(q, outcome.QueueFull, after)
 }
 
