--- /dev/null
+++ b/mesh/node_test.go
@@ -0,0 +1,117 @@
+package mesh_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/chestnutfield/chestnutfield/mesh"
+)
+
+func TestMesh(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "mesh")
+}
+
+const (
+	kindEcho mesh.Kind = 1
+	kindNews mesh.Kind = 2
+	// patience is far above what a loopback message takes.
+	patience = 10 * time.Second
+)
+
+func newNode() *mesh.Node {
+	n, err := mesh.Listen(netip.MustParseAddrPort("127.0.0.1:0"), zap.NewNop(), nil)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(n.Close)
+	return n
+}
+
+var _ = Describe("messages between hosts", func() {
+	It("are answered, several times if need be, and told", func(ctx SpecContext) {
+		a, b := newNode(), newNode()
+		told := make(chan string, 1)
+		b.Handle(kindEcho, func(m mesh.Message) {
+			var text string
+			Expect(m.Decode(&text)).To(Succeed())
+			m.Answer(text + " once")
+			m.Answer(text + " twice")
+		})
+		b.Handle(kindNews, func(m mesh.Message) {
+			var text string
+			Expect(m.Decode(&text)).To(Succeed())
+			Expect(m.ID()).To(BeZero())
+			m.Answer("nobody waits")
+			told <- text
+		})
+		go func() { _ = a.Run() }()
+		go func() { _ = b.Run() }()
+		q, err := a.Ask(b.Addr(), kindEcho, "hello")
+		Expect(err).NotTo(HaveOccurred())
+		defer q.Close()
+		for _, want := range []string{"hello once", "hello twice"} {
+			var raw, got = <-q.Answers(), ""
+			Expect(mesh.Decode(raw, &got)).To(Succeed())
+			Expect(got).To(Equal(want))
+		}
+		Expect(a.Tell(b.Addr(), kindNews, "gone")).To(Succeed())
+		Eventually(told).WithTimeout(patience).Should(Receive(Equal("gone")))
+	}, NodeTimeout(time.Minute))
+
+	It("that nobody answers end with the context", func() {
+		a, b := newNode(), newNode()
+		go func() { _ = a.Run() }()
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		defer cancel()
+		var got string
+		Expect(a.Call(ctx, b.Addr(), kindEcho, "hello", &got)).To(MatchError(context.DeadlineExceeded))
+	})
+
+	It("beyond the size of a packet are not sent", func() {
+		a, b := newNode(), newNode()
+		_, err := a.Ask(b.Addr(), kindEcho, strings.Repeat("x", mesh.MaxBytes))
+		Expect(err).To(MatchError(mesh.ErrTooLarge))
+	})
+
+	It("that are malformed or answer nothing are dropped", func() {
+		a := newNode()
+		handled := make(chan struct{}, 1)
+		a.Handle(kindEcho, func(mesh.Message) { handled <- struct{}{} })
+		go func() { _ = a.Run() }()
+		c, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(a.Addr()))
+		Expect(err).NotTo(HaveOccurred())
+		defer c.Close()
+		// Garbage, an empty packet, an answer to nothing, a kind unknown here.
+		for _, packet := range [][]byte{[]byte("garbage"), {}, {0x84, 7, 1, 0xf5, 0xf6}, {0x84, 7, 99, 0xf4, 0xf6}} {
+			_, err := c.Write(packet)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		_, err = c.Write([]byte{0x84, 7, 1, 0xf4, 0xf6})
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(handled).WithTimeout(patience).Should(Receive())
+		Expect(handled).NotTo(Receive())
+	})
+})
+
+// FuzzMessage: nothing that arrives makes a host stop.
+func FuzzMessage(f *testing.F) {
+	f.Add([]byte{0x84, 7, 1, 0xf4, 0xf6})
+	f.Add([]byte("garbage"))
+	n, err := mesh.Listen(netip.MustParseAddrPort("127.0.0.1:0"), zap.NewNop(), nil)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(func() { n.Close() })
+	n.Handle(kindEcho, func(m mesh.Message) {
+		var text string
+		_ = m.Decode(&text)
+	})
+	f.Fuzz(func(_ *testing.T, data []byte) { n.Take(netip.MustParseAddrPort("127.0.0.1:9"), data) })
+}
