--- a/cmd/chestnut-gateway/main.go
+++ b/cmd/chestnut-gateway/main.go
@@ -88,7 +88,7 @@
 	signal.Notify(reloads, syscall.SIGHUP)
 	g, err := gateway.New(s, gateway.Options{
 		Source: platform.NewStore(s.Store.Address), Dialect: platform.Dialect(), ReadyPath: platform.ReadyPath,
-		Logger: log.Logger.With(zap.String("host", s.Host.Name)),
+		Logger: log.With(zap.String("host", s.Host.Name)),
 	})
 	if err != nil {
 		return err
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -35,7 +35,7 @@
 }
 
 var _ = Describe("messages between hosts", func() {
-	It("are answered, several times if need be, and told", func(ctx SpecContext) {
+	It("are answered, several times if need be, and told", func(SpecContext) {
 		a, b := newNode(), newNode()
 		told := make(chan string, 1)
 		b.Handle(kindEcho, func(m mesh.Message) {
--- /dev/null
+++ b/news/journal_internal_test.go
@@ -0,0 +1,61 @@
+package news
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
+	"pgregory.net/rapid"
+
+	"github.com/chestnutfield/chestnutfield/registry"
+)
+
+// TestJournalTellsWhatChanged: a host that applies the changes since its
+// version, or reads the store when they are not known, has the register of the
+// reader, whatever both had seen before.
+func TestJournalTellsWhatChanged(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		reader, other := newJournal(), newJournal()
+		now := time.Unix(1_700_000_000, 0)
+		state := map[string]registry.Entry{}
+		for version := uint64(1); version < 40; version++ {
+			id := rapid.StringMatching(`[a-f]`).Draw(t, "id")
+			if rapid.Bool().Draw(t, "drop") {
+				delete(state, id)
+			} else {
+				state[id] = registry.Entry{
+					Instance: registry.Instance{ID: id, Born: int64(version)}, Sequence: 1, Leaving: rapid.Bool().Draw(t, "leaving"),
+				}
+			}
+			if rapid.Bool().Draw(t, "read") {
+				reader.take(version, now, lo.Values(state))
+			}
+			if !rapid.Bool().Draw(t, "ask") || reader.first == 0 {
+				continue
+			}
+			if changed, dropped, ok := reader.since(other.version); ok {
+				other.apply(reader.version, now, changed, dropped)
+			} else {
+				other.take(reader.version, now, reader.list())
+			}
+			if other.version == reader.version {
+				NewWithT(t).Expect(other.list()).To(Equal(reader.list()))
+			}
+		}
+	})
+}
+
+func TestJournalIgnoresEntriesThatAreOlder(t *testing.T) {
+	g := NewWithT(t)
+	j := newJournal()
+	now := time.Unix(1_700_000_000, 0)
+	e := registry.Entry{Instance: registry.Instance{ID: "a", Born: 2}, Sequence: 5, Leaving: true}
+	j.take(1, now, []registry.Entry{e})
+	old := e
+	old.Sequence, old.Leaving = 4, false
+	j.take(2, now, []registry.Entry{old})
+	g.Expect(j.list()).To(Equal([]registry.Entry{e}))
+	j.take(1, now, nil)
+	g.Expect(j.list()).To(Equal([]registry.Entry{e}), "a reading older than the last one")
+}
