news: hosts meet before they read the store; news in parts

Change: a host looks 0.4 s after its announcement and reads then; a reader whose news are recent but too many is no unfit one; up to 60 changes are told in several messages.

--- a/mesh/node.go
+++ b/mesh/node.go
@@ -22,7 +22,7 @@
 	MaxBytes = 1400
 	// answersKept is the number of answers to one question that wait for who
 	// asked.
-	answersKept = 4
+	answersKept = 16
 )
 
 // ErrTooLarge means that a message exceeds MaxBytes; nothing was sent.
--- a/news/follower.go
+++ b/news/follower.go
@@ -81,8 +81,11 @@
 	tables atomic.Pointer[table.Tables]
 	// hint is signalled when the tables should be read.
 	hint chan struct{}
-	// rehost is signalled when the hosts should be read.
+	// rehost is signalled when the hosts should be read; met is closed once
+	// they were for the first time.
 	rehost chan struct{}
+	met    chan struct{}
+	meet   sync.Once
 
 	mu      sync.Mutex
 	journal *journal
@@ -97,7 +100,7 @@
 // New returns a follower that knows nothing yet.
 func New(o Options) (*Follower, error) {
 	f := &Follower{
-		Options: o, hint: make(chan struct{}, 1), rehost: make(chan struct{}, 1),
+		Options: o, hint: make(chan struct{}, 1), rehost: make(chan struct{}, 1), met: make(chan struct{}),
 		journal: newJournal(), book: registry.NewBook(),
 		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "chestnut_store_readings_total",
@@ -143,22 +146,26 @@
 		f.Logger.Debug("question for news is malformed", zap.Stringer("from", m.From), zap.Error(err))
 		return
 	}
-	m.Answer(f.newsSince(q.Register))
+	for _, a := range f.newsSince(q.Register) {
+		m.Answer(a)
+	}
 }
 
-func (f *Follower) newsSince(version uint64) answer {
+// newsSince returns what changed since a version of the register.
+func (f *Follower) newsSince(version uint64) []answer {
 	now := f.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	a := answer{
 		Register: f.journal.version, RegisterAge: age(now, f.journal.at),
-		Tables: f.Current().Version, TablesAge: age(now, f.tablesAt), Hosts: f.hosts,
+		Tables: f.Current().Version, TablesAge: age(now, f.tablesAt), Hosts: f.hosts, Parts: 1,
 	}
 	changed, dropped, ok := f.journal.since(version)
-	if ok {
-		a.Known, a.Changed, a.Dropped = true, mapWire(changed), dropped
+	if !ok {
+		return []answer{a}
 	}
-	return a
+	a.Known = true
+	return a.divide(mapWire(changed), dropped)
 }
 
 // never is the age of what was never read, in milliseconds.
--- a/news/hosts.go
+++ b/news/hosts.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
@@ -23,6 +24,8 @@
 		if !announced {
 			err = f.Source.Announce(f.Roster.Self())
 			announced = err == nil
+			// The others of a deployment that starts announce themselves too.
+			f.sleep(ctx, meetAfter, nil)
 		}
 		var hosts []roster.Host
 		if err == nil {
@@ -37,12 +40,27 @@
 			continue
 		}
 		f.takeHosts(hosts)
+		f.meet.Do(func() { close(f.met) })
 		// A row that was written under an earlier address of this host.
 		announced = slices.Contains(hosts, f.Roster.Self())
 		f.awaitHosts(ctx)
 	}
 }
 
+const (
+	// meetAfter is the time from the announcement of a host to its first look
+	// at the others: hosts that start together do so within 0.3 s.
+	meetAfter = 400 * time.Millisecond
+	// meetLongest is how long a host waits for the others before it reads the
+	// store itself.
+	meetLongest = time.Second
+)
+
+// awaitMeeting returns when the other hosts are known, or may not be soon.
+func (f *Follower) awaitMeeting(ctx context.Context) {
+	f.sleep(ctx, meetLongest, f.met)
+}
+
 // awaitHosts returns when the hosts should be read again.
 func (f *Follower) awaitHosts(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/news/journal.go
+++ b/news/journal.go
@@ -8,9 +8,13 @@
 	"github.com/chestnutfield/chestnutfield/registry"
 )
 
-// mostChanges bounds the changes of one answer; a host that lacks more reads
-// the store.
-const mostChanges = 8
+const (
+	// mostChanges bounds the changes that are told; a host that lacks more
+	// reads the store.
+	mostChanges = 60
+	// changesInAnswer is the number of changes that fit one message.
+	changesInAnswer = 10
+)
 
 // journal is the register as of the last reading, with the version at which
 // each entry last changed. It is not safe for concurrent use.
--- a/news/message.go
+++ b/news/message.go
@@ -27,9 +27,12 @@
 	RegisterAge int64
 	// Known is false when the changes since the asker's version are not known
 	// or too many.
-	Known   bool
-	Changed []entry
-	Dropped []string
+	Known bool
+	// Changed and Dropped are the changes, divided over Parts answers; this is
+	// one of them.
+	Part, Parts int
+	Changed     []entry
+	Dropped     []string
 	// Tables is the version in force, TablesAge the time since the store
 	// confirmed it.
 	Tables    uint64
@@ -52,6 +55,50 @@
 	Sequence      int64
 }
 
+// divide spreads changes over as many answers as they need.
+func (a answer) divide(changed []entry, dropped []string) []answer {
+	entries, names := lo.Chunk(changed, changesInAnswer), lo.Chunk(dropped, 2*changesInAnswer)
+	parts := make([]answer, 0, len(entries)+len(names)+1)
+	for _, chunk := range entries {
+		part := a
+		part.Changed = chunk
+		parts = append(parts, part)
+	}
+	for _, chunk := range names {
+		part := a
+		part.Dropped = chunk
+		parts = append(parts, part)
+	}
+	if len(parts) == 0 {
+		parts = append(parts, a)
+	}
+	for i := range parts {
+		parts[i].Part, parts[i].Parts = i, len(parts)
+	}
+	return parts
+}
+
+// joined collects the parts of an answer.
+type joined struct {
+	answer
+	seen map[int]bool
+}
+
+// add takes a part; it returns true once all are there. Parts of different
+// readings don't belong together: the newer one begins anew.
+func (j *joined) add(a answer) bool {
+	if j.seen == nil || a.Register != j.Register || a.Parts != j.Parts {
+		j.answer, j.seen = a, map[int]bool{a.Part: true}
+		return len(j.seen) >= a.Parts
+	}
+	if !j.seen[a.Part] {
+		j.seen[a.Part] = true
+		j.Changed = append(j.Changed, a.Changed...)
+		j.Dropped = append(j.Dropped, a.Dropped...)
+	}
+	return len(j.seen) >= j.Parts
+}
+
 func toWire(e registry.Entry, _ int) entry {
 	return entry{
 		ID: e.ID, Born: e.Born, Service: e.Service, Addr: e.Addr, FailureDomain: e.FailureDomain,
--- a/news/register.go
+++ b/news/register.go
@@ -7,6 +7,7 @@
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 
+	"github.com/chestnutfield/chestnutfield/mesh"
 	"github.com/chestnutfield/chestnutfield/registry"
 	"github.com/chestnutfield/chestnutfield/roster"
 )
@@ -16,6 +17,7 @@
 // followRegister keeps the targets until the context ends.
 func (f *Follower) followRegister(ctx context.Context) {
 	d := f.dependency("register")
+	f.awaitMeeting(ctx)
 	for ctx.Err() == nil {
 		next := f.Clock.Now().Add(f.readRegister(ctx, d))
 		if until, ok := f.waitsUntil(); ok && until.Before(next) {
@@ -30,11 +32,12 @@
 // store, and returns the pause before the next time.
 func (f *Follower) readRegister(ctx context.Context, d *dependency) time.Duration {
 	if !f.isReader() {
-		if f.askReaders(ctx) {
+		result := f.askReaders(ctx)
+		if result == upToDate {
 			d.failures = 0
 			return syncEvery
 		}
-		if d.idle() && f.Clock.Now().Sub(d.tried) < retryIdle {
+		if result == nothing && d.idle() && f.Clock.Now().Sub(d.tried) < retryIdle {
 			return syncEvery
 		}
 	}
@@ -57,47 +60,81 @@
 	f.takeChanges(f.book.Take(began, r.Entries))
 }
 
-// askReaders asks for news; it returns false when nobody has any that are
-// recent.
-func (f *Follower) askReaders(ctx context.Context) bool {
+// told is what asking for news led to.
+type told uint8
+
+const (
+	// nothing: nobody has news that are recent.
+	nothing told = iota
+	// upToDate: the register is known as the reader knows it.
+	upToDate
+	// lacking: the reader's news are recent, but too much has changed.
+	lacking
+)
+
+// askReaders asks for news.
+func (f *Follower) askReaders(ctx context.Context) told {
 	for i, reader := range f.Roster.Order(f.Clock.Now(), task) {
 		if i == readersTried || reader.Name == f.Roster.Self().Name {
-			return false
+			return nothing
 		}
-		if f.askReader(ctx, reader) {
+		if result := f.askReader(ctx, reader); result != nothing {
 			f.Roster.Fit(kind, reader.Name)
 			f.reads.WithLabelValues("news", "ok").Inc()
-			return true
+			return result
 		}
 		f.Roster.Unfit(f.Clock.Now(), kind, reader.Name)
 		f.reads.WithLabelValues("news", "failed").Inc()
 		f.Logger.Info("reader passed over", zap.String("reader", reader.Name))
 	}
-	return false
+	return nothing
 }
 
 // askReader asks one host, once more when no answer comes, and takes what it
 // tells.
-func (f *Follower) askReader(ctx context.Context, reader roster.Host) bool {
+func (f *Follower) askReader(ctx context.Context, reader roster.Host) told {
 	f.mu.Lock()
 	q := question{Register: f.journal.version}
 	f.mu.Unlock()
 	for range 2 {
 		began := f.Clock.Now()
-		askCtx, cancel := context.WithTimeout(ctx, syncTimeout)
-		var a answer
-		err := f.Node.Call(askCtx, reader.Addr, kindSync, q, &a)
-		cancel()
-		if err == nil {
+		if a, ok := f.collect(ctx, reader, q); ok {
 			return f.takeNews(began, a)
 		}
 	}
-	return false
+	return nothing
+}
+
+// collect asks and joins the parts of the answer.
+func (f *Follower) collect(ctx context.Context, reader roster.Host, q question) (answer, bool) {
+	asked, err := f.Node.Ask(reader.Addr, kindSync, q)
+	if err != nil {
+		f.Logger.Debug("reader can't be asked", zap.String("reader", reader.Name), zap.Error(err))
+		return answer{}, false
+	}
+	defer asked.Close()
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	var whole joined
+	for {
+		select {
+		case raw := <-asked.Answers():
+			var a answer
+			if err := mesh.Decode(raw, &a); err != nil {
+				f.Logger.Warn("news are malformed", zap.String("reader", reader.Name), zap.Error(err))
+				return answer{}, false
+			}
+			if whole.add(a) {
+				return whole.answer, true
+			}
+		case <-ctx.Done():
+			return answer{}, false
+		}
+	}
 }
 
-// takeNews takes an answer to a question that was asked at a time; it returns
-// false when the news are old.
-func (f *Follower) takeNews(asked time.Time, a answer) bool {
+// takeNews takes an answer to a question that was asked at a time.
+func (f *Follower) takeNews(asked time.Time, a answer) told {
 	registerAge := time.Duration(a.RegisterAge) * time.Millisecond
 	tablesAge := time.Duration(a.TablesAge) * time.Millisecond
 	f.mu.Lock()
@@ -106,13 +143,16 @@
 	if a.Hosts != f.hosts {
 		signal(f.rehost)
 	}
-	if registerAge > registerOld || !a.Known || a.Register < f.journal.version {
-		return false
+	switch {
+	case registerAge > registerOld:
+		return nothing
+	case !a.Known || a.Register < f.journal.version:
+		return lacking
 	}
 	readAt := asked.Add(-registerAge)
 	f.journal.apply(a.Register, readAt, a.changed(), a.Dropped)
 	f.takeChanges(f.book.Take(readAt, f.journal.list()))
-	return true
+	return upToDate
 }
 
 func (f *Follower) noteProblems(problems []error) {
--- a/news/tables.go
+++ b/news/tables.go
@@ -16,6 +16,7 @@
 func (f *Follower) followTables(ctx context.Context) {
 	d := f.dependency("tables")
 	var at Cursor
+	f.awaitMeeting(ctx)
 	for ctx.Err() == nil {
 		if !f.isReader() && f.tablesConfirmed() {
 			// The cursor would grow old meanwhile.
