news: a host that starts reads at once; placement: late requests wait in order while they can be served

Now the first reading is made at once; later ones wait for the meeting. Late requests stand oldest first and are refused as soon as they would have to wait for more than half of their time at the pace at which late ones are placed: one that was let wait is not overtaken.

--- a/news/follower.go
+++ b/news/follower.go
@@ -85,7 +85,9 @@
 	// they were for the first time.
 	rehost chan struct{}
 	met    chan struct{}
-	meet   sync.Once
+	// started is when the follower was made.
+	started time.Time
+	meet    sync.Once
 
 	mu      sync.Mutex
 	journal *journal
@@ -100,7 +102,7 @@
 // New returns a follower that knows nothing yet.
 func New(o Options) (*Follower, error) {
 	f := &Follower{
-		Options: o, hint: make(chan struct{}, 1), rehost: make(chan struct{}, 1), met: make(chan struct{}),
+		Options: o, hint: make(chan struct{}, 1), rehost: make(chan struct{}, 1), met: make(chan struct{}), started: o.Clock.Now(),
 		journal: newJournal(), book: registry.NewBook(),
 		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "chestnut_store_readings_total",
--- a/news/hosts.go
+++ b/news/hosts.go
@@ -58,7 +58,11 @@
 
 // awaitMeeting returns when the other hosts are known, or may not be soon.
 func (f *Follower) awaitMeeting(ctx context.Context) {
-	f.sleep(ctx, meetLongest, f.met)
+	select {
+	case <-ctx.Done():
+	case <-f.met:
+	case <-f.Clock.After(f.started.Add(meetLongest).Sub(f.Clock.Now())):
+	}
 }
 
 // awaitHosts returns when the hosts should be read again.
--- a/news/register.go
+++ b/news/register.go
@@ -17,6 +17,8 @@
 // followRegister keeps the targets until the context ends.
 func (f *Follower) followRegister(ctx context.Context) {
 	d := f.dependency("register")
+	// A host that starts serves as soon as it can, and joins the others then.
+	f.readOnce(d)
 	f.awaitMeeting(ctx)
 	for ctx.Err() == nil {
 		next := f.Clock.Now().Add(f.readRegister(ctx, d))
@@ -41,15 +43,24 @@
 			return syncEvery
 		}
 	}
+	if pause, ok := f.readOnce(d); !ok {
+		return pause
+	}
+	return lo.Ternary(f.isReader(), registerEvery, syncEvery)
+}
+
+// readOnce reads the register from the store; after a failure it returns the
+// pause before the next attempt.
+func (f *Follower) readOnce(d *dependency) (pause time.Duration, ok bool) {
 	began := f.Clock.Now()
 	d.tried = began
 	r, err := f.Source.Register()
-	if pause := d.read(f.Clock.Now(), err); err != nil {
-		return pause
+	if pause = d.read(f.Clock.Now(), err); err != nil {
+		return pause, false
 	}
 	f.noteProblems(r.Problems)
 	f.takeReading(r, began)
-	return lo.Ternary(f.isReader(), registerEvery, syncEvery)
+	return 0, true
 }
 
 // takeReading takes a reading of the store that began at a time.
--- a/news/tables.go
+++ b/news/tables.go
@@ -8,6 +8,10 @@
 	"go.uber.org/zap"
 )
 
+// emptyEvery is the time between two readings of a store that holds no tables
+// yet.
+const emptyEvery = 300 * time.Millisecond
+
 // hintEvery is the time between two looks at whether the tables have to be
 // read by this host itself.
 const hintEvery = 200 * time.Millisecond
@@ -16,8 +20,10 @@
 func (f *Follower) followTables(ctx context.Context) {
 	d := f.dependency("tables")
 	var at Cursor
-	f.awaitMeeting(ctx)
-	for ctx.Err() == nil {
+	for first := true; ctx.Err() == nil; first = false {
+		if !first && f.Current().Version > 0 {
+			f.awaitMeeting(ctx)
+		}
 		if !f.isReader() && f.tablesConfirmed() {
 			// The cursor would grow old meanwhile.
 			at = 0
@@ -43,7 +49,7 @@
 				at = reading.Cursor
 			} else {
 				// A store that holds no tables yet is asked again.
-				pause = retryFirst
+				pause = emptyEvery
 			}
 		}
 		f.sleep(ctx, pause, nil)
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"github.com/chestnutfield/chestnutfield/outcome"
@@ -38,14 +39,17 @@
 // order sorts waiters for the heaviest load, when not all can be served in
 // time: by rank; then those that can still meet their objective before those
 // that can't, so that a request that is late anyway takes no slot from one
-// that is not; then the newest first, since where room is short for long, the
-// oldest first would make every request wait until it is almost late.
+// that is not. Those that can are sorted newest first: where room is short for
+// long, the oldest first would make every request wait until it is almost late.
+// Late ones are sorted oldest first, so that one that was told to wait is not
+// overtaken.
 func order(now time.Time, work time.Duration, waiters []*waiter) {
 	slices.SortStableFunc(waiters, func(a, b *waiter) int {
+		late := hope(now, a.q, work)
 		return cmp.Or(
 			cmp.Compare(a.q.Route.Rank, b.q.Route.Rank),
-			cmp.Compare(hope(now, a.q, work), hope(now, b.q, work)),
-			b.q.Received.Compare(a.q.Received),
+			cmp.Compare(late, hope(now, b.q, work)),
+			lo.Ternary(late > 0, 1, -1)*a.q.Received.Compare(b.q.Received),
 		)
 	})
 }
@@ -95,13 +99,13 @@
 	work := p.usualWorkLocked()
 	order(now, work, p.waiters)
 	kept := p.waiters[:0]
-	late, lateMost := 0, lateRoom(p.latePace.rate(now))
+	late, latePace := 0, p.latePace.rate(now)
 	for _, w := range p.waiters {
 		isLate := hope(now, w.q, work) > 0
 		if isLate {
 			late++
 		}
-		if late > lateMost {
+		if isLate && !mayWaitLate(late, latePace, w.q.Deadline.Sub(now)-work) {
 			w.placed <- placed{refusal: b.refuseLate(p, w.q, now)}
 			continue
 		}
@@ -123,25 +127,26 @@
 }
 
 const (
-	// lateWait is the time in which the requests that wait although they can no
-	// longer meet their objective must be placed, at the pace at which such
-	// requests are; what goes beyond is refused, so that nobody is held without
-	// hope.
-	lateWait = 150 * time.Millisecond
-	// lateLeast is the number of such requests that may wait in any case.
+	// lateShare is the part of the time left that a late request may be
+	// expected to wait: the pace may fall, and nobody is held without hope.
+	lateShare = 0.5
+	// lateReturn is about when a refused late request may come back: a third of
+	// a second is what callers mostly have left to wait.
+	lateReturn = 300 * time.Millisecond
+	// lateLeast is the number of late requests that may wait in any case.
 	lateLeast = 2
 )
 
-// lateRoom is the number of late requests that may wait in a pool in which
-// that many of them are placed a second.
-func lateRoom(rate float64) int {
-	return max(int(rate*lateWait.Seconds()), lateLeast)
+// mayWaitLate says whether the nth late request is likely to be placed in the
+// time that it has left, where that many late ones are placed a second.
+func mayWaitLate(n int, pace float64, left time.Duration) bool {
+	return n <= lateLeast || float64(n) <= pace*lateShare*left.Seconds()
 }
 
 // refuseLate refuses a request for which too many late ones wait. The caller
 // holds the pool's lock.
 func (b *Balancer) refuseLate(p *pool, q ports.PlaceQuery, now time.Time) *ports.Refusal {
-	after := spread(lateWait + p.usualWorkLocked())
+	after := spread(lateReturn)
 	b.opts.Logger.Info("too many late requests wait", zap.String("request", q.RequestID), zap.String("pool", q.Pool),
 		zap.Duration("waited", now.Sub(q.Received)), zap.Duration("left", q.Deadline.Sub(now)),
 		zap.Int("waiting", len(p.waiters)), zap.Float64("late_placed_per_second", p.latePace.rate(now)), zap.Duration("retry_after", after))
