gateway: retry budget by slack and hosts, settings read anew when the file changes; logs count what they leave out

The burst of further attempts was fixed at two a host: 260 at 130 hosts, above the 202 that deployment allows. Settings are read anew on SIGHUP and when the file changes; so far only the log's level changes without a restart.

--- a/cmd/chestnut-gateway/main.go
+++ b/cmd/chestnut-gateway/main.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
@@ -94,15 +95,7 @@
 		return err
 	}
 	g.Start()
-	for {
-		select {
-		case <-reloads:
-			reload(path, log)
-			continue
-		case <-signals:
-		}
-		break
-	}
+	follow(path, log, reloads, signals)
 	ctx, cancel := context.WithTimeout(context.Background(), gateway.StopTime(s.Bounds.StopGrace))
 	defer cancel()
 	go func() {
@@ -112,6 +105,40 @@
 	return g.Stop(ctx)
 }
 
+// watchEvery is the time between two looks at whether the settings file has
+// changed: it may change without a signal.
+const watchEvery = 5 * time.Second
+
+// follow reads changed settings until a signal asks for a stop.
+func follow(path string, log *logging.Logger, reloads, stop <-chan os.Signal) {
+	ticker := time.NewTicker(watchEvery)
+	defer ticker.Stop()
+	changed := modified(path)
+	for {
+		select {
+		case <-stop:
+			return
+		case <-reloads:
+			changed = modified(path)
+			reload(path, log)
+		case <-ticker.C:
+			if now := modified(path); !now.Equal(changed) {
+				changed = now
+				reload(path, log)
+			}
+		}
+	}
+}
+
+// modified returns when a file was last changed, zero when it can't be read.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
 // reload takes the level of the log from a changed settings file; the rest of
 // the settings holds until the process starts again.
 func reload(path string, log *logging.Logger) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,9 +33,10 @@
 	rotationTime = 2600 * time.Millisecond
 	// stopReserve is left of the grace for the end of the process itself.
 	stopReserve = 400 * time.Millisecond
-	// retryBurst is the number of further attempts that one host may make at
-	// once beyond its ratio.
-	retryBurst = 2
+	// slackUsed is the part of the deployment's slack of further attempts that
+	// all hosts together may use at once; the rest is for what they can't know,
+	// such as hosts that have just joined.
+	slackUsed = 0.6
 	// targetIdle is how long a connection to a target is kept unused where the
 	// target does not say.
 	targetIdle = 4 * time.Second
@@ -208,7 +209,8 @@
 func newCallers(i do.Injector) (*proxy.Server, error) {
 	o, s := do.MustInvoke[Options](i), do.MustInvoke[*settings.Settings](i)
 	budget, err := retry.New(retry.Options{
-		Ratio: s.Bounds.RetryRatio, Floor: retry.NoFloor, Burst: retryBurst, Registerer: o.Registry,
+		Ratio: s.Bounds.RetryRatio, Floor: retry.NoFloor, Burst: s.Bounds.RetrySlack * slackUsed,
+		Membership: do.MustInvoke[*roster.Roster](i), Registerer: o.Registry,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -4,6 +4,7 @@
 package logging
 
 import (
+	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -71,6 +72,8 @@
 	mu     sync.Mutex
 	second time.Time
 	count  int
+	// missed counts the lines left out since that was last written.
+	missed int
 	closed bool
 }
 
@@ -94,15 +97,32 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.closed || !q.allows(time.Now()) {
-		q.dropped.Add(1)
+		q.drop()
 		return len(line), nil
 	}
+	if q.missed > 0 && q.put(fmt.Appendf(nil, "{\"level\":\"warn\",\"msg\":\"log lines left out\",\"lines\":%d}\n", q.missed)) {
+		q.missed = 0
+	}
+	if !q.put(append([]byte(nil), line...)) {
+		q.drop()
+	}
+	return len(line), nil
+}
+
+// put queues a line; false when there is no room.
+func (q *queue) put(line []byte) bool {
 	select {
-	case q.lines <- append([]byte(nil), line...):
+	case q.lines <- line:
+		return true
 	default:
-		q.dropped.Add(1)
+		return false
 	}
-	return len(line), nil
+}
+
+// drop counts a line that is not written. The caller holds the lock.
+func (q *queue) drop() {
+	q.missed++
+	q.dropped.Add(1)
 }
 
 // allows counts a line against the rate of its second.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -105,6 +105,18 @@
 	return len(r.hosts)
 }
 
+// Hosts returns the names of the hosts, sorted. It implements
+// ports.Membership.
+func (r *Roster) Hosts() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Sorted(maps.Keys(r.hosts))
+}
+
+// ShareCount is the number of hosts that a shared limit is divided by. It
+// implements ports.Membership.
+func (r *Roster) ShareCount() int { return r.Count() }
+
 // Unfit passes a host over in a kind of tasks for a while.
 func (r *Roster) Unfit(now time.Time, kind, host string) {
 	r.mu.Lock()
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -45,6 +45,7 @@
 	{"listen", "ready", withStore, "IP:PORT", addr(func(s *Settings) *netip.AddrPort { return &s.Listen.Ready })},
 	{"store", "address", optional, "IP:PORT", addr(func(s *Settings) *netip.AddrPort { return &s.Store.Address })},
 	{"bounds", "retry_ratio", optional, "a number from 0 to 1", amount(1, func(s *Settings) *float64 { return &s.Bounds.RetryRatio })},
+	{"bounds", "retry_slack", optional, "a number from 0 to 1000000", amount(1_000_000, func(s *Settings) *float64 { return &s.Bounds.RetrySlack })},
 	{"bounds", "probes_per_second", optional, "a number from 0 to 10000", amount(10_000, func(s *Settings) *float64 { return &s.Bounds.ProbesPerSecond })},
 	{"bounds", "stop_grace", optional, "a duration from 1s to 1h", duration(time.Second, time.Hour, func(s *Settings) *time.Duration { return &s.Bounds.StopGrace })},
 	{"limits", "memory_bytes", optional, "a number from 0 to 1099511627776", number(0, 1<<40, func(s *Settings) *int { return &s.Limits.MemoryBytes })},
--- a/settings/load.go
+++ b/settings/load.go
@@ -80,7 +80,7 @@
 			MaxHeaderBytes: DefaultMaxHeaderBytes, MaxKeyedBodyBytes: DefaultMaxKeyedBodyBytes,
 			MaxCallerConnections: DefaultMaxCallerConnections,
 		},
-		Bounds: Bounds{RetryRatio: DefaultRetryRatio, ProbesPerSecond: DefaultProbesPerSecond, StopGrace: DefaultStopGrace},
+		Bounds: Bounds{RetryRatio: DefaultRetryRatio, RetrySlack: DefaultRetrySlack, ProbesPerSecond: DefaultProbesPerSecond, StopGrace: DefaultStopGrace},
 		Log:    Log{Level: defaultLogLevel},
 	}
 }
--- a/settings/load_test.go
+++ b/settings/load_test.go
@@ -81,3 +81,40 @@
 		Expect(err).To(MatchError(ContainSubstring("s.ini")))
 	})
 })
+
+var _ = Describe("the settings of a host that follows a store", func() {
+	const good = `[host]
+name = entry-1
+failure_domain = a
+strength = 0.32
+[listen]
+callers = 10.0.0.1:7001
+ready = 10.0.0.1:7002
+peers = 10.0.0.1:7003
+[store]
+address = 10.0.0.9:8000
+[bounds]
+retry_ratio = 0.2
+retry_slack = 62
+probes_per_second = 60
+stop_grace = 6s
+`
+	It("need neither the platform's services nor an admin address", func() {
+		s, err := load(good)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Store.Used()).To(BeTrue())
+		Expect(s.Bounds).To(Equal(settings.Bounds{RetryRatio: 0.2, RetrySlack: 62, ProbesPerSecond: 60, StopGrace: 6 * time.Second}))
+		Expect(s.Host.Strength).To(Equal(0.32))
+	})
+
+	DescribeTable("are refused with what was found and expected",
+		func(from, to, want string) {
+			_, err := load(strings.Replace(good, from, to, 1))
+			Expect(err).To(MatchError(ContainSubstring(want)))
+		},
+		Entry("no readiness address", "ready = 10.0.0.1:7002\n", "", `key "ready": the required key is missing`),
+		Entry("a store that is no address", "10.0.0.9:8000", "store", `the value "store" can't be used; expected IP:PORT`),
+		Entry("a ratio above 1", "0.2", "2", `the value "2" can't be used; expected a number from 0 to 1`),
+		Entry("not a number", "62", "NaN", `the value "NaN"`),
+	)
+})
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -37,6 +37,9 @@
 	// RetryRatio is the share of requests that may be sent to a further
 	// target, all hosts together.
 	RetryRatio float64
+	// RetrySlack is the number of further attempts beyond the ratio that one
+	// pool may get in a short time, all hosts together.
+	RetrySlack float64
 	// ProbesPerSecond is the number of probes a second that one target may get,
 	// all hosts together.
 	ProbesPerSecond float64
@@ -125,6 +128,7 @@
 	DefaultHeaderTimeout        = 10 * time.Second
 	DefaultMaxCallerConnections = 10_000
 	DefaultRetryRatio           = 0.1
+	DefaultRetrySlack           = 36.0
 	DefaultProbesPerSecond      = 10.0
 	DefaultStopGrace            = 30 * time.Second
 	defaultLogLevel             = "info"
