desk: its choice is checked against the own register

Change: a host uses only targets that its own register allows; it asks the desk again without the others, then passes the desk over and looks itself. The reader reads each 0.6 s and counts as old from 1.1 s. A refused question is kept for a second, not until its deadline. The spec 'that does not know of a leaving target' fails without the change. Ruled out: the reader's failure, which the hosts noticed within 1.1 s.

--- a/desk/client.go
+++ b/desk/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -78,7 +79,7 @@
 		if i == desksTried || host.Name == c.Roster.Self().Name {
 			break
 		}
-		a, refusal, ok := c.ask(ctx, host, q)
+		a, refusal, ok := c.askUsable(ctx, host, q)
 		if ok {
 			c.placed.WithLabelValues("desk").Inc()
 			return a, refusal
@@ -91,8 +92,35 @@
 	return c.Local.Place(ctx, q)
 }
 
+// choicesAsked is the number of times that a desk is asked whose choices this
+// host may not use.
+const choicesAsked = 3
+
+// askUsable asks a desk until it names a target that this host's own register
+// allows: a desk that is cut off from the store may not know of one that
+// leaves. ok is false when it names none, or gives no sign of life.
+func (c *Client) askUsable(ctx context.Context, host roster.Host, q ports.PlaceQuery) (ports.Attempt, *ports.Refusal, bool) {
+	q.Exclude = slices.Clone(q.Exclude)
+	for choice := range choicesAsked {
+		a, refusal, ok := c.ask(ctx, host, q)
+		if !ok || refusal != nil {
+			// With nothing left but targets that may not be used here, the desk's
+			// refusal says nothing of the others.
+			return nil, refusal, ok && choice == 0
+		}
+		if c.Local.Uses(q.Pool, a.instance()) {
+			return a, nil, true
+		}
+		a.Done(c.Clock.Now(), ports.Feedback{Result: ports.Result{Verdict: ports.Abandoned}})
+		c.Logger.Info("desk chose a target that takes no new work", zap.String("desk", host.Name), zap.String("pool", q.Pool),
+			zap.String("target", a.Identity()), zap.String("request", q.RequestID))
+		q.Exclude = append(q.Exclude, a.Target())
+	}
+	return nil, nil, false
+}
+
 // ask asks a desk; ok is false when it gives no sign of life.
-func (c *Client) ask(ctx context.Context, host roster.Host, q ports.PlaceQuery) (ports.Attempt, *ports.Refusal, bool) {
+func (c *Client) ask(ctx context.Context, host roster.Host, q ports.PlaceQuery) (*attempt, *ports.Refusal, bool) {
 	question, err := c.Node.Ask(host.Addr, kindPlace, newQuestion(c.Clock.Now(), q, c.FailureDomain))
 	if err != nil {
 		c.Logger.Warn("desk can't be asked", zap.String("desk", host.Name), zap.Error(err))
@@ -131,7 +159,7 @@
 }
 
 // take turns an answer into a result; done is false while the request waits.
-func (c *Client) take(host roster.Host, question uint64, a placeAnswer) (ports.Attempt, *ports.Refusal, bool) {
+func (c *Client) take(host roster.Host, question uint64, a placeAnswer) (*attempt, *ports.Refusal, bool) {
 	switch a.State {
 	case placed:
 		return &attempt{client: c, desk: host.Addr, question: question, answer: a}, nil, true
@@ -168,6 +196,10 @@
 // Identity returns the name of the target.
 func (a *attempt) Identity() string { return a.answer.Target }
 
+func (a *attempt) instance() registry.Instance {
+	return registry.Instance{ID: a.answer.Target, Born: a.answer.Born}
+}
+
 // Basis returns what the desk's choice rested on.
 func (a *attempt) Basis() ports.Basis {
 	return ports.Basis{
@@ -182,7 +214,7 @@
 	if !a.ended.CompareAndSwap(false, true) {
 		return
 	}
-	a.client.Local.Observe(now, registry.Instance{ID: a.answer.Target, Born: a.answer.Born}, f)
+	a.client.Local.Observe(now, a.instance(), f)
 	err := a.client.Node.Tell(a.desk, kindDone, doneNews{
 		Question: a.question, Verdict: f.Verdict, Latency: f.Latency.Microseconds(), LoadReport: f.LoadReport,
 		WrongTarget: f.WrongTarget, ConnectFailed: f.ConnectFailed,
--- a/desk/desk_test.go
+++ b/desk/desk_test.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"github.com/chestnutfield/chestnutfield/desk"
@@ -62,6 +63,13 @@
 	asker  *asker
 	client *desk.Client
 	server *desk.Server
+	local  *placement.Balancer
+}
+
+// uses sets the targets that a host's own register allows.
+func (h *host) uses(ids ...string) {
+	targets := lo.Map(ids, func(id string, _ int) registry.Target { return target(id) })
+	h.local.Update(map[string]placement.PoolSpec{"p": {HealthPath: "/h", Targets: targets}})
 }
 
 func newHost(name string) *host {
@@ -73,7 +81,8 @@
 	}
 	local, err := placement.New(placement.Options{Asker: h.asker, FailureDomain: "a", QuestionsPerSecond: 1000, Seed: 1})
 	Expect(err).NotTo(HaveOccurred())
-	local.Update(map[string]placement.PoolSpec{"p": {HealthPath: "/h", Targets: []registry.Target{target("t1"), target("t2")}}})
+	h.local = local
+	h.uses("t1", "t2")
 	h.asker.set("t1", 0)
 	h.asker.set("t2", 0)
 	h.server = desk.Serve(node, local, clockwork.NewRealClock(), zap.NewNop())
@@ -209,6 +218,21 @@
 		Expect(time.Since(began)).To(BeNumerically("<", 300*time.Millisecond))
 	}, NodeTimeout(time.Minute))
 
+	It("that does not know of a leaving target sends nobody there who does", func(ctx SpecContext) {
+		hosts := fleet(2)
+		hosts[1].uses("t2")
+		for range 10 {
+			a, refusal := hosts[1].client.Place(ctx, query(timeout))
+			Expect(refusal).To(BeNil())
+			Expect(a.(ports.IdentifiedAttempt).Identity()).To(Equal("t2"))
+			a.Done(time.Now(), succeeded)
+		}
+		hosts[1].uses()
+		_, refusal := hosts[1].client.Place(ctx, query(timeout))
+		Expect(refusal.Reason).To(Equal(outcome.NoTarget))
+		Eventually(hosts[0].server.Open).WithTimeout(timeout).Should(BeZero())
+	}, NodeTimeout(time.Minute))
+
 	It("passes a target over that failed for another host", func(ctx SpecContext) {
 		hosts := fleet(3)
 		failed := ports.Feedback{Result: ports.Result{Verdict: ports.Failed}, ConnectFailed: true}
--- a/desk/server.go
+++ b/desk/server.go
@@ -17,6 +17,8 @@
 	// queuedAfter is the time after which a request that still waits is told
 	// so; it is shorter than firstAnswer by the way there and back.
 	queuedAfter = 8 * time.Millisecond
+	// keepRefused is how long a refusal is kept for a question that is repeated.
+	keepRefused = time.Second
 	// keepAfterDeadline is how long a placed request counts as at its target
 	// when nobody tells of its end.
 	keepAfterDeadline = time.Second
@@ -89,6 +91,9 @@
 	s.mu.Lock()
 	_, wanted := s.entries[key]
 	e.answer, e.attempt = answer, a
+	if refusal != nil {
+		e.expire.Reset(keepRefused)
+	}
 	s.mu.Unlock()
 	if !wanted {
 		if a != nil {
--- a/news/follower.go
+++ b/news/follower.go
@@ -24,12 +24,12 @@
 const (
 	// registerEvery is the time between two readings of the register by the
 	// reader.
-	registerEvery = 700 * time.Millisecond
+	registerEvery = 600 * time.Millisecond
 	// syncEvery is the time between two questions to the reader.
 	syncEvery = 400 * time.Millisecond
 	// registerOld and tablesOld are the ages from which a reader's news are no
 	// longer relied on.
-	registerOld = 1200 * time.Millisecond
+	registerOld = 1100 * time.Millisecond
 	tablesOld   = 1300 * time.Millisecond
 	// tablesWait is how long a reading of the tables waits for a change.
 	tablesWait = 800 * time.Millisecond
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -343,6 +343,12 @@
 	return &r
 }
 
+// Uses reports whether an instance is among the targets of a pool.
+func (b *Balancer) Uses(pool string, at registry.Instance) bool {
+	p := (*b.pools.Load())[pool]
+	return p != nil && p.uses(at)
+}
+
 // Observe takes the end of a request that another host placed: its target's
 // health and load are known here as well, in case this host has to choose.
 func (b *Balancer) Observe(now time.Time, at registry.Instance, f ports.Feedback) {
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -184,6 +184,12 @@
 	return p.work
 }
 
+func (p *pool) uses(at registry.Instance) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.targets, func(t *target) bool { return t.Instance == at })
+}
+
 // observe takes the end of a call of another host; false when the target is
 // none of this pool.
 func (p *pool) observe(now time.Time, at registry.Instance, f ports.Feedback, r *load.Report) bool {
