desk: one that does not know of a pool's targets yet keeps nobody from them

A desk whose tables or register are older refused requests as without a target although the asking host knew some. The host then looks itself. The spec fails without the change.

--- a/desk/client.go
+++ b/desk/client.go
@@ -80,6 +80,10 @@
 			break
 		}
 		a, refusal, ok := c.askUsable(ctx, host, q)
+		if refusal != nil && refusal.Reason == outcome.NoTarget && c.Local.Size(q.Pool) > 0 {
+			// The desk does not know of the pool's targets yet.
+			break
+		}
 		if ok {
 			c.placed.WithLabelValues("desk").Inc()
 			return a, refusal
--- a/desk/desk_test.go
+++ b/desk/desk_test.go
@@ -233,6 +233,15 @@
 		Eventually(hosts[0].server.Open).WithTimeout(timeout).Should(BeZero())
 	}, NodeTimeout(time.Minute))
 
+	It("that does not know of a pool's targets yet keeps nobody from them", func(ctx SpecContext) {
+		hosts := fleet(2)
+		hosts[0].uses()
+		a, refusal := hosts[1].client.Place(ctx, query(timeout))
+		Expect(refusal).To(BeNil())
+		Expect(a.(ports.ReasonedAttempt).Basis().By).To(BeEmpty())
+		Expect(hosts[1].roster.Order(time.Now(), desk.Task("p"))).To(HaveLen(2))
+	}, NodeTimeout(time.Minute))
+
 	It("passes a target over that failed for another host", func(ctx SpecContext) {
 		hosts := fleet(3)
 		failed := ports.Feedback{Result: ports.Result{Verdict: ports.Failed}, ConnectFailed: true}
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -343,6 +343,15 @@
 	return &r
 }
 
+// Size is the number of targets of a pool.
+func (b *Balancer) Size(pool string) int {
+	p := (*b.pools.Load())[pool]
+	if p == nil {
+		return 0
+	}
+	return p.size()
+}
+
 // Uses reports whether an instance is among the targets of a pool.
 func (b *Balancer) Uses(pool string, at registry.Instance) bool {
 	p := (*b.pools.Load())[pool]
