--- a/desk/client.go
+++ b/desk/client.go
@@ -115,7 +115,7 @@
 		if c.Local.Uses(q.Pool, a.instance()) {
 			return a, nil, true
 		}
-		a.Done(c.Clock.Now(), ports.Feedback{Result: ports.Result{Verdict: ports.Abandoned}})
+		a.Done(c.Clock.Now(), abandoned)
 		c.Logger.Info("desk chose a target that takes no new work", zap.String("desk", host.Name), zap.String("pool", q.Pool),
 			zap.String("target", a.Identity()), zap.String("request", q.RequestID))
 		q.Exclude = append(q.Exclude, a.Target())
--- a/desk/server.go
+++ b/desk/server.go
@@ -60,8 +60,7 @@
 // place answers a question, once more when it is repeated.
 func (s *Server) place(m mesh.Message) {
 	var q placeQuestion
-	if err := m.Decode(&q); err != nil {
-		s.log.Debug("question to the desk is malformed", zap.Stringer("from", m.From), zap.Error(err))
+	if !s.decode(m, &q) {
 		return
 	}
 	key := asked{m.From, m.ID()}
@@ -77,7 +76,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), query.Deadline.Sub(now))
 	e := &entry{cancel: cancel, answer: placeAnswer{State: queued}}
 	s.entries[key] = e
-	e.expire = s.clock.AfterFunc(query.Deadline.Sub(now)+keepAfterDeadline, func() { s.end(key, ports.Feedback{Result: ports.Result{Verdict: ports.Abandoned}}) })
+	e.expire = s.clock.AfterFunc(query.Deadline.Sub(now)+keepAfterDeadline, func() { s.end(key, abandoned) })
 	s.mu.Unlock()
 	go s.run(ctx, key, e, query, m)
 }
@@ -97,7 +96,7 @@
 	s.mu.Unlock()
 	if !wanted {
 		if a != nil {
-			a.Done(s.clock.Now(), ports.Feedback{Result: ports.Result{Verdict: ports.Abandoned}})
+			a.Done(s.clock.Now(), abandoned)
 		}
 		return
 	}
@@ -106,20 +105,28 @@
 
 func (s *Server) done(m mesh.Message) {
 	var d doneNews
-	if err := m.Decode(&d); err != nil {
-		s.log.Debug("news to the desk is malformed", zap.Stringer("from", m.From), zap.Error(err))
-		return
+	if s.decode(m, &d) {
+		s.end(asked{m.From, d.Question}, d.feedback())
 	}
-	s.end(asked{m.From, d.Question}, d.feedback())
 }
 
 func (s *Server) cancel(m mesh.Message) {
 	var c cancelNews
-	if err := m.Decode(&c); err != nil {
-		s.log.Debug("news to the desk is malformed", zap.Stringer("from", m.From), zap.Error(err))
-		return
+	if s.decode(m, &c) {
+		s.end(asked{m.From, c.Question}, abandoned)
+	}
+}
+
+// abandoned is the end of a request that says nothing of its target.
+var abandoned = ports.Feedback{Result: ports.Result{Verdict: ports.Abandoned}}
+
+// decode reads a message; one that is malformed is logged and dropped.
+func (s *Server) decode(m mesh.Message, to any) bool {
+	if err := m.Decode(to); err != nil {
+		s.log.Debug("message to the desk is malformed", zap.Stringer("from", m.From), zap.Error(err))
+		return false
 	}
-	s.end(asked{m.From, c.Question}, ports.Feedback{Result: ports.Result{Verdict: ports.Abandoned}})
+	return true
 }
 
 // end forgets a question.
