table, proxy: limits of the tables on headers and bodies of callers

The operator's configuration bounds what clients may send; the product had only settings of a host. 431 and 413 as not run, also for bodies of unannounced length, held or streamed.

--- a/proxy/bodies_test.go
+++ b/proxy/bodies_test.go
@@ -24,6 +24,33 @@
 
 var big = strings.Repeat("0123456789abcdef", 64<<10)
 
+var _ = Describe("the limits of the tables", func() {
+	withTableLimits := func(header int, body int64) bedOption {
+		return func(_ *Options, t *table.Tables) { t.Limits = table.CallerLimits{HeaderBytes: header, BodyBytes: body} }
+	}
+	post := "POST /orders/a HTTP/1.1\r\nHost: h\r\n"
+
+	It("refuse a larger body, announced, chunked or streamed, and a larger header", func() {
+		up := newUpstream(always(okAnswer))
+		b := newBed([]*rawUpstream{up}, withTableLimits(200, 10), withLimits(func(l *Limits) { l.HeldBodyBytes = 4 }))
+		resp, _ := b.ask(post + "Content-Length: 11\r\n\r\nhello world")
+		Expect(resp.StatusCode).To(Equal(413))
+		Expect(resp.Header.Get("Chestnut-Outcome")).To(Equal("not-run"))
+		resp, _ = b.ask(post + "Transfer-Encoding: chunked\r\n\r\nb\r\nhello world\r\n0\r\n\r\n")
+		Expect(resp.StatusCode).To(Equal(413))
+		resp, _ = b.ask(post + "X-Long: " + strings.Repeat("x", 200) + "\r\nContent-Length: 0\r\n\r\n")
+		Expect(resp.StatusCode).To(Equal(431))
+	})
+
+	It("let everything within them pass", func() {
+		b := newBed([]*rawUpstream{newUpstream(always(okAnswer))}, withTableLimits(200, 10))
+		for _, rest := range []string{"Content-Length: 10\r\n\r\nhello worl", "Transfer-Encoding: chunked\r\n\r\na\r\nhello worl\r\n0\r\n\r\n"} {
+			resp, _ := b.ask(post + rest)
+			Expect(resp.StatusCode).To(Equal(200))
+		}
+	})
+})
+
 var _ = Describe("answers", func() {
 	DescribeTable("that are short are 502, unknown",
 		func(answer string) {
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -34,6 +34,8 @@
 	cancel   context.CancelFunc
 
 	body requestBody
+	// bodyLimit bounds a body of unannounced length; 0 sets no bound.
+	bodyLimit int64
 	// claim is set for a keyed order.
 	claim  *orderClaim
 	permit ports.Permit
@@ -140,6 +142,9 @@
 		if p != nil {
 			return p
 		}
+		if c.bodyLimit = c.server.opts.Tables.Current().Limits.BodyBytes; c.tooLong(int64(len(body.held))) {
+			return bodyTooLarge()
+		}
 		c.body = body
 		c.waited += c.now().Sub(c.received)
 		if c.keyed() && !body.whole() {
@@ -169,6 +174,13 @@
 	return time.Duration(float64(route.Objective) * c.server.limits.HedgeShare)
 }
 
+// tooLong says that a body of that many bytes exceeds the limit in force.
+func (c *call) tooLong(n int64) bool { return c.bodyLimit > 0 && n > c.bodyLimit }
+
+func bodyTooLarge() *problem {
+	return tooLarge(fasthttp.StatusRequestEntityTooLarge, "request body is too large")
+}
+
 // claimKey writes the claim of a keyed order.
 func (c *call) claimKey() *problem {
 	if !c.keyed() {
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -340,10 +340,27 @@
 	if p != nil {
 		return conn, nil, router.Match{}, p
 	}
+	if p := s.overLimits(&ctx.Request.Header, in); p != nil {
+		return conn, in, router.Match{}, p
+	}
 	m, p := s.match(&ctx.Request.Header, in)
 	return conn, in, m, p
 }
 
+// overLimits refuses what exceeds the limits of the tables in force. A body of
+// unannounced length is bounded while it is read.
+func (s *Server) overLimits(h *fasthttp.RequestHeader, in *inbound) *problem {
+	limits := s.opts.Tables.Current().Limits
+	line := len(in.method) + len(in.target) + len(" ") + len(" HTTP/1.1\r\n")
+	if limits.HeaderBytes > 0 && line+len(h.RawHeaders()) > limits.HeaderBytes {
+		return tooLarge(fasthttp.StatusRequestHeaderFieldsTooLarge, "request header is too large")
+	}
+	if limits.BodyBytes > 0 && in.length > limits.BodyBytes {
+		return tooLarge(fasthttp.StatusRequestEntityTooLarge, "request body is too large")
+	}
+	return nil
+}
+
 // match says what the request is and where it goes.
 func (s *Server) match(h *fasthttp.RequestHeader, in *inbound) (router.Match, *problem) {
 	if s.opts.PeerSide != nil {
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -59,8 +59,13 @@
 		return err
 	}
 	buf := make([]byte, copyBytes)
+	total := int64(len(c.body.held))
 	for {
 		n, err := c.body.rest.Read(buf)
+		if total += int64(n); c.tooLong(total) {
+			c.bodyFailed.Store(bodyTooLarge())
+			return errors.WithMessage(errCallerBody, "over the limit")
+		}
 		if werr := c.writePiece(w, buf[:n]); werr != nil {
 			return werr
 		}
--- a/table/codec.go
+++ b/table/codec.go
@@ -80,7 +80,7 @@
 // Clone returns a copy whose maps can be changed without touching t. The
 // rows in them are shared and must be replaced whole.
 func (t *Tables) Clone() *Tables {
-	out := &Tables{Version: t.Version, Pools: make(map[string]Pool, len(t.Pools)), Routes: make(map[string]Route, len(t.Routes))}
+	out := &Tables{Version: t.Version, Limits: t.Limits, Pools: make(map[string]Pool, len(t.Pools)), Routes: make(map[string]Route, len(t.Routes))}
 	for k, v := range t.Pools {
 		out.Pools[k] = v
 	}
--- a/table/types.go
+++ b/table/types.go
@@ -107,4 +107,14 @@
 	Version uint64           `json:"version"`
 	Pools   map[string]Pool  `json:"pools"`
 	Routes  map[string]Route `json:"routes"`
+	// Limits bound what callers may send, beside the host's own settings.
+	Limits CallerLimits `json:"limits,omitzero"`
+}
+
+// CallerLimits bound what a caller may send; zero values set no bound.
+type CallerLimits struct {
+	// HeaderBytes bounds the header of a request, its request line included.
+	HeaderBytes int `json:"header_bytes,omitempty"`
+	// BodyBytes bounds the body of a request.
+	BodyBytes int64 `json:"body_bytes,omitempty"`
 }
