--- a/mesh/node.go
+++ b/mesh/node.go
@@ -31,7 +31,7 @@
 // Kind says what a message is about.
 type Kind uint8
 
-// envelope is a message on the wire.
+// envelope is a message as it is sent.
 type envelope struct {
 	_ struct{} `cbor:",toarray"`
 	// ID pairs answers with their question; 0 is news.
--- a/news/message.go
+++ b/news/message.go
@@ -41,7 +41,7 @@
 	Hosts uint64
 }
 
-// entry is a registry.Entry on the wire.
+// entry is a registry.Entry in a message.
 type entry struct {
 	_             struct{} `cbor:",toarray"`
 	ID            string
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -118,6 +118,12 @@
 		p.update(spec.HealthPath, spec.Targets)
 		next[name] = p
 	}
+	for name, p := range old {
+		if _, stays := specs[name]; !stays {
+			// Requests that still wait there are refused.
+			p.update("", nil)
+		}
+	}
 	b.pools.Store(&next)
 }
 
--- a/placement/load_test.go
+++ b/placement/load_test.go
@@ -16,6 +16,7 @@
 	"github.com/samber/lo"
 
 	"github.com/chestnutfield/chestnutfield/load"
+	"github.com/chestnutfield/chestnutfield/outcome"
 	"github.com/chestnutfield/chestnutfield/placement"
 	"github.com/chestnutfield/chestnutfield/ports"
 	"github.com/chestnutfield/chestnutfield/registry"
@@ -258,6 +259,30 @@
 	})
 }
 
+// A pool that the tables drop takes its targets along: a request that waits
+// there must not be sent to one that has left since.
+func TestADroppedPoolRefusesWhoWaitsThere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		addr := netip.MustParseAddrPort("10.0.0.1:80")
+		full := &server{slots: 2, queue: 4, slowdown: 1, running: 2, waiting: make([]chan struct{}, 4)}
+		f := &fleet{servers: map[netip.AddrPort]*server{addr: full}}
+		b, err := placement.New(placement.Options{Asker: f, FailureDomain: "a", QuestionsPerSecond: 60})
+		g.Expect(err).NotTo(HaveOccurred())
+		b.Update(map[string]placement.PoolSpec{"p": {HealthPath: "/h", Targets: []registry.Target{{Entry: registry.Entry{
+			Instance: registry.Instance{ID: "t", Born: 1}, Addr: addr, FailureDomain: "a", Slots: 2}}}}})
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			b.Update(map[string]placement.PoolSpec{})
+		}()
+		began := time.Now()
+		_, refusal := b.Place(t.Context(), ports.PlaceQuery{
+			Pool: "p", Route: &table.Route{}, Received: began, Deadline: began.Add(10 * time.Second)})
+		g.Expect(refusal.Reason).To(Equal(outcome.NoTarget))
+		g.Expect(time.Since(began)).To(BeNumerically("<", 200*time.Millisecond))
+	})
+}
+
 func (c caught) short() string {
 	return fmt.Sprintf("asked %d in time %.3f late %.3f refused %.3f failed %.3f",
 		c.asked, c.share(c.inTime), c.share(c.late), c.share(c.refused), c.share(c.failed))
