admin, gateway: a shutdown before the server has begun is not forgotten

The trace: Host.Kill of a cleanup waited for the servers; the goroutine of the admin server was still accepting, since fasthttp's shutdown does nothing before Serve has taken its listener, and on a busy machine the kill of a test came first. Change: Shutdown closes the listener that Serve was given, and a later Serve returns at once; the gateway closes its readiness listener itself. The spec in admin/server_test.go timed out without the change. Ruled out: the new packages; the fault is as old as the admin server.

--- a/admin/server.go
+++ b/admin/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"log"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
@@ -83,6 +84,11 @@
 	opts  Options
 	token token.Token
 	http  *fasthttp.Server
+
+	// mu guards what Serve and Shutdown tell each other.
+	mu       sync.Mutex
+	listener net.Listener
+	stopping bool
 }
 
 // New returns a Server that serves nothing yet.
@@ -145,11 +151,43 @@
 	if s.opts.TLS != nil {
 		l = tls.NewListener(l, s.opts.TLS)
 	}
-	return errors.Wrap(s.http.Serve(l), "admin")
+	if !s.begin(l) {
+		return nil
+	}
+	err := s.http.Serve(l)
+	if s.stopped() {
+		return nil
+	}
+	return errors.Wrap(err, "admin")
+}
+
+// begin takes the listener to serve; false when Shutdown was called before.
+func (s *Server) begin(l net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listener = l
+	return !s.stopping
 }
 
-// Shutdown stops taking connections and waits for requests under way.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.ShutdownWithContext(ctx) }
+func (s *Server) stopped() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopping
+}
+
+// Shutdown stops taking connections and waits for requests under way. A Serve
+// that comes later returns at once: the HTTP server forgets a shutdown that it
+// gets before it serves.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.mu.Lock()
+	s.stopping = true
+	l := s.listener
+	s.mu.Unlock()
+	if l != nil {
+		l.Close()
+	}
+	return s.http.ShutdownWithContext(ctx)
+}
 
 func (s *Server) guarded() bool {
 	return !s.token.Empty() || (s.opts.TLS != nil && s.opts.TLS.ClientAuth == tls.RequireAndVerifyClientCert)
--- a/admin/server_test.go
+++ b/admin/server_test.go
@@ -82,6 +82,20 @@
 	return res.StatusCode, string(body)
 }
 
+var _ = Describe("Shutdown", func() {
+	It("before Serve keeps it from serving", func() {
+		server, err := admin.New(options(&self{ready: true}, "right"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(server.Shutdown(context.Background())).To(Succeed())
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer l.Close()
+		ended := make(chan error, 1)
+		go func() { ended <- server.Serve(l) }()
+		Eventually(ended).WithTimeout(20 * time.Second).Should(Receive(BeNil()))
+	})
+})
+
 var _ = Describe("access", func() {
 	DescribeTable("by token",
 		func(path, authorization string, want int) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -272,6 +272,8 @@
 	}
 	err := g.callers.Shutdown(ctx)
 	g.cancel()
+	// The listener first: a server that has not begun forgets its shutdown.
+	_ = g.readyLn.Close()
 	_ = g.ready.http.Shutdown()
 	_ = g.node.Close()
 	g.log.Info("stopped", zap.Error(err))
