--- a/attempt/machine.go
+++ b/attempt/machine.go
@@ -259,6 +259,8 @@
 	if !waits || !m.cfg.Idempotent || m.cfg.OneShot || m.cfg.NoRetries || !ev.At.Before(m.cfg.Deadline) {
 		return Action{Kind: Wait}
 	}
+	// A further attempt after both would be one more than the route allows.
+	m.retries++
 	m.tries = append(m.tries, picking)
 	return Action{Kind: Pick, Attempt: len(m.tries), Budgeted: true}
 }
--- a/attempt/machine_test.go
+++ b/attempt/machine_test.go
@@ -102,3 +102,22 @@
 		Entry("cancelled after sending", []EventKind{Admitted, Picked, Sent}, Cancelled, End{outcome.Unknown, outcome.CallerGone}),
 	)
 })
+
+var _ = Describe("a hedge", func() {
+	It("counts as one of the further attempts that the route allows", func() {
+		now := time.Unix(1_700_000_000, 0)
+		m := New(Config{Idempotent: true, Retries: 1, Deadline: now.Add(time.Minute)})
+		step := func(ev Event) Action {
+			ev.At = now
+			return m.Step(ev)
+		}
+		Expect(step(Event{Kind: Admitted}).Kind).To(Equal(Pick))
+		step(Event{Kind: Picked, Attempt: 1})
+		step(Event{Kind: Sent, Attempt: 1})
+		Expect(step(Event{Kind: HedgeDue}).Attempt).To(Equal(2))
+		step(Event{Kind: Picked, Attempt: 2})
+		step(Event{Kind: Sent, Attempt: 2})
+		Expect(step(Event{Kind: Header, Attempt: 1, Status: 500}).Kind).To(Equal(Wait))
+		Expect(step(Event{Kind: Header, Attempt: 2, Status: 500}).Kind).To(Equal(Forward))
+	})
+})
