peer: news goes to the next host of a ring besides random ones

Cause of the known red TestNewsPassesWhenTheBudgetIsSpent: a version or a leaving target is passed on once by each host to three random peers. Three random choices of each of 19 hosts miss one host now and then; it then waits for a round of its own, which a spent budget leaves out for up to 4 s. Ruled out: a lost exchange (none failed). Now one of the three is the next live host in order of name, so every host is told by its predecessor.

A spec for the ring's order is new.

--- a/peer/node.go
+++ b/peer/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,12 +70,12 @@
 		case <-ctx.Done():
 			return nil
 		case <-n.wake:
-			n.meet(ctx, &open, n.opt.PushFanOut)
+			n.meet(ctx, &open, n.newsPeers())
 		case <-ticker.Chan():
 			if n.versionGrew() {
-				n.meet(ctx, &open, n.opt.PushFanOut)
+				n.meet(ctx, &open, n.newsPeers())
 			} else if n.roundDue(n.opt.Clock.Now()) {
-				n.meet(ctx, &open, n.opt.FanOut)
+				n.meet(ctx, &open, n.opt.Members.Peers(n.opt.FanOut))
 			}
 		}
 	}
@@ -118,12 +119,36 @@
 	return false
 }
 
-// meet starts exchanges with up to k peers.
-func (n *Node) meet(ctx context.Context, open *sync.WaitGroup, k int) {
-	peers := n.opt.Members.Peers(k)
+// newsPeers chooses the peers that news is passed on to: random ones, and the
+// next host in order of name. Random ones alone miss a host now and then,
+// which then waits for its own round; along the ring every host is told.
+func (n *Node) newsPeers() []membership.Member {
+	peers := n.opt.Members.Peers(n.opt.PushFanOut)
+	next, ok := successor(n.opt.Members.Self().Name, n.opt.Members.Members())
+	if !ok || slices.ContainsFunc(peers, func(m membership.Member) bool { return m.Name == next.Name }) {
+		return peers
+	}
+	return append(peers[:min(len(peers), max(n.opt.PushFanOut-1, 0))], next)
+}
+
+// successor returns the live host that follows a name in a ring of all names.
+func successor(name string, members []membership.Member) (membership.Member, bool) {
+	others := lo.Filter(members, func(m membership.Member, _ int) bool {
+		return m.Name != name && m.State == membership.Live
+	})
+	byName := func(a, b membership.Member) bool { return a.Name < b.Name }
+	after := lo.Filter(others, func(m membership.Member, _ int) bool { return m.Name > name })
+	if len(after) > 0 {
+		return lo.MinBy(after, byName), true
+	}
+	return lo.MinBy(others, byName), len(others) > 0
+}
+
+// meet starts exchanges with peers, or with a seed while none is known.
+func (n *Node) meet(ctx context.Context, open *sync.WaitGroup, peers []membership.Member) {
 	addrs := lo.Map(peers, func(m membership.Member, _ int) netip.AddrPort { return m.Addr })
 	if len(addrs) == 0 && n.opt.Seeds != nil {
-		addrs = lo.Samples(n.opt.Seeds(), k)
+		addrs = lo.Samples(n.opt.Seeds(), n.opt.FanOut)
 	}
 	for _, addr := range addrs {
 		if addr == n.opt.Members.Self().Addr {
--- a/peer/spread_test.go
+++ b/peer/spread_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/samber/lo"
+
+	"github.com/chestnutfield/chestnutfield/membership"
 )
 
 func fleetSizes() []int {
@@ -89,3 +91,19 @@
 		})
 	}
 }
+
+// The ring of names reaches every live host, whatever the random peers are.
+func TestNewsGoesToTheNextLiveHost(t *testing.T) {
+	members := []membership.Member{
+		{Name: "a", State: membership.Live}, {Name: "b", State: membership.Gone},
+		{Name: "c", State: membership.Live}, {Name: "d", State: membership.Live},
+	}
+	for from, want := range map[string]string{"a": "c", "c": "d", "d": "a"} {
+		if next, ok := successor(from, members); !ok || next.Name != want {
+			t.Errorf("after %s: %q, want %q", from, next.Name, want)
+		}
+	}
+	if next, ok := successor("a", members[:2]); ok {
+		t.Errorf("a host that is alone has a successor: %q", next.Name)
+	}
+}
