roster, placement: tasks go to strong hosts; a large pool has a desk for each part

Now hosts of at least half of the greatest strength come first for every task, and a pool of more than 24 targets is divided into parts by rendezvous hashing, each with a queue, a budget and a desk of its own. The order of hosts for a task is kept until the hosts change.

--- a/desk/client.go
+++ b/desk/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"slices"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -66,8 +67,10 @@
 // kind names desks in the roster.
 const kind = "desk"
 
-// Task is the desk of a pool in the roster.
-func Task(pool string) roster.Task { return roster.Task{Kind: kind, Name: pool} }
+// Task is the desk of a part of a pool in the roster.
+func Task(pool string, part int) roster.Task {
+	return roster.Task{Kind: kind, Name: pool + "/" + strconv.Itoa(part)}
+}
 
 // Pick chooses by what this host knows, without asking.
 func (c *Client) Pick(q ports.PickQuery) (ports.Attempt, bool) { return c.Local.Pick(q) }
@@ -75,7 +78,10 @@
 // Place implements ports.Placer.
 func (c *Client) Place(ctx context.Context, q ports.PlaceQuery) (ports.Attempt, *ports.Refusal) {
 	now := c.Clock.Now()
-	for i, host := range c.Roster.Order(now, Task(q.Pool)) {
+	if q.Part == 0 {
+		q.Part = c.Local.Draw(q.Pool)
+	}
+	for i, host := range c.Roster.Order(now, Task(q.Pool, q.Part)) {
 		if i == desksTried || host.Name == c.Roster.Self().Name {
 			break
 		}
--- a/desk/message.go
+++ b/desk/message.go
@@ -31,6 +31,8 @@
 	FailureDomain            string
 	Exclude                  []netip.AddrPort
 	Further, Beside          bool
+	// Part is the part of the pool, from 1.
+	Part int
 }
 
 func newQuestion(now time.Time, q ports.PlaceQuery, domain string) placeQuestion {
@@ -38,14 +40,14 @@
 		Pool: q.Pool, RequestID: q.RequestID,
 		Elapsed: now.Sub(q.Received).Milliseconds(), Left: q.Deadline.Sub(now).Milliseconds(),
 		Objective: q.Route.Objective.Milliseconds(), Rank: q.Route.Rank,
-		FailureDomain: domain, Exclude: q.Exclude, Further: q.Further, Beside: q.Beside,
+		FailureDomain: domain, Exclude: q.Exclude, Further: q.Further, Beside: q.Beside, Part: q.Part,
 	}
 }
 
 func (p placeQuestion) query(now time.Time) ports.PlaceQuery {
 	return ports.PlaceQuery{
 		Pool: p.Pool, RequestID: p.RequestID, FailureDomain: p.FailureDomain, Exclude: p.Exclude,
-		Further: p.Further, Beside: p.Beside,
+		Further: p.Further, Beside: p.Beside, Part: p.Part,
 		Received: now.Add(-millis(p.Elapsed)), Deadline: now.Add(millis(p.Left)),
 		Route: &table.Route{Rank: p.Rank, Objective: millis(p.Objective)},
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -168,8 +168,8 @@
 		FailureDomain:      s.Host.FailureDomain,
 		ParseLoad:          o.Dialect.ParseLoad,
 		QuestionsPerSecond: s.Bounds.ProbesPerSecond,
-		Share: func(pool string) float64 {
-			if hosts.Order(o.Clock.Now(), desk.Task(pool))[0].Name == s.Host.Name {
+		Share: func(pool string, part int) float64 {
+			if hosts.Order(o.Clock.Now(), desk.Task(pool, part))[0].Name == s.Host.Name {
 				return deskQuestions
 			}
 			return otherQuestions / float64(hosts.Count())
--- a/gateway/ready.go
+++ b/gateway/ready.go
@@ -9,6 +9,8 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"github.com/chestnutfield/chestnutfield/internal/logging"
 )
 
 // readyTimeout bounds the reading of one question about readiness.
@@ -30,7 +32,7 @@
 	s := &readyServer{path: path, ready: ready}
 	show := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(metrics, promhttp.HandlerOpts{}))
 	s.http = &fasthttp.Server{
-		NoDefaultServerHeader: true, NoDefaultDate: true, ReadTimeout: readyTimeout, Logger: quiet{},
+		NoDefaultServerHeader: true, NoDefaultDate: true, ReadTimeout: readyTimeout, Logger: logging.Quiet{},
 		ReadBufferSize: 4 << 10,
 		Handler: func(ctx *fasthttp.RequestCtx) {
 			switch string(ctx.Path()) {
@@ -54,9 +56,3 @@
 }
 
 func (s *readyServer) serve(ln net.Listener) error { return s.http.Serve(ln) }
-
-// quiet drops the HTTP server's lines about single connections.
-type quiet struct{}
-
-// Printf drops a line.
-func (quiet) Printf(string, ...any) {}
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -48,8 +47,9 @@
 	// QuestionsPerSecond bounds the questions to one target, all hosts
 	// together; 0 selects DefaultQuestions.
 	QuestionsPerSecond float64
-	// Share is this host's part of the questions about a pool; nil is all.
-	Share func(pool string) float64
+	// Share is this host's share of the questions about a part of a pool; nil
+	// is all.
+	Share func(pool string, part int) float64
 	// Seed makes choices repeatable.
 	Seed uint64
 	// Logger writes refusals; nil writes none.
@@ -65,7 +65,7 @@
 type Balancer struct {
 	opts    Options
 	metrics *metrics
-	pools   atomic.Pointer[map[string]*pool]
+	pools   atomic.Pointer[map[string]division]
 	// mu orders updates.
 	mu sync.Mutex
 }
@@ -94,7 +94,7 @@
 		return nil, err
 	}
 	b := &Balancer{opts: o, metrics: m}
-	b.pools.Store(&map[string]*pool{})
+	b.pools.Store(&map[string]division{})
 	return b, nil
 }
 
@@ -109,37 +109,33 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	old := *b.pools.Load()
-	next := make(map[string]*pool, len(specs))
+	next := make(map[string]division, len(specs))
 	for name, spec := range specs {
-		p := old[name]
-		if p == nil {
-			p = newPool(name, rand.New(rand.NewPCG(b.opts.Seed, xxhash.Sum64String(name))))
-		}
-		p.update(spec.HealthPath, spec.Targets)
-		next[name] = p
+		next[name] = b.divide(name, old[name], spec)
 	}
-	for name, p := range old {
-		if _, stays := specs[name]; !stays {
-			// Requests that still wait there are refused.
-			p.update("", nil)
+	b.pools.Store(&next)
+	for name, d := range old {
+		for i, p := range d {
+			if i >= len(next[name]) {
+				p.close()
+			}
 		}
 	}
-	b.pools.Store(&next)
 }
 
 // questionRate is this host's part of the questions a second that the targets
 // of a pool may be asked.
-func (b *Balancer) questionRate(pool string, targets int) float64 {
+func (b *Balancer) questionRate(pool string, part, targets int) float64 {
 	share := 1.0
 	if b.opts.Share != nil {
-		share = b.opts.Share(pool)
+		share = b.opts.Share(pool, part)
 	}
 	return b.opts.QuestionsPerSecond * float64(targets) * share
 }
 
 // Pick chooses by what is known already, without asking.
 func (b *Balancer) Pick(q ports.PickQuery) (ports.Attempt, bool) {
-	p := (*b.pools.Load())[q.Pool]
+	p := (*b.pools.Load())[q.Pool].any()
 	if p == nil {
 		return nil, false
 	}
@@ -155,29 +151,40 @@
 // Place implements ports.Placer.
 func (b *Balancer) Place(ctx context.Context, q ports.PlaceQuery) (ports.Attempt, *ports.Refusal) {
 	q.FailureDomain = cmp.Or(q.FailureDomain, b.opts.FailureDomain)
-	p := (*b.pools.Load())[q.Pool]
-	if p == nil {
-		return nil, b.refuse(q, outcome.NoTarget, noTargetReturn)
+	for {
+		p := (*b.pools.Load())[q.Pool].part(q.Part)
+		if p == nil {
+			return nil, b.refuse(q, outcome.NoTarget, noTargetReturn)
+		}
+		if result := b.placeIn(ctx, p, q); !result.moved {
+			return result.give()
+		}
 	}
+}
+
+// placeIn places a request in a part of its pool.
+func (b *Balancer) placeIn(ctx context.Context, p *pool, q ports.PlaceQuery) placed {
 	if !p.crowded() || q.Beside {
 		if result, done := b.placeNow(ctx, p, q); done {
-			return result.give()
+			return result
 		}
 	}
 	w := &waiter{q: q, placed: make(chan placed, 1)}
-	b.enqueue(p, w)
+	if !b.enqueue(p, w) {
+		return placed{moved: true}
+	}
 	select {
 	case result := <-w.placed:
-		return result.give()
+		return result
 	case <-ctx.Done():
 		p.leave(w)
 	}
 	// The dispatcher may have placed it meanwhile.
 	select {
 	case result := <-w.placed:
-		return result.give()
+		return result
 	default:
-		return nil, b.refuse(q, outcome.DeadlinePassed, 0)
+		return placed{refusal: b.refuse(q, outcome.DeadlinePassed, 0)}
 	}
 }
 
@@ -187,6 +194,9 @@
 	now := b.opts.Clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closed {
+		return placed{moved: true}, true
+	}
 	t, v := p.bestOf(now, among, q.FailureDomain)
 	return b.settle(p, q, t, v, now)
 }
@@ -263,7 +273,7 @@
 	defer p.mu.Unlock()
 	if now.Sub(p.rated) >= rateEvery {
 		p.rated = now
-		p.budget.set(b.questionRate(p.name, len(p.targets)))
+		p.budget.set(b.questionRate(p.name, p.part, len(p.targets)))
 	}
 	return p.budget.take(now, wanted)
 }
@@ -351,24 +361,30 @@
 
 // Size is the number of targets of a pool.
 func (b *Balancer) Size(pool string) int {
-	p := (*b.pools.Load())[pool]
-	if p == nil {
-		return 0
+	return (*b.pools.Load())[pool].size()
+}
+
+// Draw draws the part of a pool that should serve a request, by the number of
+// their targets; 0 when the pool has none.
+func (b *Balancer) Draw(pool string) int {
+	if p := (*b.pools.Load())[pool].any(); p != nil {
+		return p.part
 	}
-	return p.size()
+	return 0
 }
 
 // Uses reports whether an instance is among the targets of a pool.
 func (b *Balancer) Uses(pool string, at registry.Instance) bool {
-	p := (*b.pools.Load())[pool]
+	p := (*b.pools.Load())[pool].of(at.ID)
 	return p != nil && p.uses(at)
 }
 
 // Observe takes the end of a request that another host placed: its target's
 // health and load are known here as well, in case this host has to choose.
 func (b *Balancer) Observe(now time.Time, at registry.Instance, f ports.Feedback) {
-	for _, p := range *b.pools.Load() {
-		if p.observe(now, at, f, b.report(f)) {
+	report := b.report(f)
+	for _, d := range *b.pools.Load() {
+		if p := d.of(at.ID); p != nil && p.observe(now, at, f, report) {
 			return
 		}
 	}
--- a/placement/load_test.go
+++ b/placement/load_test.go
@@ -283,6 +283,54 @@
 	})
 }
 
+// The load is that of a usual day at a pool of several parts: what each part
+// does not know of the others costs few callers their objective.
+func TestUsualLoadOfALargePoolIsServedInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		got, f := play(t, day{targets: 104, perSecond: 8 * 90, length: 10 * time.Second})
+		t.Log(got.short())
+		g.Expect(got.share(got.inTime)).To(BeNumerically(">=", 0.9))
+		g.Expect(got.refused + got.failed).To(BeZero())
+		g.Expect(float64(f.questions) / 10 / 104).To(BeNumerically("<=", 60*1.2))
+	})
+}
+
+// Requests that wait in a part that is no more are placed in one that is.
+func TestWhoWaitsInAPartThatIsGoneIsPlacedElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := &fleet{servers: map[netip.AddrPort]*server{}}
+		var registered []registry.Target
+		for i := range 30 {
+			addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80)
+			f.servers[addr] = &server{slots: 2, queue: 4, slowdown: 1, running: 2, waiting: make([]chan struct{}, 4)}
+			registered = append(registered, registry.Target{Entry: registry.Entry{
+				Instance: registry.Instance{ID: fmt.Sprint("t", i), Born: 1}, Addr: addr, FailureDomain: "a", Slots: 2}})
+		}
+		b, err := placement.New(placement.Options{Asker: f, FailureDomain: "a", QuestionsPerSecond: 60})
+		g.Expect(err).NotTo(HaveOccurred())
+		b.Update(map[string]placement.PoolSpec{"p": {HealthPath: "/h", Targets: registered}})
+		idle := netip.MustParseAddrPort("10.0.1.1:80")
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			f.mu.Lock()
+			f.servers[idle] = &server{slots: 2, queue: 4, slowdown: 1}
+			f.mu.Unlock()
+			b.Update(map[string]placement.PoolSpec{"p": {HealthPath: "/h", Targets: []registry.Target{{Entry: registry.Entry{
+				Instance: registry.Instance{ID: "idle", Born: 1}, Addr: idle, FailureDomain: "a", Slots: 2}}}}})
+		}()
+		began := time.Now()
+		for part := 1; part <= 2; part++ {
+			a, refusal := b.Place(t.Context(), ports.PlaceQuery{
+				Pool: "p", Part: part, Route: &table.Route{Objective: time.Second}, Received: began, Deadline: began.Add(10 * time.Second)})
+			g.Expect(refusal).To(BeNil())
+			g.Expect(a.Target()).To(Equal(idle))
+		}
+		g.Expect(time.Since(began)).To(BeNumerically("<", 300*time.Millisecond))
+	})
+}
+
 func (c caught) short() string {
 	return fmt.Sprintf("asked %d in time %.3f late %.3f refused %.3f failed %.3f",
 		c.asked, c.share(c.inTime), c.share(c.late), c.share(c.refused), c.share(c.failed))
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -40,10 +40,14 @@
 	reportAt    time.Time
 }
 
-// pool is the targets of one pool, a shard with its own lock.
+// pool is the targets of one part of a pool, a shard with its own lock.
 type pool struct {
 	name string
+	// part is the number of the part, from 1.
+	part int
 	mu   sync.Mutex
+	// closed is true once the pool or this part of it is no more.
+	closed bool
 	// healthPath is what is asked.
 	healthPath string
 	// reported is true once a target told its load; silences counts answers
@@ -66,8 +70,29 @@
 	wake        chan struct{}
 }
 
-func newPool(name string, rng *rand.Rand) *pool {
-	return &pool{name: name, rng: rng, wake: make(chan struct{}, 1)}
+func newPool(name string, part int, rng *rand.Rand) *pool {
+	return &pool{name: name, part: part, rng: rng, wake: make(chan struct{}, 1)}
+}
+
+// close ends a part: who waits there is placed elsewhere.
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	p.targets = nil
+	for _, w := range p.waiters {
+		w.placed <- placed{moved: true}
+	}
+	p.waiters = nil
+	p.signal()
+}
+
+// signal tells a running dispatcher to look again.
+func (p *pool) signal() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
 }
 
 // update replaces the targets; what is known of an instance stays.
@@ -159,10 +184,15 @@
 	return best, at
 }
 
-// best returns the best of all targets that may be chosen. The caller holds
-// the lock.
+// best returns the best of all targets that may be chosen. One of which
+// nothing is known is no idle one: those with a recent report go before it. The
+// caller holds the lock.
 func (p *pool) best(now time.Time, domain string, exclude []netip.AddrPort) (*target, view) {
-	return p.bestOf(now, p.open(now, exclude), domain)
+	open := p.open(now, exclude)
+	known := lo.Filter(open, func(t *target, _ int) bool {
+		return !t.reportAt.IsZero() && now.Sub(t.reportAt) < staleAfter
+	})
+	return p.bestOf(now, lo.Ternary(len(known) > 0, known, open), domain)
 }
 
 // open returns the targets that may be chosen; when all are set aside, they
@@ -215,10 +245,7 @@
 	t.track.end(now, s, f.Verdict == ports.Succeeded)
 	t.health.ended(now, f)
 	if p.dispatching {
-		select {
-		case p.wake <- struct{}{}:
-		default:
-		}
+		p.signal()
 	}
 	if r != nil {
 		t.report, t.reportAt, t.sinceReport = *r, now, 0
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -25,6 +25,8 @@
 type placed struct {
 	attempt *attempt
 	refusal *ports.Refusal
+	// moved is true when the request has to be placed elsewhere.
+	moved bool
 }
 
 // hope says what a caller can still gain: requests that can meet their
@@ -55,9 +57,13 @@
 }
 
 // enqueue puts a waiter in the queue and starts the pool's dispatcher when
-// none runs.
-func (b *Balancer) enqueue(p *pool, w *waiter) {
+// none runs; false when the pool is no more.
+func (b *Balancer) enqueue(p *pool, w *waiter) bool {
 	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return false
+	}
 	p.waiters = append(p.waiters, w)
 	start := !p.dispatching
 	p.dispatching = true
@@ -65,6 +71,7 @@
 	if start {
 		go b.dispatchWaiters(p)
 	}
+	return true
 }
 
 // leave takes a waiter that has gone out of the queue.
--- a/ports/ports.go
+++ b/ports/ports.go
@@ -123,6 +123,9 @@
 	RequestID string
 	// FailureDomain is where the request is sent from.
 	FailureDomain string
+	// Part is the part of a large pool that serves the request, from 1; 0 is
+	// any.
+	Part int
 }
 
 // Placer is a Balancer that may look at targets and wait for room before it
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -61,11 +61,14 @@
 	mu    sync.Mutex
 	hosts map[string]Host
 	seen  map[role]*standing
+	// orders holds the order of all hosts for the tasks asked for since the
+	// hosts changed last.
+	orders map[Task][]Host
 }
 
 // New returns a roster of one host.
 func New(self Host) *Roster {
-	return &Roster{self: self, hosts: map[string]Host{self.Name: self}, seen: map[role]*standing{}}
+	return &Roster{self: self, hosts: map[string]Host{self.Name: self}, seen: map[role]*standing{}, orders: map[Task][]Host{}}
 }
 
 // Self returns this host.
@@ -87,6 +90,9 @@
 		}
 	}
 	r.hosts = next
+	if changed {
+		clear(r.orders)
+	}
 	return changed
 }
 
@@ -138,20 +144,49 @@
 	delete(r.seen, role{kind, host})
 }
 
+// ordersKept bounds the tasks whose order is kept: the pools of a deployment,
+// each in a few parts.
+const ordersKept = 4096
+
 // Order returns the hosts that are not passed over, the one that should do a
-// task first: rendezvous hashing, weighted by strength, so that a host that
-// comes or goes moves only its own tasks.
+// task first. Tasks for all hosts go to the strong ones: where a deployment has
+// a few hosts of several times the strength of the others, work for all would
+// take a weak one whole.
 func (r *Roster) Order(now time.Time, task Task) []Host {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fit := lo.Filter(lo.Values(r.hosts), func(h Host, _ int) bool {
+	all, known := r.orders[task]
+	if !known {
+		if len(r.orders) >= ordersKept {
+			clear(r.orders)
+		}
+		all = order(lo.Values(r.hosts), task)
+		r.orders[task] = all
+	}
+	return lo.Filter(all, func(h Host, _ int) bool {
 		s := r.seen[role{task.Kind, h.Name}]
 		return h.Name == r.self.Name || s == nil || !now.Before(s.unfitUntil)
 	})
-	slices.SortFunc(fit, func(a, b Host) int {
-		return cmp.Or(cmp.Compare(weight(task, b), weight(task, a)), cmp.Compare(a.Name, b.Name))
+}
+
+// strongShare is the part of the greatest strength from which a host counts as
+// strong.
+const strongShare = 0.5
+
+// order sorts hosts for a task: the strong ones first, and each group by
+// rendezvous hashing, weighted by strength, so that a host that comes or goes
+// moves only its own tasks.
+func order(hosts []Host, task Task) []Host {
+	greatest := lo.Max(lo.Map(hosts, func(h Host, _ int) float64 { return h.Strength }))
+	weights := make(map[string]float64, len(hosts))
+	for _, h := range hosts {
+		weights[h.Name] = weight(task, h)
+	}
+	weak := func(h Host) int { return lo.Ternary(h.Strength < strongShare*greatest, 1, 0) }
+	slices.SortFunc(hosts, func(a, b Host) int {
+		return cmp.Or(cmp.Compare(weak(a), weak(b)), cmp.Compare(weights[b.Name], weights[a.Name]), cmp.Compare(a.Name, b.Name))
 	})
-	return fit
+	return hosts
 }
 
 // weight is the rendezvous weight of a host for a task: a host of twice the
