--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,6 +75,7 @@
 	clock     clockwork.Clock
 	callersLn net.Listener
 	readyLn   net.Listener
+	newsLn    net.Listener
 
 	cancel  context.CancelFunc
 	loops   sync.WaitGroup
@@ -130,6 +131,11 @@
 		g.callersLn.Close()
 		return errors.Wrap(err, "ready address")
 	}
+	if g.newsLn, err = net.Listen("tcp", g.settings.Listen.Peers.String()); err != nil {
+		g.callersLn.Close()
+		g.readyLn.Close()
+		return errors.Wrap(err, "peers address")
+	}
 	return nil
 }
 
@@ -240,6 +246,7 @@
 	g.cancel = cancel
 	g.loops.Go(func() { g.follower.Run(ctx) })
 	g.serve("mesh", g.node.Run)
+	g.serve("news", func() error { return g.follower.Serve(g.newsLn) })
 	g.serve("ready", func() error { return g.ready.serve(g.readyLn) })
 	g.serve("callers", func() error { return g.callers.Serve(g.callersLn) })
 	g.log.Info("started", zap.Stringer("callers", g.callersLn.Addr()), zap.Stringer("ready", g.readyLn.Addr()))
@@ -275,6 +282,8 @@
 	// The listener first: a server that has not begun forgets its shutdown.
 	_ = g.readyLn.Close()
 	_ = g.ready.http.Shutdown()
+	_ = g.newsLn.Close()
+	_ = g.follower.Shutdown()
 	_ = g.node.Close()
 	g.log.Info("stopped", zap.Error(err))
 	return err
--- a/news/follower.go
+++ b/news/follower.go
@@ -9,6 +9,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
 	"github.com/chestnutfield/chestnutfield/internal/metric"
@@ -41,10 +42,12 @@
 	// readersTried is the number of readers that are asked before the store.
 	readersTried = 2
 	// retryFirst is the pause after a reading that failed, retryLongest the
-	// longest; retryIdle is that of a host that others read for.
+	// longest; retryIdle is that of a host that others read for, and retryBehind
+	// that of one whose reader lives but does not reach the store either.
 	retryFirst   = 100 * time.Millisecond
 	retryLongest = 150 * time.Millisecond
 	retryIdle    = time.Second
+	retryBehind  = 2 * time.Second
 	// idleFailures is the number of failed readings after which a host leaves
 	// the attempts to the reader.
 	idleFailures = 3
@@ -85,9 +88,22 @@
 	// they were for the first time.
 	rehost chan struct{}
 	met    chan struct{}
+	// listed is closed after the first look at the hosts, joined once the
+	// reader was asked for all that it knows.
+	listed, joined chan struct{}
 	// started is when the follower was made.
 	started time.Time
 	meet    sync.Once
+	list    sync.Once
+	// lost is true from a reading of the store that failed to the next news or
+	// reading of the register.
+	lost atomic.Bool
+
+	server *fasthttp.Server
+	client *fasthttp.Client
+
+	packing sync.Mutex
+	packed  packedTables
 
 	mu      sync.Mutex
 	journal *journal
@@ -95,14 +111,18 @@
 	targets map[string][]registry.Target
 	// tablesAt is when the tables in force were last confirmed.
 	tablesAt time.Time
-	// hosts is a hash over the hosts known.
+	// known are the hosts, and hosts is a hash over them.
+	known []roster.Host
 	hosts uint64
+	// ahead is a reader that has newer tables; its name is empty when none has.
+	ahead roster.Host
 }
 
 // New returns a follower that knows nothing yet.
 func New(o Options) (*Follower, error) {
 	f := &Follower{
 		Options: o, hint: make(chan struct{}, 1), rehost: make(chan struct{}, 1), met: make(chan struct{}), started: o.Clock.Now(),
+		listed: make(chan struct{}), joined: make(chan struct{}), client: newSnapshotClient(),
 		journal: newJournal(), book: registry.NewBook(),
 		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "chestnut_store_readings_total",
@@ -110,6 +130,7 @@
 		}, []string{"what", "result"}),
 	}
 	f.tables.Store(table.Empty())
+	f.server = f.newServer()
 	o.Node.Handle(kindSync, f.answer)
 	return f, metric.Register(o.Registerer, "news", f.reads)
 }
@@ -136,10 +157,11 @@
 	all.Wait()
 }
 
+// readerHost is the host that reads for all.
+func (f *Follower) readerHost() roster.Host { return f.Roster.Order(f.Clock.Now(), task)[0] }
+
 // isReader reports whether this host is the reader.
-func (f *Follower) isReader() bool {
-	return f.Roster.Order(f.Clock.Now(), task)[0].Name == f.Roster.Self().Name
-}
+func (f *Follower) isReader() bool { return f.readerHost().Name == f.Roster.Self().Name }
 
 // answer answers a question for news.
 func (f *Follower) answer(m mesh.Message) {
--- a/news/hosts.go
+++ b/news/hosts.go
@@ -18,45 +18,45 @@
 // that there are some.
 func (f *Follower) followHosts(ctx context.Context) {
 	d := f.dependency("hosts")
-	announced := false
 	for ctx.Err() == nil {
-		var err error
-		if !announced {
-			err = f.Source.Announce(f.Roster.Self())
-			announced = err == nil
-			f.greet()
-			// The others of a deployment that starts announce themselves too.
-			f.sleep(ctx, meetAfter, nil)
-		}
-		var hosts []roster.Host
-		if err == nil {
-			hosts, err = f.Source.Hosts()
-		}
-		pause := d.read(f.Clock.Now(), err)
-		if err != nil {
-			if d.idle() {
-				pause = retryIdle
+		err := f.meetHosts(ctx)
+		f.list.Do(func() { close(f.listed) })
+		if pause := d.read(f.Clock.Now(), err); err != nil {
+			if f.Roster.Count() > 1 {
+				// The others are known; the register shows when the store is back.
+				pause = hostsEvery
 			}
 			f.sleep(ctx, pause, nil)
 			continue
 		}
-		f.takeHosts(hosts)
 		f.meet.Do(func() { close(f.met) })
-		// A row that was written under an earlier address of this host.
-		announced = slices.Contains(hosts, f.Roster.Self())
 		f.awaitHosts(ctx)
 	}
 }
 
-// greet takes the hosts that have announced themselves before: after a loss of
-// all hosts those are the ones that start again.
-func (f *Follower) greet() {
+// meetHosts reads the hosts, and makes this one known when it is not among
+// them under its present address.
+func (f *Follower) meetHosts(ctx context.Context) error {
 	hosts, err := f.Source.Hosts()
 	if err != nil {
-		f.Logger.Info("hosts not read at the start", zap.Error(err))
-		return
+		return err
+	}
+	// After a loss of all hosts those are the ones that start again.
+	f.takeHosts(hosts)
+	if slices.Contains(hosts, f.Roster.Self()) {
+		return nil
+	}
+	f.list.Do(func() { close(f.listed) })
+	if err := f.Source.Announce(f.Roster.Self()); err != nil {
+		return err
+	}
+	// The others of a deployment that starts announce themselves too.
+	f.sleep(ctx, meetAfter, nil)
+	if hosts, err = f.Source.Hosts(); err != nil {
+		return err
 	}
 	f.takeHosts(hosts)
+	return nil
 }
 
 const (
@@ -87,7 +87,9 @@
 		select {
 		case <-ctx.Done():
 		case <-f.rehost:
-			return
+			if !f.fetch(f.readerHost()) {
+				return
+			}
 		case <-f.Clock.After(hostsEvery):
 		}
 	}
@@ -95,7 +97,7 @@
 
 func (f *Follower) takeHosts(hosts []roster.Host) {
 	f.mu.Lock()
-	f.hosts = hashOf(hosts)
+	f.known, f.hosts = hosts, hashOf(hosts)
 	f.mu.Unlock()
 	if f.Roster.Set(hosts) {
 		f.Logger.Info("hosts known", zap.Int("hosts", f.Roster.Count()))
--- a/news/news_test.go
+++ b/news/news_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/netip"
 	"slices"
 	"sync"
@@ -157,6 +158,8 @@
 	roster   *roster.Roster
 	follower *news.Follower
 	stop     context.CancelFunc
+	// snapshots takes the questions of hosts that lack much.
+	snapshots net.Listener
 
 	mu      sync.Mutex
 	targets []string
@@ -175,11 +178,15 @@
 	Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
+	h.snapshots, err = net.Listen("tcp", node.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
 	go func() { _ = node.Run() }()
+	go func() { _ = h.follower.Serve(h.snapshots) }()
 	go h.follower.Run(ctx)
 	DeferCleanup(func() {
 		cancel()
 		_ = node.Close()
+		_ = h.snapshots.Close()
 	})
 	return h
 }
@@ -273,6 +280,7 @@
 		r := reader(hosts)
 		r.stop()
 		Expect(r.node.Close()).To(Succeed())
+		Expect(r.snapshots.Close()).To(Succeed())
 		rest := lo.Without(hosts, r)
 		s.put("t1", true)
 		s.configure(4)
@@ -322,4 +330,50 @@
 		s.cut("", false)
 		Eventually(h.follower.Configured).WithTimeout(soon).Should(BeTrue())
 	})
+
+	It("a host that lacks much takes it from the reader, not from the store", func() {
+		hosts := fleet(s, 4)
+		r := reader(hosts)
+		rest := lo.Without(hosts, r)
+		// Until the roster is the same everywhere, hosts may read themselves.
+		time.Sleep(time.Second)
+		before := lo.SumBy(rest, func(h *host) int { return s.callsOf(h.name) })
+		ids := []string{"t1", "t2"}
+		for i := range 200 {
+			id := fmt.Sprint("u", i)
+			s.put(id, false)
+			ids = append(ids, id)
+		}
+		slices.Sort(ids)
+		s.configure(5)
+		all(hosts, (*host).open, ids)
+		all(hosts, (*host).inForce, uint64(5))
+		Expect(lo.SumBy(rest, func(h *host) int { return s.callsOf(h.name) })).To(Equal(before))
+
+		late := newHost(s, "late")
+		Eventually(late.follower.Configured).WithTimeout(soon).Should(BeTrue())
+		Eventually(late.open).WithTimeout(soon).Should(Equal(ids))
+		Expect(late.inForce()).To(Equal(uint64(5)))
+		Eventually(late.roster.Count).WithTimeout(soon).Should(Equal(5))
+		// The hosts, its own row, the hosts.
+		if reader(append(hosts, late)) != late {
+			Consistently(func() int { return s.callsOf("late") }).WithTimeout(time.Second).Should(BeNumerically("<=", 3))
+		}
+	})
+
+	It("while the store is away, the reader tries for all", func() {
+		hosts := fleet(s, 4)
+		r := reader(hosts)
+		time.Sleep(time.Second)
+		before := lo.SliceToMap(hosts, func(h *host) (string, int) { return h.name, s.callsOf(h.name) })
+		s.cut("", true)
+		time.Sleep(4 * time.Second)
+		for _, h := range lo.Without(hosts, r) {
+			// One soon after the news are old, then one each two seconds.
+			Expect(s.callsOf(h.name)-before[h.name]).To(BeNumerically("<=", 3), h.name)
+		}
+		s.cut("", false)
+		s.put("t3", false)
+		all(hosts, (*host).open, []string{"t1", "t2", "t3"})
+	})
 })
--- a/news/register.go
+++ b/news/register.go
@@ -17,11 +17,11 @@
 // followRegister keeps the targets until the context ends.
 func (f *Follower) followRegister(ctx context.Context) {
 	d := f.dependency("register")
-	// A host that starts serves as soon as it can, and joins the others then.
-	f.readOnce(d)
+	f.join(ctx, d)
 	f.awaitMeeting(ctx)
 	for ctx.Err() == nil {
 		next := f.Clock.Now().Add(f.readRegister(ctx, d))
+		f.lost.Store(d.failures > 0)
 		if until, ok := f.waitsUntil(); ok && until.Before(next) {
 			f.sleep(ctx, until.Sub(f.Clock.Now()), nil)
 			f.expire()
@@ -30,25 +30,59 @@
 	}
 }
 
+// join takes all that the reader knows. A host that starts serves as soon as
+// it can: without a reader that answers at once it reads the store.
+func (f *Follower) join(ctx context.Context, d *dependency) {
+	defer close(f.joined)
+	select {
+	case <-ctx.Done():
+		return
+	case <-f.listed:
+	}
+	if reader := f.readerHost(); reader.Name == f.Roster.Self().Name || !f.fetch(reader) {
+		f.readOnce(d)
+	}
+}
+
 // readRegister brings the register up to date, by the reader or from the
 // store, and returns the pause before the next time.
 func (f *Follower) readRegister(ctx context.Context, d *dependency) time.Duration {
+	var behind []roster.Host
 	if !f.isReader() {
-		result := f.askReaders(ctx)
+		var result told
+		result, behind = f.askReaders(ctx)
 		if result == upToDate {
 			d.failures = 0
 			return syncEvery
 		}
-		if result == nothing && d.idle() && f.Clock.Now().Sub(d.tried) < retryIdle {
+		if f.leaveToReader(result, d) {
 			return syncEvery
 		}
 	}
-	if pause, ok := f.readOnce(d); !ok {
+	pause, ok := f.readOnce(d)
+	if !ok {
 		return pause
 	}
+	for _, reader := range behind {
+		f.passOver(reader, "its news are old")
+	}
 	return lo.Ternary(f.isReader(), registerEvery, syncEvery)
 }
 
+// leaveToReader says that this host need not try to read the store now: it
+// failed to a short time ago, and others try.
+func (f *Follower) leaveToReader(result told, d *dependency) bool {
+	tried := f.Clock.Now().Sub(d.tried)
+	switch result {
+	case nothing:
+		return d.idle() && tried < retryIdle
+	case stale:
+		return d.failures > 0 && tried < retryBehind
+	default:
+		return false
+	}
+}
+
 // readOnce reads the register from the store; after a failure it returns the
 // pause before the next attempt.
 func (f *Follower) readOnce(d *dependency) (pause time.Duration, ok bool) {
@@ -75,30 +109,50 @@
 type told uint8
 
 const (
-	// nothing: nobody has news that are recent.
+	// nothing: nobody answers.
 	nothing told = iota
+	// stale: who answers has old news.
+	stale
 	// upToDate: the register is known as the reader knows it.
 	upToDate
 	// lacking: the reader's news are recent, but too much has changed.
 	lacking
 )
 
-// askReaders asks for news.
-func (f *Follower) askReaders(ctx context.Context) told {
+// askReaders asks for news. It also returns the readers that answered with old
+// ones, if no other had better: whether they or the store are to blame is not
+// known then.
+func (f *Follower) askReaders(ctx context.Context) (told, []roster.Host) {
+	var behind []roster.Host
 	for i, reader := range f.Roster.Order(f.Clock.Now(), task) {
 		if i == readersTried || reader.Name == f.Roster.Self().Name {
-			return nothing
+			break
 		}
-		if result := f.askReader(ctx, reader); result != nothing {
+		switch result := f.askReader(ctx, reader); result {
+		case nothing:
+			f.passOver(reader, "no answer")
+		case stale:
+			behind = append(behind, reader)
+		default:
 			f.Roster.Fit(kind, reader.Name)
 			f.reads.WithLabelValues("news", "ok").Inc()
-			return result
+			for _, b := range behind {
+				f.passOver(b, "its news are old")
+			}
+			if result == lacking && f.fetch(reader) {
+				result = upToDate
+			}
+			return result, nil
 		}
-		f.Roster.Unfit(f.Clock.Now(), kind, reader.Name)
-		f.reads.WithLabelValues("news", "failed").Inc()
-		f.Logger.Info("reader passed over", zap.String("reader", reader.Name))
 	}
-	return nothing
+	return lo.Ternary(len(behind) > 0, stale, nothing), behind
+}
+
+// passOver leaves a reader alone for a while.
+func (f *Follower) passOver(reader roster.Host, why string) {
+	f.Roster.Unfit(f.Clock.Now(), kind, reader.Name)
+	f.reads.WithLabelValues("news", "failed").Inc()
+	f.Logger.Info("reader passed over", zap.String("reader", reader.Name), zap.String("why", why))
 }
 
 // askReader asks one host, once more when no answer comes, and takes what it
@@ -110,7 +164,7 @@
 	for range 2 {
 		began := f.Clock.Now()
 		if a, ok := f.collect(ctx, reader, q); ok {
-			return f.takeNews(began, a)
+			return f.takeNews(reader, began, a)
 		}
 	}
 	return nothing
@@ -144,19 +198,18 @@
 	}
 }
 
-// takeNews takes an answer to a question that was asked at a time.
-func (f *Follower) takeNews(asked time.Time, a answer) told {
-	registerAge := time.Duration(a.RegisterAge) * time.Millisecond
-	tablesAge := time.Duration(a.TablesAge) * time.Millisecond
+// takeNews takes a reader's answer to a question that was asked at a time.
+func (f *Follower) takeNews(reader roster.Host, asked time.Time, a answer) told {
+	registerAge := millis(a.RegisterAge)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.hearTables(asked, a.Tables, tablesAge)
+	f.hearTables(reader, asked, a.Tables, millis(a.TablesAge))
 	if a.Hosts != f.hosts {
 		signal(f.rehost)
 	}
 	switch {
 	case registerAge > registerOld:
-		return nothing
+		return stale
 	case !a.Known || a.Register < f.journal.version:
 		return lacking
 	}
