proxy, platform: the operator's time-outs on headers and unused connections hold

Cause: headerTimeoutS and idleTimeoutS of a configuration were decoded by nobody; a host kept 10 s and 75 s of its own whatever the operator wrote. They are part of the tables' limits on callers now and are read whenever the server waits for a request, so that a new version holds for connections that are open.

Spec, seen failing first: a header that stalls gets 408 after the tables' time, a connection is kept as long as they say and no longer.

--- a/news/news_test.go
+++ b/news/news_test.go
@@ -167,10 +167,25 @@
 	versions []uint64
 }
 
+// listen binds a port for messages and for connections.
+func listen() (*mesh.Node, net.Listener) {
+	const tries = 100
+	for range tries {
+		node, err := mesh.Listen(netip.MustParseAddrPort("127.0.0.1:0"), zap.NewNop(), nil)
+		Expect(err).NotTo(HaveOccurred())
+		if ln, err := net.Listen("tcp", node.Addr().String()); err == nil {
+			return node, ln
+		}
+		_ = node.Close()
+	}
+	Fail("no port is free for both")
+	return nil, nil
+}
+
 func newHost(s *store, name string) *host {
-	node, err := mesh.Listen(netip.MustParseAddrPort("127.0.0.1:0"), zap.NewNop(), nil)
-	Expect(err).NotTo(HaveOccurred())
-	h := &host{name: name, node: node, roster: roster.New(roster.Host{Name: name, Addr: node.Addr(), Strength: 1})}
+	node, snapshots := listen()
+	h := &host{name: name, node: node, snapshots: snapshots, roster: roster.New(roster.Host{Name: name, Addr: node.Addr(), Strength: 1})}
+	var err error
 	h.follower, err = news.New(news.Options{
 		Source: source{s, name}, Node: node, Roster: h.roster, Clock: clockwork.NewRealClock(), Logger: zap.NewNop(),
 		Place: h.place,
@@ -178,8 +193,6 @@
 	Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
-	h.snapshots, err = net.Listen("tcp", node.Addr().String())
-	Expect(err).NotTo(HaveOccurred())
 	go func() { _ = node.Run() }()
 	go func() { _ = h.follower.Serve(h.snapshots) }()
 	go h.follower.Run(ctx)
--- a/proxy/bodies_test.go
+++ b/proxy/bodies_test.go
@@ -42,6 +42,28 @@
 		Expect(resp.StatusCode).To(Equal(431))
 	})
 
+	It("bound how long a connection may be unused and a header take to arrive", func() {
+		times := func(_ *Options, t *table.Tables) {
+			t.Limits = table.CallerLimits{HeaderTimeout: 60 * time.Millisecond, IdleTimeout: 120 * time.Millisecond}
+		}
+		b := newBed([]*rawUpstream{newUpstream(always(okAnswer))}, times)
+		ask := func(c *caller, raw string) int {
+			c.send(raw)
+			resp, _, err := c.answer("GET")
+			Expect(err).NotTo(HaveOccurred())
+			return resp.StatusCode
+		}
+		Expect(ask(b.dial(), "GET /specs/a HTTP/1.1\r\n")).To(Equal(408))
+		unused := b.dial()
+		Expect(ask(unused, getSpec)).To(Equal(200))
+		time.Sleep(90 * time.Millisecond)
+		Expect(ask(unused, getSpec)).To(Equal(200))
+		began := time.Now()
+		_, err := unused.br.ReadByte()
+		Expect(err).To(MatchError(io.EOF))
+		Expect(time.Since(began)).To(BeNumerically(">=", 100*time.Millisecond))
+	})
+
 	It("let everything within them pass", func() {
 		b := newBed([]*rawUpstream{newUpstream(always(okAnswer))}, withTableLimits(200, 10))
 		for _, rest := range []string{"Content-Length: 10\r\n\r\nhello worl", "Transfer-Encoding: chunked\r\n\r\na\r\nhello worl\r\n0\r\n\r\n"} {
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -135,7 +135,7 @@
 		limit = c.server.limits.KeyedBodyBytes
 	}
 	if c.in.length != 0 {
-		if err := c.conn.SetReadDeadline(c.socketDeadline()); err != nil {
+		if err := c.conn.Conn.SetReadDeadline(c.socketDeadline()); err != nil {
 			return malformed("request body could not be read")
 		}
 		body, p := readBody(c.rc, c.in, limit)
@@ -289,4 +289,4 @@
 }
 
 // stopReading fails reads of the caller's body that wait.
-func (c *call) stopReading() { _ = c.conn.SetReadDeadline(time.Unix(1, 0)) }
+func (c *call) stopReading() { _ = c.conn.Conn.SetReadDeadline(time.Unix(1, 0)) }
--- a/proxy/callerconn.go
+++ b/proxy/callerconn.go
@@ -24,7 +24,9 @@
 	closeErr  error
 
 	// The fields below belong to the goroutine that serves the connection.
-	line      lineState
+	line lineState
+	// idle is true from the end of an answer to the next request's first byte.
+	idle      bool
 	bareLF    bool
 	lastByte  byte
 	lingering atomic.Bool
@@ -49,6 +51,9 @@
 // Read passes bytes on and looks at the end of the request line.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.idle = false
+	}
 	if c.line != lineEnded && n > 0 {
 		c.followLine(p[:n])
 	}
@@ -70,7 +75,26 @@
 }
 
 // expectRequest is called when the server waits for the next request.
-func (c *callerConn) expectRequest() { c.line, c.lastByte = lineAwaited, 0 }
+func (c *callerConn) expectRequest() { c.line, c.lastByte, c.idle = lineAwaited, 0, true }
+
+// SetReadDeadline is called by the HTTP server when it waits for a request or
+// for the rest of a header. The limits of the tables in force go before the
+// server's own.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	if t.IsZero() {
+		return c.Conn.SetReadDeadline(t)
+	}
+	limits := c.server.opts.Tables.Current().Limits
+	switch {
+	case c.idle && limits.IdleTimeout > 0:
+		t = time.Now().Add(limits.IdleTimeout)
+	case !c.idle && limits.HeaderTimeout > 0:
+		if end := time.Now().Add(limits.HeaderTimeout); end.Before(t) {
+			t = end
+		}
+	}
+	return c.Conn.SetReadDeadline(t)
+}
 
 // Write bounds the time in which the caller takes nothing.
 func (c *callerConn) Write(p []byte) (int, error) {
@@ -128,7 +152,7 @@
 	if !ok || half.CloseWrite() != nil {
 		return
 	}
-	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
 	buf := make([]byte, 8<<10)
 	for left := lingerBytes; left > 0; {
 		n, err := c.Conn.Read(buf)
--- a/table/types.go
+++ b/table/types.go
@@ -117,4 +117,8 @@
 	HeaderBytes int `json:"header_bytes,omitempty"`
 	// BodyBytes bounds the body of a request.
 	BodyBytes int64 `json:"body_bytes,omitempty"`
+	// HeaderTimeout bounds the arrival of a header, IdleTimeout is how long a
+	// kept connection waits for the next request.
+	HeaderTimeout time.Duration `json:"header_timeout,omitempty"`
+	IdleTimeout   time.Duration `json:"idle_timeout,omitempty"`
 }
