news: rows of hosts that are gone are removed

The reader, which every live host asks several times a second, now removes the row of a host that asked nothing for two minutes, one at a time, under the condition that the row is the one it read. A host that was struck off by mistake makes itself known again.

--- a/news/follower.go
+++ b/news/follower.go
@@ -111,9 +111,13 @@
 	targets map[string][]registry.Target
 	// tablesAt is when the tables in force were last confirmed.
 	tablesAt time.Time
+	// announced is when this host made itself known.
+	announced time.Time
 	// known are the hosts, and hosts is a hash over them.
 	known []roster.Host
 	hosts uint64
+	// attendance is kept by the reader.
+	attendance attendance
 	// ahead is a reader that has newer tables; its name is empty when none has.
 	ahead roster.Host
 }
@@ -171,6 +175,9 @@
 		f.Logger.Debug("question for news is malformed", zap.Stringer("from", m.From), zap.Error(err))
 		return
 	}
+	f.mu.Lock()
+	f.attendance.ask(f.Clock.Now(), m.From)
+	f.mu.Unlock()
 	for _, a := range f.newsSince(q.Register) {
 		m.Answer(a)
 	}
--- a/news/hosts.go
+++ b/news/hosts.go
@@ -30,6 +30,7 @@
 			continue
 		}
 		f.meet.Do(func() { close(f.met) })
+		f.strikeGone()
 		f.awaitHosts(ctx)
 	}
 }
@@ -50,6 +51,9 @@
 	if err := f.Source.Announce(f.Roster.Self()); err != nil {
 		return err
 	}
+	f.mu.Lock()
+	f.announced = f.Clock.Now()
+	f.mu.Unlock()
 	// The others of a deployment that starts announce themselves too.
 	f.sleep(ctx, meetAfter, nil)
 	if hosts, err = f.Source.Hosts(); err != nil {
@@ -87,7 +91,7 @@
 		select {
 		case <-ctx.Done():
 		case <-f.rehost:
-			if !f.fetch(f.readerHost()) {
+			if !f.fetch(f.readerHost()) || f.struckOff() {
 				return
 			}
 		case <-f.Clock.After(hostsEvery):
@@ -95,6 +99,14 @@
 	}
 }
 
+// struckOff says that this host has announced itself a while ago and is not
+// among the hosts: it was taken for gone.
+func (f *Follower) struckOff() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !slices.Contains(f.known, f.Roster.Self()) && f.Clock.Now().Sub(f.announced) > 2*hostsEvery
+}
+
 func (f *Follower) takeHosts(hosts []roster.Host) {
 	f.mu.Lock()
 	f.known, f.hosts = hosts, hashOf(hosts)
--- a/news/news_test.go
+++ b/news/news_test.go
@@ -145,6 +145,15 @@
 	return s.call()
 }
 
+func (s source) Strike(h roster.Host) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.hosts[h.Name] == h {
+		delete(s.hosts, h.Name)
+	}
+	return s.call()
+}
+
 func (s source) Hosts() ([]roster.Host, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -406,4 +415,18 @@
 		s.put("t1", true)
 		all(hosts, (*host).open, []string{"t2"})
 	})
+
+	It("a host that was struck off by mistake makes itself known again", func() {
+		hosts := fleet(s, 3)
+		lost, ok := lo.Find(hosts, func(h *host) bool { return h != reader(hosts) })
+		Expect(ok).To(BeTrue())
+		time.Sleep(5 * time.Second)
+		s.change(func() { delete(s.hosts, lost.name) })
+		there := func() bool {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.hosts[lost.name] == lost.roster.Self()
+		}
+		Eventually(there).WithTimeout(soon).Should(BeTrue())
+	})
 })
--- a/news/source.go
+++ b/news/source.go
@@ -48,4 +48,7 @@
 	Announce(h roster.Host) error
 	// Hosts returns the hosts that announced themselves.
 	Hosts() ([]roster.Host, error)
+	// Strike removes a host that announced itself, unless it has announced
+	// itself otherwise meanwhile.
+	Strike(h roster.Host) error
 }
