gateway: changed settings take the bounds, not the log's level alone

Cause: SIGHUP or a changed file took over the level of the log only; the retry budget and the budget of questions held until the next start. Specs: a budget whose bounds change; the bound of questions.

--- a/cmd/chestnut-gateway/main.go
+++ b/cmd/chestnut-gateway/main.go
@@ -95,7 +95,7 @@
 		return err
 	}
 	g.Start()
-	follow(path, log, reloads, signals)
+	follow(path, g, log, reloads, signals)
 	ctx, cancel := context.WithTimeout(context.Background(), gateway.StopTime(s.Bounds.StopGrace))
 	defer cancel()
 	go func() {
@@ -110,7 +110,7 @@
 const watchEvery = 5 * time.Second
 
 // follow reads changed settings until a signal asks for a stop.
-func follow(path string, log *logging.Logger, reloads, stop <-chan os.Signal) {
+func follow(path string, g *gateway.Gateway, log *logging.Logger, reloads, stop <-chan os.Signal) {
 	ticker := time.NewTicker(watchEvery)
 	defer ticker.Stop()
 	changed := modified(path)
@@ -120,11 +120,11 @@
 			return
 		case <-reloads:
 			changed = modified(path)
-			reload(path, log)
+			reload(path, g, log)
 		case <-ticker.C:
 			if now := modified(path); !now.Equal(changed) {
 				changed = now
-				reload(path, log)
+				reload(path, g, log)
 			}
 		}
 	}
@@ -139,9 +139,9 @@
 	return info.ModTime()
 }
 
-// reload takes the level of the log from a changed settings file; the rest of
-// the settings holds until the process starts again.
-func reload(path string, log *logging.Logger) {
+// reload takes the log's level and the bounds from a changed settings file; the
+// rest of the settings holds until the process starts again.
+func reload(path string, g *gateway.Gateway, log *logging.Logger) {
 	s, err := load(path)
 	if err != nil {
 		log.Error("settings can't be used; those in force stay", zap.Error(err))
@@ -151,5 +151,5 @@
 		log.Error("log level can't be used", zap.Error(err))
 		return
 	}
-	log.Info("settings read anew", zap.String("log_level", s.Log.Level))
+	g.Reload(s)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,6 +67,8 @@
 // Gateway is one entry host.
 type Gateway struct {
 	settings  *settings.Settings
+	placer    *placement.Balancer
+	budget    *retry.Budget
 	log       *zap.Logger
 	follower  *news.Follower
 	node      *mesh.Node
@@ -105,15 +107,17 @@
 	do.Provide(i, newRoster)
 	do.Provide(i, newDesk)
 	do.Provide(i, newFollower)
+	do.Provide(i, newBudget)
 	do.Provide(i, newCallers)
 	callers, err := do.Invoke[*proxy.Server](i)
 	if err != nil {
 		return nil, errors.Wrap(err, "assemble gateway")
 	}
 	f, node := do.MustInvoke[*news.Follower](i), do.MustInvoke[*mesh.Node](i)
-	desk.Serve(node, do.MustInvoke[*placement.Balancer](i), o.Clock, o.Logger)
+	placer := do.MustInvoke[*placement.Balancer](i)
+	desk.Serve(node, placer, o.Clock, o.Logger)
 	g := &Gateway{
-		settings: s, log: o.Logger, follower: f, node: node, callers: callers, clock: o.Clock,
+		settings: s, placer: placer, budget: do.MustInvoke[*retry.Budget](i), log: o.Logger, follower: f, node: node, callers: callers, clock: o.Clock,
 		ready: newReadyServer(o.ReadyPath, f.Configured, o.Registry),
 	}
 	if err := g.listen(); err != nil {
@@ -216,19 +220,25 @@
 	return out
 }
 
-func newCallers(i do.Injector) (*proxy.Server, error) {
+func newBudget(i do.Injector) (*retry.Budget, error) {
 	o, s := do.MustInvoke[Options](i), do.MustInvoke[*settings.Settings](i)
-	budget, err := retry.New(retry.Options{
-		Ratio: s.Bounds.RetryRatio, Floor: retry.NoFloor, Burst: s.Bounds.RetrySlack * slackUsed,
+	bounds := retryBounds(s)
+	return retry.New(retry.Options{
+		Ratio: bounds.Ratio, Floor: retry.NoFloor, Burst: bounds.Burst,
 		Membership: do.MustInvoke[*roster.Roster](i), Registerer: o.Registry,
 	})
-	if err != nil {
-		return nil, err
-	}
+}
+
+func retryBounds(s *settings.Settings) retry.Bounds {
+	return retry.Bounds{Ratio: s.Bounds.RetryRatio, Burst: s.Bounds.RetrySlack * slackUsed}
+}
+
+func newCallers(i do.Injector) (*proxy.Server, error) {
+	o, s := do.MustInvoke[Options](i), do.MustInvoke[*settings.Settings](i)
 	f := do.MustInvoke[*news.Follower](i)
 	return proxy.New(proxy.Options{
 		Tables: f, Configured: f.Configured,
-		Balancer: do.MustInvoke[*desk.Client](i), Retries: budget,
+		Balancer: do.MustInvoke[*desk.Client](i), Retries: do.MustInvoke[*retry.Budget](i),
 		Client: do.MustInvoke[*upstream.Client](i), Dialect: &o.Dialect,
 		Clock: o.Clock, Registerer: o.Registry, Logger: o.Logger,
 		RequestLog: requestLog{o.Logger},
@@ -260,6 +270,15 @@
 	})
 }
 
+// Reload takes the bounds of changed settings; addresses, names and limits on
+// callers hold until the process starts again.
+func (g *Gateway) Reload(s *settings.Settings) {
+	g.placer.SetQuestions(s.Bounds.ProbesPerSecond)
+	g.budget.Set(retryBounds(s))
+	g.log.Info("settings read anew", zap.String("log_level", s.Log.Level), zap.Float64("retry_ratio", s.Bounds.RetryRatio),
+		zap.Float64("retry_slack", s.Bounds.RetrySlack), zap.Float64("probes_per_second", s.Bounds.ProbesPerSecond))
+}
+
 // CallersAddr returns the address that takes callers' requests.
 func (g *Gateway) CallersAddr() net.Addr { return g.callersLn.Addr() }
 
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -66,6 +66,8 @@
 	opts    Options
 	metrics *metrics
 	pools   atomic.Pointer[map[string]division]
+	// questions is the bound of questions a second to one target.
+	questions atomic.Pointer[float64]
 	// mu orders updates.
 	mu sync.Mutex
 }
@@ -83,9 +85,6 @@
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
-	if o.QuestionsPerSecond <= 0 {
-		o.QuestionsPerSecond = DefaultQuestions
-	}
 	if o.Asked <= 0 {
 		o.Asked = DefaultAsked
 	}
@@ -95,9 +94,19 @@
 	}
 	b := &Balancer{opts: o, metrics: m}
 	b.pools.Store(&map[string]division{})
+	b.SetQuestions(o.QuestionsPerSecond)
 	return b, nil
 }
 
+// SetQuestions changes the bound of questions a second to one target, all hosts
+// together; 0 selects DefaultQuestions.
+func (b *Balancer) SetQuestions(perSecond float64) {
+	if perSecond <= 0 {
+		perSecond = DefaultQuestions
+	}
+	b.questions.Store(&perSecond)
+}
+
 // PoolSpec is a pool as the tables and the register name it.
 type PoolSpec struct {
 	HealthPath string
@@ -130,7 +139,7 @@
 	if b.opts.Share != nil {
 		share = b.opts.Share(pool, part)
 	}
-	return b.opts.QuestionsPerSecond * float64(targets) * share
+	return *b.questions.Load() * float64(targets) * share
 }
 
 // Pick chooses by what is known already, without asking.
--- a/placement/decide_internal_test.go
+++ b/placement/decide_internal_test.go
@@ -253,3 +253,15 @@
 		Expect(silent).To(BeFalse())
 	})
 })
+
+var _ = Describe("the bound of questions", func() {
+	It("may change while requests are placed", func() {
+		b, err := New(Options{Asker: HTTPAsker{}, QuestionsPerSecond: 60, Share: func(string, int) float64 { return 0.5 }})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(b.questionRate("p", 1, 10)).To(Equal(300.0))
+		b.SetQuestions(20)
+		Expect(b.questionRate("p", 1, 10)).To(Equal(100.0))
+		b.SetQuestions(0)
+		Expect(b.questionRate("p", 1, 10)).To(Equal(DefaultQuestions * 5))
+	})
+})
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -23,6 +24,12 @@
 	DefaultBurst = 36.0
 )
 
+// Bounds are the parts of Options that may change while a budget is used.
+type Bounds struct {
+	// Ratio and Burst are those of Options.
+	Ratio, Burst float64
+}
+
 // NoFloor is the Floor of a budget that only requests pay into.
 const NoFloor = -1
 
@@ -48,6 +55,7 @@
 // and is safe for concurrent use.
 type Budget struct {
 	opts    Options
+	bounds  atomic.Pointer[Bounds]
 	taken   *prometheus.CounterVec
 	refused *prometheus.CounterVec
 	buckets sync.Map // pool name to *bucket
@@ -64,12 +72,19 @@
 	o.Floor = cmp.Or(o.Floor, DefaultFloor)
 	o.Burst = cmp.Or(o.Burst, DefaultBurst)
 	b := &Budget{opts: o, taken: counter(o.Name, "taken"), refused: counter(o.Name, "refused")}
+	b.Set(Bounds{Ratio: o.Ratio, Burst: o.Burst})
 	if err := metric.Register(o.Registerer, o.Name+" budget", b.taken, b.refused); err != nil {
 		return nil, err
 	}
 	return b, nil
 }
 
+// Set changes the bounds from now on; zero values select the defaults. What a
+// bucket holds beyond its new limit is lost with its next use.
+func (b *Budget) Set(to Bounds) {
+	b.bounds.Store(&Bounds{Ratio: cmp.Or(to.Ratio, DefaultRatio), Burst: cmp.Or(to.Burst, DefaultBurst)})
+}
+
 func counter(name, what string) *prometheus.CounterVec {
 	return prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "chestnut_" + name + "_budget_" + what + "_total",
@@ -105,10 +120,11 @@
 	if b.opts.Membership != nil {
 		hosts = float64(max(b.opts.Membership.ShareCount(), 1))
 	}
+	bounds := b.bounds.Load()
 	return rates{
-		ratio: b.opts.Ratio,
+		ratio: bounds.Ratio,
 		floor: max(b.opts.Floor, 0) / hosts,
-		limit: max(b.opts.Burst/hosts, 1),
+		limit: max(bounds.Burst/hosts, 1),
 	}
 }
 
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -131,3 +131,25 @@
 		}
 	})
 }
+
+var _ = Describe("A budget whose bounds change", func() {
+	It("holds no more than its new burst, and is paid in at its new ratio", func() {
+		b := budget(retry.Options{Ratio: 1, Floor: retry.NoFloor, Burst: 100})
+		taken := func() (n int) {
+			for b.Withdraw("p", start) {
+				n++
+			}
+			return n
+		}
+		deposit := func(n int) {
+			for range n {
+				b.Deposit("p", start)
+			}
+		}
+		deposit(100)
+		b.Set(retry.Bounds{Ratio: 0.5, Burst: 10})
+		Expect(taken()).To(Equal(10))
+		deposit(8)
+		Expect(taken()).To(Equal(4))
+	})
+})
