--- a/desk/doc.go
+++ b/desk/doc.go
@@ -1,8 +1,9 @@
-// Package desk lets one host place the requests of a pool for all of them.
+// Package desk lets one host place the requests of a pool, or of a part of a
+// large one, for all hosts.
 //
 // What a target has room for is known exactly by nobody but the one who fills
-// it. So the hosts agree on one of them for each pool (package roster), its
-// desk. The host that received a request asks the desk for a target, sends the
+// it. So the hosts agree on one of them for each part of a pool (package
+// roster), its desk. The host that received a request asks the desk for a target, sends the
 // request there itself, and tells the desk how it ended, with the load that
 // the answer reported. The desk alone looks at the targets, queues the requests
 // of all hosts in one order, and knows of a failing target as soon as any host
