lab/soak: entry hosts as processes under random faults from outside

chestnutlab soak plays a plan drawn from a seed against real processes of chestnut-gateway: signals stop, pause, kill, reload and restart them; a loopback relay before the store and each upstream delays, resets, silences and cuts one way; the stand-ins of store and upstreams misbehave, leave, vanish, come back under their name or leave their address to another service; configurations come in series. Callers use their connections until the process is gone. Judged: own whole answers, orders once, true refusals, attempts, routes, leaving upstreams, planned stops, configurations in force and never back, health checks, answers by the timeout, recovery. A time in which the machine itself stood still is noted and counts as a disturbance.

Test: seed 35, 20 s.

--- a/cmd/chestnutlab/main.go
+++ b/cmd/chestnutlab/main.go
@@ -17,6 +17,7 @@
 	Load     loadCommand     `cmd:"" help:"Send open-loop load."`
 	Capacity capacityCommand `cmd:"" help:"Measure what hosts cost without calls, over hosts and targets."`
 	Run      runCommand      `cmd:"" help:"Run an experiment file over embedded entry hosts."`
+	Soak     soakCommand     `cmd:"" help:"Run entry hosts of the users' platform as processes, disturb them from outside, check the promises."`
 	Report   reportCommand   `cmd:"" help:"Make tables and plots of the results of an experiment."`
 }
 
--- /dev/null
+++ b/lab/soak/soak_test.go
@@ -0,0 +1,48 @@
+package soak_test
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/chestnutfield/chestnutfield/lab/soak"
+)
+
+// regressions are seeds that once broke a promise, with the cause.
+var regressions = []struct {
+	seed  uint64
+	cause string
+}{
+	{35, "none: kept since its plan holds stops, kills, leaving upstreams, lost answers and configurations"},
+}
+
+// binary builds the entry host's program.
+func binary(t *testing.T) string {
+	t.Helper()
+	at := filepath.Join(t.TempDir(), "chestnut-gateway")
+	out, err := exec.Command("go", "build", "-o", at, "github.com/chestnutfield/chestnutfield/cmd/chestnut-gateway").CombinedOutput()
+	if err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return at
+}
+
+func TestPromisesHoldUnderFaults(t *testing.T) {
+	program := binary(t)
+	for _, r := range regressions {
+		result, err := soak.Run(soak.Options{
+			Seed: r.seed, Length: 20 * time.Second, Binary: program, Dir: t.TempDir(), Hosts: 3, Upstreams: 6, Callers: 6,
+		})
+		if err != nil {
+			t.Fatalf("seed %d: %v", r.seed, err)
+		}
+		t.Logf("seed %d (%s): %s", r.seed, r.cause, result.Summary)
+		for _, e := range result.Plan {
+			t.Log(e)
+		}
+		for _, line := range result.Broken {
+			t.Errorf("seed %d: %s", r.seed, line)
+		}
+	}
+}
