desk: a host that is cut off from the others asks no desks

After four questions without a sign of life, and none from any host for a second (the reader is asked several times in it), it looks itself at once, until a host answers again.

--- a/desk/client.go
+++ b/desk/client.go
@@ -51,6 +51,7 @@
 type Client struct {
 	Options
 	placed *prometheus.CounterVec
+	reach  reach
 }
 
 var _ ports.Placer = (*Client)(nil)
@@ -82,7 +83,7 @@
 		q.Part = c.Local.Draw(q.Pool)
 	}
 	for i, host := range c.Roster.Order(now, Task(q.Pool, q.Part)) {
-		if i == desksTried || host.Name == c.Roster.Self().Name {
+		if i == desksTried || host.Name == c.Roster.Self().Name || c.reach.cutOff(now, c.Node.AnsweredAt()) {
 			break
 		}
 		a, refusal, ok := c.askUsable(ctx, host, q)
@@ -148,6 +149,7 @@
 				c.Logger.Warn("answer of a desk is malformed", zap.String("desk", host.Name), zap.Error(err))
 				return nil, nil, false
 			}
+			c.reach.ended(true)
 			if attempt, refusal, done := c.take(host, question.ID(), a); done {
 				c.Roster.Fit(kind, host.Name)
 				return attempt, refusal, true
@@ -157,6 +159,7 @@
 		case <-timer.Chan():
 			if repeated || question.Repeat(newQuestion(c.Clock.Now(), q, c.FailureDomain)) != nil {
 				c.tellCancel(host, question.ID())
+				c.reach.ended(false)
 				return nil, nil, false
 			}
 			repeated = true
--- a/desk/desk_test.go
+++ b/desk/desk_test.go
@@ -175,6 +175,29 @@
 		Expect(hosts[1].roster.Order(time.Now(), desk.Task("p", 1))[0].Name).To(Equal(hosts[1].name))
 	}, NodeTimeout(time.Minute))
 
+	It("is not asked by a host that is cut off, until another host answers it", func(ctx SpecContext) {
+		hosts := fleet(9)
+		self, others := hosts[1], append(hosts[:1:1], hosts[2:]...)
+		for _, h := range others {
+			Expect(h.node.Close()).To(Succeed())
+		}
+		place := func() {
+			a, refusal := self.client.Place(ctx, query(timeout))
+			Expect(refusal).To(BeNil())
+			Expect(a.(ports.ReasonedAttempt).Basis().By).To(BeEmpty())
+			a.Done(time.Now(), succeeded)
+		}
+		// Two desks each; what they cost is over then.
+		place()
+		place()
+		asked := len(self.roster.Order(time.Now(), desk.Task("p", 1)))
+		Expect(asked).To(BeNumerically("<=", 5), "desks that gave no sign of life are passed over")
+		for range 10 {
+			place()
+		}
+		Expect(self.roster.Order(time.Now(), desk.Task("p", 1))).To(HaveLen(asked), "no further desk was asked")
+	}, NodeTimeout(time.Minute))
+
 	It("that is lost while a request waits there hands it to nobody: its host looks itself", func(ctx SpecContext) {
 		hosts := fleet(2)
 		hosts[0].asker.set("t1", 9)
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
@@ -76,6 +77,8 @@
 	log      *zap.Logger
 	handlers map[Kind]Handler
 	next     atomic.Uint64
+	// answeredAt is when the last answer arrived, in Unix nanoseconds.
+	answeredAt atomic.Int64
 
 	mu      sync.Mutex
 	pending map[uint64]*Question
@@ -107,6 +110,10 @@
 // Addr returns the address that the node is bound to.
 func (n *Node) Addr() netip.AddrPort { return n.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
 
+// AnsweredAt returns when another host last answered a question that this one
+// still waited for.
+func (n *Node) AnsweredAt() time.Time { return time.Unix(0, n.answeredAt.Load()) }
+
 // Close ends Run.
 func (n *Node) Close() error { return errors.WithStack(n.conn.Close()) }
 
@@ -149,6 +156,7 @@
 	if q == nil {
 		return
 	}
+	n.answeredAt.Store(time.Now().UnixNano())
 	select {
 	case q.answers <- e.Body:
 	default:
