--- a/news/follower.go
+++ b/news/follower.go
@@ -104,6 +104,8 @@
 
 	packing sync.Mutex
 	packed  packedTables
+	// snapshots are the packed contents of this moment; mu guards them.
+	snapshots packed
 
 	mu      sync.Mutex
 	journal *journal
@@ -193,7 +195,7 @@
 		Tables: f.Current().Version, TablesAge: age(now, f.tablesAt), Hosts: f.hosts, Parts: 1,
 	}
 	changed, dropped, ok := f.journal.since(version)
-	if !ok {
+	if !ok || len(changed)+len(dropped) > mostChanges {
 		return []answer{a}
 	}
 	a.Known = true
--- a/news/journal.go
+++ b/news/journal.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// mostChanges bounds the changes that are told; a host that lacks more
-	// reads the store.
+	// mostChanges bounds the changes that messages tell; a host that lacks more
+	// takes a snapshot.
 	mostChanges = 60
 	// changesInAnswer is the number of changes that fit one message.
 	changesInAnswer = 10
@@ -69,7 +69,7 @@
 }
 
 // since returns what changed after a version; ok is false when that is not
-// known or too much for an answer.
+// known.
 func (j *journal) since(version uint64) (changed []registry.Entry, dropped []string, ok bool) {
 	if j.first == 0 || version < j.first {
 		return nil, nil, false
@@ -84,7 +84,7 @@
 			dropped = append(dropped, id)
 		}
 	}
-	return changed, dropped, len(changed)+len(dropped) <= mostChanges
+	return changed, dropped, true
 }
 
 // apply takes the changes that led to a version; the journal then holds the
@@ -93,6 +93,10 @@
 	if version < j.version {
 		return
 	}
+	if len(changed)+len(dropped) == 0 {
+		j.version, j.at = version, at
+		return
+	}
 	entries := maps.Clone(j.entries)
 	for _, e := range changed {
 		entries[e.ID] = e
--- a/news/journal_internal_test.go
+++ b/news/journal_internal_test.go
@@ -1,6 +1,7 @@
 package news
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -59,3 +60,36 @@
 	j.take(1, now, nil)
 	g.Expect(j.list()).To(Equal([]registry.Entry{e}), "a reading older than the last one")
 }
+
+// TestSnapshotsHoldWhatIsLacking: an asker that has something gets no more than
+// the rest, and the journal that results is the reader's.
+func TestSnapshotsHoldWhatIsLacking(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1_700_000_000, 0)
+	reader := &Follower{journal: newJournal(), hosts: 7}
+	entries := lo.Times(1000, func(i int) registry.Entry {
+		return registry.Entry{Instance: registry.Instance{ID: fmt.Sprint("t", i), Born: 1}, Service: "s", Sequence: 1}
+	})
+	reader.journal.take(10, now, entries)
+	reader.journal.take(20, now, append(entries[100:], registry.Entry{Instance: registry.Instance{ID: "new", Born: 1}, Sequence: 1}))
+	tables := packedTables{version: 3, packed: []byte("tables")}
+
+	whole := reader.contentFor(having{}, tables)
+	g.Expect(whole.Whole).To(BeTrue())
+	g.Expect(whole.Entries).To(HaveLen(901))
+	g.Expect(whole.Packed).To(Equal(tables.packed))
+	body, err := pack(whole)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(unpack(body)).To(Equal(whole))
+
+	rest := reader.contentFor(having{register: 10, tables: 3, hosts: 7}, tables)
+	g.Expect(rest.Whole).To(BeFalse())
+	g.Expect(rest.Entries).To(HaveLen(1))
+	g.Expect(rest.Dropped).To(HaveLen(100))
+	g.Expect(rest.Packed).To(BeEmpty())
+	g.Expect(rest.Hosts).To(BeEmpty())
+	other := newJournal()
+	other.take(10, now, entries)
+	other.apply(rest.Register, now, lo.Map(rest.Entries, fromWire), rest.Dropped)
+	g.Expect(other.list()).To(Equal(reader.journal.list()))
+}
--- a/news/register.go
+++ b/news/register.go
@@ -217,6 +217,9 @@
 	}
 	readAt := asked.Add(-registerAge)
 	f.journal.apply(a.Register, readAt, a.changed(), a.Dropped)
+	if len(a.Changed)+len(a.Dropped) == 0 && f.targets != nil && f.book.Unchanged(readAt) {
+		return upToDate
+	}
 	f.takeChanges(f.book.Take(readAt, f.journal.list()))
 	return upToDate
 }
--- a/registry/book.go
+++ b/registry/book.go
@@ -63,6 +63,24 @@
 	return sorted(append(changes, b.dropUnlisted(now, listed)...))
 }
 
+// Unchanged takes in a reading made at now that holds what the last one did;
+// false when that has to be taken in whole.
+func (b *Book) Unchanged(now time.Time) bool {
+	if b.lastRead.IsZero() || now.Sub(b.lastRead) > gapAfter {
+		return false
+	}
+	for _, k := range b.targets {
+		if k.missing {
+			return false
+		}
+	}
+	b.lastRead = now
+	for _, k := range b.targets {
+		k.listedAt = now
+	}
+	return true
+}
+
 // list takes in an entry and says what it changed.
 func (b *Book) list(now time.Time, e Entry) (ChangeKind, bool) {
 	before := b.targets[e.ID]
@@ -71,6 +89,10 @@
 		return 0, false
 	}
 	after := &known{Target: Target{Entry: e, ColdUntil: now.Add(e.ColdFor)}, listedAt: now}
+	if before != nil && before.Instance == e.Instance && before.Sequence == e.Sequence {
+		// The same entry as before: the target has warmed up since.
+		after.ColdUntil = before.ColdUntil
+	}
 	b.targets[e.ID] = after
 	switch {
 	case before == nil || before.Instance != e.Instance:
--- a/registry/book_test.go
+++ b/registry/book_test.go
@@ -53,6 +53,33 @@
 			"t1": registry.Joined, "t2": registry.Joined}))
 	})
 
+	It("takes a reading without changes in short, unless entries are missing or may have lapsed", func() {
+		Expect(b.Unchanged(now.Add(time.Second))).To(BeTrue())
+		Expect(b.LastRead()).To(Equal(now.Add(time.Second)))
+		// What was confirmed before a gap may have lapsed in it.
+		Expect(b.Unchanged(now.Add(5 * time.Second))).To(BeFalse())
+		Expect(take(5*time.Second, entry("t1", 1, 1))).To(HaveKeyWithValue("t2", registry.Missing))
+		Expect(b.Unchanged(now.Add(time.Second))).To(BeFalse())
+		Expect(registry.NewBook().Unchanged(now)).To(BeFalse())
+	})
+
+	It("does not take a target for cold anew with each reading of the same entry", func() {
+		cold := entry("t3", 1, 1)
+		cold.ColdFor = 3 * time.Second
+		until := func() time.Time {
+			t, _ := lo.Find(b.Targets()["catalogue"], func(t registry.Target) bool { return t.ID == "t3" })
+			return t.ColdUntil
+		}
+		take(0, entry("t1", 1, 1), entry("t2", 1, 1), cold)
+		warm := now.Add(3 * time.Second)
+		Expect(until()).To(Equal(warm))
+		take(time.Second, entry("t1", 1, 1), entry("t2", 1, 1), cold)
+		Expect(until()).To(Equal(warm))
+		cold.Sequence, cold.ColdFor = 2, time.Second
+		take(time.Second, entry("t1", 1, 1), entry("t2", 1, 1), cold)
+		Expect(until()).To(Equal(now.Add(time.Second)))
+	})
+
 	It("takes leaving and vanished targets out at once", func() {
 		Expect(take(time.Second, leaving(entry("t1", 1, 2)), entry("t2", 1, 2))).To(HaveKeyWithValue("t1", registry.Left))
 		Expect(open()).To(Equal([]string{"t2"}))
