news: at the first start of all, hosts wait for their reader

Later starts of all hosts go as before: there each tenth of a second counts for callers. Spec: six hosts that start for the first time leave register and tables to one.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -202,10 +202,12 @@
 
 func newFollower(i do.Injector) (*news.Follower, error) {
 	o, placer := do.MustInvoke[Options](i), do.MustInvoke[*placement.Balancer](i)
+	s := do.MustInvoke[*settings.Settings](i)
 	return news.New(news.Options{
 		Source: o.Source, Node: do.MustInvoke[*mesh.Node](i), Roster: do.MustInvoke[*roster.Roster](i),
-		Place: func(targets map[string][]registry.Target, all ...*table.Tables) { placer.Update(specs(targets, all)) },
-		Clock: o.Clock, Logger: o.Logger, Registerer: o.Registry,
+		Place:      func(targets map[string][]registry.Target, all ...*table.Tables) { placer.Update(specs(targets, all)) },
+		FirstStart: s.Host.FirstStart,
+		Clock:      o.Clock, Logger: o.Logger, Registerer: o.Registry,
 	})
 }
 
--- a/news/follower.go
+++ b/news/follower.go
@@ -69,7 +69,10 @@
 	// Place is told of every change of the tables or targets. Pools of all the
 	// tables must be served: requests that were routed by the tables before
 	// may still come.
-	Place      func(targets map[string][]registry.Target, tables ...*table.Tables)
+	Place func(targets map[string][]registry.Target, tables ...*table.Tables)
+	// FirstStart says that the whole deployment starts for the first time: hosts
+	// wait for the reader, since there are no callers yet.
+	FirstStart bool
 	Clock      clockwork.Clock
 	Logger     *zap.Logger
 	Registerer prometheus.Registerer
--- a/news/hosts.go
+++ b/news/hosts.go
@@ -38,16 +38,18 @@
 // meetHosts reads the hosts, and makes this one known when it is not among
 // them under its present address.
 func (f *Follower) meetHosts(ctx context.Context) error {
-	hosts, err := f.Source.Hosts()
-	if err != nil {
-		return err
-	}
-	// After a loss of all hosts those are the ones that start again.
-	f.takeHosts(hosts)
-	if slices.Contains(hosts, f.Roster.Self()) {
-		return nil
+	if !f.FirstStart || f.hasAnnounced() {
+		hosts, err := f.Source.Hosts()
+		if err != nil {
+			return err
+		}
+		// After a loss of all hosts those are the ones that start again.
+		f.takeHosts(hosts)
+		if slices.Contains(hosts, f.Roster.Self()) {
+			return nil
+		}
+		f.list.Do(func() { close(f.listed) })
 	}
-	f.list.Do(func() { close(f.listed) })
 	if err := f.Source.Announce(f.Roster.Self()); err != nil {
 		return err
 	}
@@ -56,13 +58,20 @@
 	f.mu.Unlock()
 	// The others of a deployment that starts announce themselves too.
 	f.sleep(ctx, meetAfter, nil)
-	if hosts, err = f.Source.Hosts(); err != nil {
+	hosts, err := f.Source.Hosts()
+	if err != nil {
 		return err
 	}
 	f.takeHosts(hosts)
 	return nil
 }
 
+func (f *Follower) hasAnnounced() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.announced.IsZero()
+}
+
 const (
 	// meetAfter is the time from the announcement of a host to its first look
 	// at the others: hosts that start together do so within 0.3 s.
--- a/news/news_test.go
+++ b/news/news_test.go
@@ -191,14 +191,18 @@
 	return nil, nil
 }
 
-func newHost(s *store, name string) *host {
+func newHost(s *store, name string, change ...func(*news.Options)) *host {
 	node, snapshots := listen()
 	h := &host{name: name, node: node, snapshots: snapshots, roster: roster.New(roster.Host{Name: name, Addr: node.Addr(), Strength: 1})}
 	var err error
-	h.follower, err = news.New(news.Options{
+	o := news.Options{
 		Source: source{s, name}, Node: node, Roster: h.roster, Clock: clockwork.NewRealClock(), Logger: zap.NewNop(),
 		Place: h.place,
-	})
+	}
+	for _, c := range change {
+		c(&o)
+	}
+	h.follower, err = news.New(o)
 	Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
@@ -429,4 +433,18 @@
 		}
 		Eventually(there).WithTimeout(soon).Should(BeTrue())
 	})
+
+	It("at the first start of all, hosts wait for the reader", func() {
+		first := func(o *news.Options) { o.FirstStart = true }
+		hosts := lo.Times(6, func(i int) *host { return newHost(s, fmt.Sprint("h", i), first) })
+		for _, h := range hosts {
+			Eventually(h.follower.Configured).WithTimeout(soon).Should(BeTrue())
+			Eventually(h.roster.Count).WithTimeout(soon).Should(Equal(6))
+		}
+		all(hosts, (*host).open, []string{"t1", "t2"})
+		// Each its own row and the hosts; register and tables are read by one. On a
+		// busy machine a host or two may read themselves.
+		others := lo.Without(hosts, reader(hosts))
+		Expect(lo.SumBy(others, func(h *host) int { return s.callsOf(h.name) })).To(BeNumerically("<", 4*len(others)))
+	})
 })
--- a/news/register.go
+++ b/news/register.go
@@ -41,9 +41,36 @@
 		return
 	case <-f.listed:
 	}
-	if reader := f.readerHost(); reader.Name == f.Roster.Self().Name || !f.fetch(reader) {
-		f.readOnce(d)
+	for wait := f.joinTime(); ; wait -= joinEvery {
+		reader := f.readerHost()
+		if reader.Name == f.Roster.Self().Name {
+			break
+		}
+		if f.fetch(reader) {
+			return
+		}
+		if wait <= 0 || ctx.Err() != nil {
+			break
+		}
+		f.sleep(ctx, joinEvery, nil)
+	}
+	f.readOnce(d)
+}
+
+const (
+	// joinEvery is the time between two questions for all that the reader knows.
+	joinEvery = 100 * time.Millisecond
+	// joinFirst is how long hosts wait for the reader when the whole deployment
+	// starts for the first time: callers come seconds later.
+	joinFirst = 1500 * time.Millisecond
+)
+
+// joinTime is how long a host that starts waits for the reader.
+func (f *Follower) joinTime() time.Duration {
+	if f.FirstStart {
+		return joinFirst
 	}
+	return 0
 }
 
 // readRegister brings the register up to date, by the reader or from the
--- a/news/snapshot.go
+++ b/news/snapshot.go
@@ -307,8 +307,12 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if t != nil {
-		f.adopt(t, asked.Add(-millis(s.TablesAge)))
+	confirmed := asked.Add(-millis(s.TablesAge))
+	switch {
+	case t != nil:
+		f.adopt(t, confirmed)
+	case c.Tables == f.Current().Version && confirmed.After(f.tablesAt):
+		f.tablesAt = confirmed
 	}
 	if !recent {
 		return false
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -41,6 +41,7 @@
 	{"host", "failure_domain", always, "a name of 1 to 63 letters, digits, dots, dashes", name(func(s *Settings) *string { return &s.Host.FailureDomain })},
 	{"host", "handoff", optional, "true or false", boolean(func(s *Settings) *bool { return &s.Host.Handoff })},
 	{"host", "strength", optional, "a number from 0 to 10000", amount(10_000, func(s *Settings) *float64 { return &s.Host.Strength })},
+	{"host", "first_start", optional, "true or false", boolean(func(s *Settings) *bool { return &s.Host.FirstStart })},
 	{"listen", "callers", always, "IP:PORT", addr(func(s *Settings) *netip.AddrPort { return &s.Listen.Callers })},
 	{"listen", "ready", withStore, "IP:PORT", addr(func(s *Settings) *netip.AddrPort { return &s.Listen.Ready })},
 	{"store", "address", optional, "IP:PORT", addr(func(s *Settings) *netip.AddrPort { return &s.Store.Address })},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -56,6 +56,9 @@
 	// Strength is the part of a processor core that the host has, by which hosts
 	// divide what one of them does for all.
 	Strength float64
+	// FirstStart says that the whole deployment starts for the first time: there
+	// are no callers yet, and hosts may wait for each other.
+	FirstStart bool
 	// Handoff makes the host hand requests over to the owners of groups; a
 	// host without it always dispatches directly.
 	Handoff bool
