placement: two tests end after the look at the targets that is under way

Cause: TestADroppedPoolRefusesWhoWaitsThere failed once: a dropped part refuses its waiters at once now, and the test's bubble ended while the part's dispatcher still asked a target (goroutine 40 in the trace: ask, from dispatchWaiters).

--- a/placement/load_test.go
+++ b/placement/load_test.go
@@ -306,6 +306,8 @@
 			Pool: "p", Route: &table.Route{}, Received: began, Deadline: began.Add(10 * time.Second)})
 		g.Expect(refusal.Reason).To(Equal(outcome.NoTarget))
 		g.Expect(time.Since(began)).To(BeNumerically("<", 200*time.Millisecond))
+		// The look at the targets that is under way ends.
+		time.Sleep(time.Second)
 	})
 }
 
@@ -354,6 +356,8 @@
 			g.Expect(a.Target()).To(Equal(idle))
 		}
 		g.Expect(time.Since(began)).To(BeNumerically("<", 300*time.Millisecond))
+		// The look at the targets that is under way ends.
+		time.Sleep(time.Second)
 	})
 }
 
