mesh, placement, lab/soak: one copy of what stood twice

Times as messages carry them (millis) stood in desk and news: mesh has them now. The load tests write a registered target in one place in place of four; a field of the soak's hosts that nobody read is gone. No change of behaviour.

Looked at and left: clients of fasthttp that must not repeat a call set the same option in four packages, which share nothing else; the specs of platform have a back end of their own beside fakeupstream, whose answers a spec sets one by one.

--- a/desk/client.go
+++ b/desk/client.go
@@ -177,7 +177,7 @@
 	case placed:
 		return &attempt{client: c, desk: host.Addr, question: question, answer: a}, nil, true
 	case refused:
-		return nil, &ports.Refusal{Reason: a.Reason, RetryAfter: millis(a.RetryAfter)}, true
+		return nil, &ports.Refusal{Reason: a.Reason, RetryAfter: mesh.Millis(a.RetryAfter)}, true
 	default:
 		return nil, nil, false
 	}
@@ -217,7 +217,7 @@
 func (a *attempt) Basis() ports.Basis {
 	return ports.Basis{
 		Present: a.answer.Present, Slots: a.answer.Slots, Slowdown: a.answer.Slowdown,
-		Cost: a.answer.Cost, Age: millis(a.answer.Age), By: a.desk.String(),
+		Cost: a.answer.Cost, Age: mesh.Millis(a.answer.Age), By: a.desk.String(),
 	}
 }
 
--- a/desk/message.go
+++ b/desk/message.go
@@ -48,13 +48,11 @@
 	return ports.PlaceQuery{
 		Pool: p.Pool, RequestID: p.RequestID, FailureDomain: p.FailureDomain, Exclude: p.Exclude,
 		Further: p.Further, Beside: p.Beside, Part: p.Part,
-		Received: now.Add(-millis(p.Elapsed)), Deadline: now.Add(millis(p.Left)),
-		Route: &table.Route{Rank: p.Rank, Objective: millis(p.Objective)},
+		Received: now.Add(-mesh.Millis(p.Elapsed)), Deadline: now.Add(mesh.Millis(p.Left)),
+		Route: &table.Route{Rank: p.Rank, Objective: mesh.Millis(p.Objective)},
 	}
 }
 
-func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
-
 // state is what became of a question.
 type state uint8
 
--- a/lab/soak/host.go
+++ b/lab/soak/host.go
@@ -41,7 +41,7 @@
 
 // host is one entry host: a process that is started again whenever it ends.
 type host struct {
-	name, domain, dir       string
+	name, domain            string
 	callers, ready, peers   string
 	binary, settings, logAt string
 	store                   *Relay
@@ -95,7 +95,7 @@
 		return nil, err
 	}
 	h := &host{
-		name: name, domain: domain, dir: dir, binary: binary, store: store,
+		name: name, domain: domain, binary: binary, store: store,
 		callers: ports[0], ready: ports[1], peers: ports[2],
 		settings: filepath.Join(dir, name+".ini"), logAt: filepath.Join(dir, name+".log"), done: make(chan struct{}),
 	}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -234,6 +234,9 @@
 // Decode reads an answer.
 func Decode(raw cbor.RawMessage, to any) error { return errors.WithStack(cbor.Unmarshal(raw, to)) }
 
+// Millis is a time as messages carry it: a number of milliseconds.
+func Millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
 // Call asks and reads the first answer.
 func (n *Node) Call(ctx context.Context, to netip.AddrPort, k Kind, question, answer any) error {
 	q, err := n.Ask(to, k, question)
--- a/news/farewell.go
+++ b/news/farewell.go
@@ -41,5 +41,5 @@
 		return
 	}
 	f.Logger.Info("host stops", zap.String("stopping", news.Name))
-	f.Roster.Leave(news.Name, f.Clock.Now().Add(min(millis(news.For), longestFarewell)))
+	f.Roster.Leave(news.Name, f.Clock.Now().Add(min(mesh.Millis(news.For), longestFarewell)))
 }
--- a/news/message.go
+++ b/news/message.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"time"
 
 	"github.com/samber/lo"
 
@@ -110,7 +109,7 @@
 	return registry.Entry{
 		Instance: registry.Instance{ID: e.ID, Born: e.Born}, Service: e.Service, Addr: e.Addr,
 		FailureDomain: e.FailureDomain, Slots: e.Slots, Leaving: e.Leaving,
-		ColdFor: time.Duration(e.ColdFor) * time.Millisecond, Sequence: e.Sequence,
+		ColdFor: mesh.Millis(e.ColdFor), Sequence: e.Sequence,
 	}
 }
 
--- a/news/register.go
+++ b/news/register.go
@@ -229,10 +229,10 @@
 
 // takeNews takes a reader's answer to a question that was asked at a time.
 func (f *Follower) takeNews(reader roster.Host, asked time.Time, a answer) told {
-	registerAge := millis(a.RegisterAge)
+	registerAge := mesh.Millis(a.RegisterAge)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.hearTables(reader, asked, a.Tables, millis(a.TablesAge))
+	f.hearTables(reader, asked, a.Tables, mesh.Millis(a.TablesAge))
 	if a.Hosts != f.hosts {
 		signal(f.rehost)
 	}
--- a/news/snapshot.go
+++ b/news/snapshot.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/chestnutfield/chestnutfield/internal/logging"
+	"github.com/chestnutfield/chestnutfield/mesh"
 	"github.com/chestnutfield/chestnutfield/roster"
 	"github.com/chestnutfield/chestnutfield/table"
 )
@@ -301,13 +302,13 @@
 // takeSnapshot takes what a reader knew when it was asked by who had something;
 // false when its register is old.
 func (f *Follower) takeSnapshot(asked time.Time, had having, s snapshot, c content, t *table.Tables) bool {
-	recent := millis(s.RegisterAge) <= registerOld
+	recent := mesh.Millis(s.RegisterAge) <= registerOld
 	if recent && len(c.Hosts) > 0 {
 		f.takeHosts(c.Hosts)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	confirmed := asked.Add(-millis(s.TablesAge))
+	confirmed := asked.Add(-mesh.Millis(s.TablesAge))
 	switch {
 	case t != nil:
 		f.adopt(t, confirmed)
@@ -317,7 +318,7 @@
 	if !recent {
 		return false
 	}
-	readAt := asked.Add(-millis(s.RegisterAge))
+	readAt := asked.Add(-mesh.Millis(s.RegisterAge))
 	entries := lo.Map(c.Entries, fromWire)
 	switch {
 	case c.Register < f.journal.version:
@@ -333,5 +334,3 @@
 	f.takeChanges(f.book.Take(readAt, f.journal.list()))
 	return true
 }
-
-func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/placement/load_test.go
+++ b/placement/load_test.go
@@ -99,6 +99,13 @@
 	}
 }
 
+// registered is a target as the register names it.
+func registered(id string, addr netip.AddrPort) registry.Target {
+	return registry.Target{Entry: registry.Entry{
+		Instance: registry.Instance{ID: id, Born: 1}, Addr: addr, FailureDomain: "a", Slots: 2,
+	}}
+}
+
 // fleet is the targets of one pool.
 type fleet struct {
 	servers   map[netip.AddrPort]*server
@@ -157,13 +164,12 @@
 		// The spells that are under way end.
 		time.Sleep(time.Minute)
 	}()
-	var registered []registry.Target
+	var targets []registry.Target
 	for i := range day.targets {
 		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80)
 		s := &server{slots: 2, queue: 4, slowdown: 1}
 		f.servers[addr] = s
-		registered = append(registered, registry.Target{Entry: registry.Entry{
-			Instance: registry.Instance{ID: fmt.Sprint("t", i), Born: 1}, Addr: addr, FailureDomain: "a", Slots: 2}})
+		targets = append(targets, registered(fmt.Sprint("t", i), addr))
 		if i < day.slow {
 			s.slowdown = 5
 			continue
@@ -174,7 +180,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b.Update(map[string]placement.PoolSpec{"catalogue": {HealthPath: "/health", Targets: registered}})
+	b.Update(map[string]placement.PoolSpec{"catalogue": {HealthPath: "/health", Targets: targets}})
 	high := &table.Route{Objective: objective, Timeout: timeout, Idempotent: true}
 	low := &table.Route{Objective: objective, Timeout: timeout, Idempotent: true, Rank: 2}
 	got.low = &caught{}
@@ -295,8 +301,7 @@
 		f := &fleet{servers: map[netip.AddrPort]*server{addr: full}}
 		b, err := placement.New(placement.Options{Asker: f, FailureDomain: "a", QuestionsPerSecond: 60})
 		g.Expect(err).NotTo(HaveOccurred())
-		b.Update(map[string]placement.PoolSpec{"p": {HealthPath: "/h", Targets: []registry.Target{{Entry: registry.Entry{
-			Instance: registry.Instance{ID: "t", Born: 1}, Addr: addr, FailureDomain: "a", Slots: 2}}}}})
+		b.Update(map[string]placement.PoolSpec{"p": {HealthPath: "/h", Targets: []registry.Target{registered("t", addr)}}})
 		go func() {
 			time.Sleep(100 * time.Millisecond)
 			b.Update(map[string]placement.PoolSpec{})
@@ -329,24 +334,22 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		f := &fleet{servers: map[netip.AddrPort]*server{}}
-		var registered []registry.Target
+		var targets []registry.Target
 		for i := range 30 {
 			addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80)
 			f.servers[addr] = &server{slots: 2, queue: 4, slowdown: 1, running: 2, waiting: make([]chan struct{}, 4)}
-			registered = append(registered, registry.Target{Entry: registry.Entry{
-				Instance: registry.Instance{ID: fmt.Sprint("t", i), Born: 1}, Addr: addr, FailureDomain: "a", Slots: 2}})
+			targets = append(targets, registered(fmt.Sprint("t", i), addr))
 		}
 		b, err := placement.New(placement.Options{Asker: f, FailureDomain: "a", QuestionsPerSecond: 60})
 		g.Expect(err).NotTo(HaveOccurred())
-		b.Update(map[string]placement.PoolSpec{"p": {HealthPath: "/h", Targets: registered}})
+		b.Update(map[string]placement.PoolSpec{"p": {HealthPath: "/h", Targets: targets}})
 		idle := netip.MustParseAddrPort("10.0.1.1:80")
 		go func() {
 			time.Sleep(100 * time.Millisecond)
 			f.mu.Lock()
 			f.servers[idle] = &server{slots: 2, queue: 4, slowdown: 1}
 			f.mu.Unlock()
-			b.Update(map[string]placement.PoolSpec{"p": {HealthPath: "/h", Targets: []registry.Target{{Entry: registry.Entry{
-				Instance: registry.Instance{ID: "idle", Born: 1}, Addr: idle, FailureDomain: "a", Slots: 2}}}}})
+			b.Update(map[string]placement.PoolSpec{"p": {HealthPath: "/h", Targets: []registry.Target{registered("idle", idle)}}})
 		}()
 		began := time.Now()
 		for part := 1; part <= 2; part++ {
