storesync: a host that skips its reader asks it again before it polls a failing store

Cause: one missed sync response (40 ms, sent twice) makes a host skip its reader for 1 s, longer with each further miss. Change: while its readings fail, such a host sends the skipped reader a sync request first and follows it again if it responds; until then it tries the store at most once per sync interval. A follower whose reader is silent also keeps that pause after its first failure. Ruled out: a longer sync timeout, which would only make the miss rarer and a dead reader noticed later.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -184,14 +184,7 @@
 func (r *Roster) Rank(now time.Time, task Task) []Host {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	all, cached := r.rankings[task]
-	if !cached {
-		if len(r.rankings) >= maxCachedRankings {
-			clear(r.rankings)
-		}
-		all = rankHosts(lo.Values(r.hosts), task)
-		r.rankings[task] = all
-	}
+	all := r.ranking(task)
 	selfLeaves := now.Before(r.leavingUntil[r.self.Name])
 	candidates := lo.Filter(all, func(h Host, _ int) bool {
 		if h.Name == r.self.Name {
@@ -206,6 +199,29 @@
 	return candidates
 }
 
+// First returns the host that should do a task when no host fails: the first of
+// those that are not leaving, skipped or not.
+func (r *Roster) First(now time.Time, task Task) Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	first, found := lo.Find(r.ranking(task), func(h Host) bool { return !now.Before(r.leavingUntil[h.Name]) })
+	return lo.Ternary(found, first, r.self)
+}
+
+// ranking returns all hosts ranked for a task. The caller holds the lock and
+// must not change the result.
+func (r *Roster) ranking(task Task) []Host {
+	all, cached := r.rankings[task]
+	if !cached {
+		if len(r.rankings) >= maxCachedRankings {
+			clear(r.rankings)
+		}
+		all = rankHosts(lo.Values(r.hosts), task)
+		r.rankings[task] = all
+	}
+	return all
+}
+
 // strongFraction is the fraction of the greatest strength from which a host
 // counts as strong.
 const strongFraction = 0.5
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -108,6 +108,22 @@
 		Expect(names(r.Others())).To(ConsistOf("h1", "h2", "h3"))
 	})
 
+	It("names the first host of a task whether it is skipped or not, unless it leaves", func() {
+		all := hosts(3, equal)
+		r := roster.New(all[0])
+		r.SetHosts(all)
+		task := roster.Task{Kind: "t"}
+		ranked := names(r.Rank(now, task))
+		r.MarkFailed(now, "t", ranked[0])
+		Expect(r.First(now, task).Name).To(Equal(ranked[0]))
+		r.MarkLeaving(ranked[0], now.Add(time.Second))
+		Expect(r.First(now, task).Name).To(Equal(ranked[1]))
+		for _, name := range ranked {
+			r.MarkLeaving(name, now.Add(time.Second))
+		}
+		Expect(r.First(now, task)).To(Equal(r.Self()))
+	})
+
 	It("treats a host that announces another address as a new process", func() {
 		all := hosts(3, equal)
 		r := roster.New(all[0])
--- a/storesync/registry.go
+++ b/storesync/registry.go
@@ -77,6 +77,9 @@
 // syncRegistry brings the registry up to date, from the reader or from the
 // store, and returns the pause before the next call.
 func (f *Follower) syncRegistry(ctx context.Context, tracker *readTracker) time.Duration {
+	if tracker.failures > 0 {
+		f.recheckSkippedReader(ctx)
+	}
 	var staleReaders []roster.Host
 	if !f.isReader() {
 		var result syncResult
@@ -88,6 +91,8 @@
 		if f.deferToReader(result, tracker) {
 			return syncInterval
 		}
+	} else if f.deferAsSubstitute(tracker) {
+		return syncInterval
 	}
 	pause, ok := f.readStore(tracker)
 	if !ok {
@@ -105,7 +110,7 @@
 	tried := f.Clock.Now().Sub(tracker.lastAttempt)
 	switch result {
 	case noResponse:
-		return tracker.failsRepeatedly() && tried < followerRetryInterval
+		return tracker.failures > 0 && tried < lo.Ternary(tracker.failsRepeatedly(), followerRetryInterval, syncInterval)
 	case staleResponse:
 		return tracker.failures > 0 && tried < staleReaderRetryInterval
 	default:
@@ -113,6 +118,30 @@
 	}
 }
 
+// deferAsSubstitute reports whether this host, the reader only because it skips
+// others, should not try the store now. The skipped reader may be trying too:
+// one missed response must not double the load on a failing store.
+func (f *Follower) deferAsSubstitute(tracker *readTracker) bool {
+	return tracker.failures > 0 && f.Roster.First(f.Clock.Now(), readerTask).Name != f.Roster.Self().Name &&
+		f.Clock.Now().Sub(tracker.lastAttempt) < syncInterval
+}
+
+// recheckSkippedReader asks the reader that this host skips whether it is alive,
+// and follows it again if so. While the store fails, the host that is left as
+// reader would otherwise try the store at the reader's rate until the reader is
+// no longer skipped.
+func (f *Follower) recheckSkippedReader(ctx context.Context) {
+	first := f.Roster.First(f.Clock.Now(), readerTask)
+	if first.Name == f.Roster.Self().Name || first.Name == f.readerHost().Name {
+		return
+	}
+	if f.syncWithReader(ctx, first) == noResponse {
+		return
+	}
+	f.Roster.MarkHealthy(readerKind, first.Name)
+	f.Logger.Info("skipped reader responds again; following it", zap.String("reader", first.Name))
+}
+
 // readStore reads the registry from the store; after a failure it returns the
 // pause before the next attempt.
 func (f *Follower) readStore(tracker *readTracker) (pause time.Duration, ok bool) {
