placement: late requests may wait for spare capacity, not only for the rate of late ones before them

A request that can't meet its objective waits only as long as the rate at which late ones were placed lets its turn come. In a pool with room to spare hardly any request is late, so that rate is near 0, and the third of three that are late at one moment is refused with 9 tenths of its time left. Which three meet depends on the order of goroutines; the fault does not. Change: the rate is at least what the targets can end (slots by mean time of a call) beyond what arrives. Ruled out: more late waiters in any case (minLateWaiters): under lasting overload they wait in vain.

--- a/placement/decide_internal_test.go
+++ b/placement/decide_internal_test.go
@@ -265,3 +265,47 @@
 		Expect(b.queryRate("p", 1, 10)).To(Equal(DefaultMaxQueriesPerSecond * 5))
 	})
 })
+
+var _ = Describe("the rate at which late requests find room", func() {
+	// loaded returns a partition of 20 slots whose calls take 100 ms, 200 a
+	// second at most, after a second of the given arrivals.
+	loaded := func(arrivals int) (p *partition, now time.Time) {
+		p = newPartition("p", 1, rand.New(rand.NewPCG(1, 1)))
+		p.targets = lo.Times(10, func(int) *target { return &target{Target: registry.Target{Entry: registry.Entry{Slots: 2}}} })
+		p.callTime = 100 * time.Millisecond
+		for i := range 3 * arrivals {
+			now = start.Add(time.Duration(i) * time.Second / time.Duration(arrivals))
+			p.countRequest(now, 0)
+		}
+		return p, now
+	}
+
+	// Guards against refusals at a usual load: where no late request was placed
+	// lately, three that waited together were refused with most of their time
+	// left.
+	It("is the spare capacity of a pool that can serve all that arrive", func() {
+		p, now := loaded(100)
+		Expect(p.lateRate(now)).To(BeNumerically("~", 100, 20))
+		Expect(mayWaitLate(20, p.lateRate(now), time.Second)).To(BeTrue())
+	})
+
+	It("is the rate of the late requests placed while more arrive than can be served", func() {
+		p, now := loaded(300)
+		Expect(p.lateRate(now)).To(BeZero())
+		for range 10 {
+			p.latePlacedRate.count(now)
+		}
+		Expect(p.lateRate(now)).To(BeNumerically("~", 10, 1))
+	})
+
+	It("leaves out ejected targets, and is 0 before any call has ended", func() {
+		p, now := loaded(100)
+		for _, t := range p.targets[:8] {
+			t.health.eject(now)
+		}
+		Expect(p.lateRate(now)).To(BeZero())
+		p, now = loaded(1)
+		p.callTime = 0
+		Expect(p.lateRate(now)).To(BeZero())
+	})
+})
--- a/placement/partition.go
+++ b/placement/partition.go
@@ -61,9 +61,12 @@
 	// serviceTime is the usual time of a request on an idle target.
 	serviceTime time.Duration
 	rng         *rand.Rand
+	// callTime is the mean time that a call occupies its target.
+	callTime time.Duration
 	// latePlacedRate is the number of requests a second that were placed
-	// although they can't meet their objective any more.
-	latePlacedRate eventRate
+	// although they can't meet their objective any more, arrivals that of all
+	// requests that arrived.
+	latePlacedRate, arrivals eventRate
 	// fairness counts the requests of each rank.
 	fairness fairness
 	// budget limits the load queries; budgetSetAt is when its rate was set.
@@ -154,6 +157,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fairness.countRequest(now, rank)
+	p.arrivals.count(now)
 }
 
 // hasWaiters reports whether requests already wait for room.
@@ -231,6 +235,29 @@
 	return p.serviceTime
 }
 
+// lateRate estimates how many late requests a second find room: as many as did
+// lately, or what the targets can end beyond the requests that arrive. Without
+// the latter, the first few late requests of a pool with room to spare would be
+// refused because none was placed before them. The caller holds the lock.
+func (p *partition) lateRate(now time.Time) float64 {
+	return max(p.latePlacedRate.rate(now), p.capacity(now)-p.arrivals.rate(now))
+}
+
+// capacity estimates how many requests a second the targets that may be chosen
+// can end; 0 before any call has succeeded. The caller holds the lock.
+func (p *partition) capacity(now time.Time) float64 {
+	if p.callTime <= 0 {
+		return 0
+	}
+	slots := lo.SumBy(p.targets, func(t *target) int {
+		if !t.health.available(now, t.inFlight) {
+			return 0
+		}
+		return max(t.Slots, 1)
+	})
+	return float64(slots) / p.callTime.Seconds()
+}
+
 // hasInstance reports whether an instance is among the targets.
 func (p *partition) hasInstance(instance registry.Instance) bool {
 	p.mu.Lock()
@@ -271,6 +298,10 @@
 	if f.Verdict != lb.Succeeded || f.Latency <= 0 {
 		return
 	}
+	if p.callTime == 0 {
+		p.callTime = f.Latency
+	}
+	p.callTime += time.Duration(serviceTimeWeight * float64(f.Latency-p.callTime))
 	serviceTime := time.Duration(float64(f.Latency) / max(durationFactor, 1))
 	if p.serviceTime == 0 {
 		p.serviceTime = serviceTime
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -115,13 +115,13 @@
 	serviceTime := p.serviceTimeLocked()
 	sortWaiters(now, serviceTime, func(rank int) bool { return p.fairness.isStarved(now, rank) }, p.waiters)
 	kept := p.waiters[:0]
-	late, latePlacedRate := 0, p.latePlacedRate.rate(now)
+	late, lateRate := 0, p.lateRate(now)
 	for _, w := range p.waiters {
 		isLate := lateness(now, w.q, serviceTime) > 0
 		if isLate {
 			late++
 		}
-		if isLate && !mayWaitLate(late, latePlacedRate, w.q.Deadline.Sub(now)-serviceTime) {
+		if isLate && !mayWaitLate(late, lateRate, w.q.Deadline.Sub(now)-serviceTime) {
 			w.result <- placeResult{refusal: b.refuseLate(p, w.q, now)}
 			continue
 		}
@@ -155,9 +155,9 @@
 )
 
 // mayWaitLate reports whether the nth late request is likely to be placed in
-// its remaining time, given the rate at which late requests are placed.
-func mayWaitLate(n int, placedPerSecond float64, left time.Duration) bool {
-	return n <= minLateWaiters || float64(n) <= placedPerSecond*maxLateWaitShare*left.Seconds()
+// its remaining time, given how many late requests a second find room.
+func mayWaitLate(n int, perSecond float64, left time.Duration) bool {
+	return n <= minLateWaiters || float64(n) <= perSecond*maxLateWaitShare*left.Seconds()
 }
 
 // refuseLate refuses a late request because too many of them wait. The caller
@@ -166,7 +166,8 @@
 	retryAfter := jitter(lateRetryAfter)
 	b.opts.Logger.Info("request refused: too many requests that can't meet their objective are waiting", zap.String("request", q.RequestID), zap.String("pool", q.Pool),
 		zap.Duration("waited", now.Sub(q.Received)), zap.Duration("left", q.Deadline.Sub(now)),
-		zap.Int("waiting", len(p.waiters)), zap.Float64("late_placed_per_second", p.latePlacedRate.rate(now)), zap.Duration("retry_after", retryAfter))
+		zap.Int("waiting", len(p.waiters)), zap.Float64("late_placed_per_second", p.latePlacedRate.rate(now)),
+		zap.Float64("arrivals_per_second", p.arrivals.rate(now)), zap.Float64("capacity_per_second", p.capacity(now)), zap.Duration("retry_after", retryAfter))
 	return b.refuse(q, outcome.QueueFull, retryAfter)
 }
 
