--- a/router/router_test.go
+++ b/router/router_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
 
 	"github.com/chestnutfield/chestnutfield/table"
 )
@@ -65,6 +67,65 @@
 		Expect(counts).To(Equal(map[string]int{"p": 900, "q": 100}))
 	})
 
+	// The weights are those of pools a, b and so on. Few requests reach each of
+	// many hosts: a host knows nothing of the others, so the share of a pool over
+	// all hosts must follow from the requests alone.
+	DescribeTable("keeps the shares of a split over all hosts, a few requests at each",
+		func(weights ...int) {
+			const hosts, requestsPerHost, tolerance = 60, 5, 0.1
+			t, total := tables(), lo.Sum(weights)
+			route := table.Route{Name: "split", PathPrefix: "/"}
+			for i, w := range weights {
+				name := string(rune('a' + i))
+				t.Pools[name] = table.Pool{Name: name}
+				route.Split = append(route.Split, table.WeightedPool{Pool: name, Weight: w})
+			}
+			t.Routes["split"] = route
+			rng := rand.New(rand.NewPCG(1, 2))
+			counts := map[string]int{}
+			for range hosts {
+				r := Compile(t)
+				for range requestsPerHost {
+					m, ok := r.Match(Request{Path: "/", SplitHash: rng.Uint64()})
+					Expect(ok).To(BeTrue())
+					counts[m.Pool.Name]++
+				}
+			}
+			for i, w := range weights {
+				share := float64(counts[string(rune('a'+i))]) / (hosts * requestsPerHost)
+				Expect(share).To(BeNumerically("~", float64(w)/float64(total), tolerance))
+				if w == 0 {
+					Expect(share).To(BeZero())
+				}
+			}
+		},
+		Entry("of equal weights", 1, 1),
+		Entry("of unequal weights", 90, 10),
+		Entry("of many pools", 5, 4, 3, 2, 1, 1),
+		Entry("with a pool of weight 0", 0, 3, 1),
+		Entry("of large weights", 1_000_000, 250_000),
+		Entry("of a single pool", 7),
+	)
+
+	It("moves no request between the pools that a change of the split leaves alone", func() {
+		pools := func(split ...table.WeightedPool) *Router {
+			t := tables()
+			for _, s := range split {
+				t.Pools[s.Pool] = table.Pool{Name: s.Pool}
+			}
+			t.Routes["split"] = table.Route{Name: "split", PathPrefix: "/", Split: split}
+			return Compile(t)
+		}
+		before := pools(table.WeightedPool{Pool: "q", Weight: 1}, table.WeightedPool{Pool: "s", Weight: 1})
+		after := pools(table.WeightedPool{Pool: "q", Weight: 1}, table.WeightedPool{Pool: "s", Weight: 0}, table.WeightedPool{Pool: "u", Weight: 1})
+		for hash := range uint64(100) {
+			old, _ := before.Match(Request{Path: "/", SplitHash: hash})
+			now, _ := after.Match(Request{Path: "/", SplitHash: hash})
+			Expect(now.Pool.Name == "q").To(Equal(old.Pool.Name == "q"))
+			Expect(now.Pool.Name).NotTo(Equal("s"))
+		}
+	})
+
 	It("matches nothing in empty tables", func() {
 		_, ok := Compile(tables()).Match(Request{Method: "GET", Path: "/"})
 		Expect(ok).To(BeFalse())
--- a/table/validate.go
+++ b/table/validate.go
@@ -21,12 +21,39 @@
 				p.addProblem(name, key, weighted.Pool, "a pool that exists")
 			}
 		}
+		checkSplit(p, route)
 	}
 	checkAmbiguous(p, t.Routes)
 	checkBounds(p, t)
 	return p.problems.orNil()
 }
 
+// checkSplit checks the weights of a route that splits its requests. A pool of
+// weight 0 gets none, which is how a pool is added before it gets requests, or
+// kept after its last one; some pool must get them.
+func checkSplit(p *fileParser, route Route) {
+	if len(route.Split) == 0 {
+		return
+	}
+	if len(route.Split) > MaxSplit {
+		p.addProblem(route.Name, "split", strconv.Itoa(len(route.Split))+" pools", "at most "+strconv.Itoa(MaxSplit))
+	}
+	total := 0
+	for _, s := range route.Split {
+		if s.Weight < 0 || s.Weight > MaxWeight {
+			p.addProblem(route.Name, "split", s.Pool+":"+strconv.Itoa(s.Weight), "a weight from 0 to "+strconv.Itoa(MaxWeight))
+			return
+		}
+		total += s.Weight
+	}
+	if total == 0 {
+		p.addProblem(route.Name, "split", "weights that are all 0", "a weight of 1 or more for at least one pool")
+	}
+	if twice := lo.FindDuplicatesBy(route.Split, func(s WeightedPool) string { return s.Pool }); len(twice) > 0 {
+		p.addProblem(route.Name, "split", twice[0].Pool+" twice", "each pool once")
+	}
+}
+
 // ValidatePoolDelete returns an error of type Problems when routes use the pool,
 // so that it can't be deleted. file is the file name in the problem.
 func ValidatePoolDelete(file string, t *Tables, pool string) error {
