storesync: hosts that start together announce themselves over two seconds and wait for their reader

Change: at the first start of a deployment each host announces itself at a random moment of two seconds, retries with full jitter, and reads the host list when all others are likely to be listed. Until it is announced it leaves the store alone, for 6 s at most. A host that restarts tries the two best readers for 0.2 s before it reads the store: when all hosts restart, so does the reader. Ruled out: a lower timeout (the calls would be made again); one call a host through few announced hosts stays open, see the issue.

--- a/storesync/follower.go
+++ b/storesync/follower.go
@@ -103,9 +103,12 @@
 	// the store.
 	hostsListed, bootstrapped chan struct{}
 	// started is when New was called.
-	started          time.Time
-	closeHostsKnown  sync.Once
-	closeHostsListed sync.Once
+	started time.Time
+	// firstAnnouncement is the time from the start to the first announcement
+	// when the whole deployment starts for the first time.
+	firstAnnouncement time.Duration
+	closeHostsKnown   sync.Once
+	closeHostsListed  sync.Once
 	// storeLost is true from a failed reading of the store to the next update of
 	// the registry, from the reader or the store.
 	storeLost atomic.Bool
@@ -144,7 +147,8 @@
 	f := &Follower{
 		Options: o, tablesWake: make(chan struct{}, 1), hostsWake: make(chan struct{}, 1), hostsKnown: make(chan struct{}), started: o.Clock.Now(),
 		hostsListed: make(chan struct{}), bootstrapped: make(chan struct{}), client: newSnapshotClient(),
-		registry: newRegistryState(), tracker: registry.NewTargetTracker(),
+		firstAnnouncement: announceDelay(0, rand.Float64()),
+		registry:          newRegistryState(), tracker: registry.NewTargetTracker(),
 		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "chestnut_store_readings_total",
 			Help: "Readings of the store and questions to its reader, by what was read and the result.",
--- a/storesync/hosts.go
+++ b/storesync/hosts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -20,8 +21,13 @@
 	tracker := f.newReadTracker("hosts")
 	for ctx.Err() == nil {
 		err := f.discoverHosts(ctx)
-		f.closeHostsListed.Do(func() { close(f.hostsListed) })
+		if err == nil || !f.awaitsFirstStart() {
+			f.closeHostsListed.Do(func() { close(f.hostsListed) })
+		}
 		if pause := tracker.record(f.Clock.Now(), err); err != nil {
+			if f.awaitsFirstStart() {
+				pause = announceDelay(tracker.failures, rand.Float64())
+			}
 			if f.Roster.Count() > 1 {
 				// The list is known already; the registry loop notices when the
 				// store is back.
@@ -39,7 +45,9 @@
 // discoverHosts reads the host list and adds this host when it is not listed
 // under its current address.
 func (f *Follower) discoverHosts(ctx context.Context) error {
-	if !f.FirstStart || f.hasAnnounced() {
+	if f.awaitsFirstStart() {
+		f.sleep(ctx, f.started.Add(f.firstAnnouncement).Sub(f.Clock.Now()), nil)
+	} else {
 		hosts, err := f.Source.Hosts()
 		if err != nil {
 			return err
@@ -59,6 +67,9 @@
 	f.mu.Unlock()
 	// In a deployment that starts, the other hosts announce themselves too.
 	f.sleep(ctx, discoveryDelay, nil)
+	if f.FirstStart {
+		f.sleep(ctx, f.started.Add(announceSpread+discoveryDelay).Sub(f.Clock.Now()), nil)
+	}
 	hosts, err := f.Source.Hosts()
 	if err != nil {
 		return err
@@ -67,10 +78,33 @@
 	return nil
 }
 
-func (f *Follower) hasAnnounced() bool {
+// awaitsFirstStart reports whether the whole deployment starts for the first
+// time and this host has not announced itself yet. It then knows no other host,
+// and would read the store like a reader.
+func (f *Follower) awaitsFirstStart() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.announcedAt.IsZero()
+	return f.FirstStart && f.announcedAt.IsZero() && f.Clock.Now().Sub(f.started) < maxFirstStartWait
+}
+
+const (
+	// announceSpread is the time over which the hosts of a deployment that starts
+	// for the first time announce themselves. The store applies some 250
+	// transactions a second to one table, one after another.
+	announceSpread = 2 * time.Second
+	// maxAnnounceDelay bounds the pause before an announcement is tried again.
+	maxAnnounceDelay = 4 * time.Second
+	// maxFirstStartWait is how long a host that can't announce itself waits before
+	// it reads the store without knowing the other hosts.
+	maxFirstStartWait = 6 * time.Second
+)
+
+// announceDelay returns the pause before a host announces itself, after the
+// given number of failures, as a share u, 0 to 1, of the longest: without any
+// failure announceSpread, then twice as long each time (full jitter). Hosts that
+// start at the same moment neither overload the store nor retry in step.
+func announceDelay(failures int, u float64) time.Duration {
+	return time.Duration(u * float64(min(announceSpread<<min(failures, 8), maxAnnounceDelay)))
 }
 
 const (
--- a/storesync/registry.go
+++ b/storesync/registry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -42,17 +43,17 @@
 	case <-f.hostsListed:
 	}
 	for wait := f.bootstrapWait(); ; wait -= bootstrapRetryInterval {
-		reader := f.readerHost()
-		if reader.Name == f.Roster.Self().Name {
+		readers := f.readersToTry()
+		if len(readers) == 0 {
 			break
 		}
-		if f.fetchSnapshot(reader) {
+		if slices.ContainsFunc(readers, f.fetchSnapshot) {
 			return
 		}
 		if wait <= 0 || ctx.Err() != nil {
 			break
 		}
-		f.sleep(ctx, bootstrapRetryInterval, nil)
+		f.sleep(ctx, bootstrapRetryInterval/2+rand.N(bootstrapRetryInterval), nil)
 	}
 	f.readStore(tracker)
 }
@@ -64,14 +65,26 @@
 	// firstStartWait is how long hosts wait for the reader when the whole
 	// deployment starts for the first time: callers come seconds later.
 	firstStartWait = 1500 * time.Millisecond
+	// restartWait is how long a host that restarts waits for the reader: when many
+	// hosts restart at the same moment, so does the reader, which needs less than
+	// that to read the store for all.
+	restartWait = 200 * time.Millisecond
 )
 
 // bootstrapWait returns how long a host that starts retries the reader.
 func (f *Follower) bootstrapWait() time.Duration {
-	if f.FirstStart {
-		return firstStartWait
+	return lo.Ternary(f.FirstStart, firstStartWait, restartWait)
+}
+
+// readersToTry returns the hosts that this host may get its data from, the best
+// first; none when it is the reader.
+func (f *Follower) readersToTry() []roster.Host {
+	ranked := f.Roster.Rank(f.Clock.Now(), readerTask)
+	before := lo.IndexOf(lo.Map(ranked, func(h roster.Host, _ int) string { return h.Name }), f.Roster.Self().Name)
+	if before < 0 {
+		before = len(ranked)
 	}
-	return 0
+	return ranked[:min(before, maxReadersTried)]
 }
 
 // syncRegistry brings the registry up to date, from the reader or from the
--- a/storesync/store_retry_internal_test.go
+++ b/storesync/store_retry_internal_test.go
@@ -18,7 +18,7 @@
 )
 
 // failingSource is a store that fails every call and counts them.
-type failingSource struct{ calls atomic.Int64 }
+type failingSource struct{ calls, announcements atomic.Int64 }
 
 var errStoreDown = errors.New("store is down")
 
@@ -28,9 +28,12 @@
 	return TablesReading{}, s.fail()
 }
 func (s *failingSource) Registry() (RegistryReading, error) { return RegistryReading{}, s.fail() }
-func (s *failingSource) Announce(roster.Host) error         { return s.fail() }
-func (s *failingSource) RemoveHost(roster.Host) error       { return s.fail() }
-func (s *failingSource) Hosts() ([]roster.Host, error)      { return nil, s.fail() }
+func (s *failingSource) Announce(roster.Host) error {
+	s.announcements.Add(1)
+	return s.fail()
+}
+func (s *failingSource) RemoveHost(roster.Host) error  { return s.fail() }
+func (s *failingSource) Hosts() ([]roster.Host, error) { return nil, s.fail() }
 
 // readerStub is a reader with stale data. It drops sync requests while it is
 // deaf, as a busy host or a lossy link does.
