--- a/storesync/announce_internal_test.go
+++ b/storesync/announce_internal_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -88,14 +87,14 @@
 		{1000, 2, 9 * time.Second},
 	} {
 		calls, listed := startOfFleet(fleet.hosts, announceDelay)
-		t.Log(fmt.Sprintf("%d hosts: %.2f calls a host, the last listed after %v", fleet.hosts, float64(calls)/float64(fleet.hosts), listed))
+		t.Logf("%d hosts: %.2f calls a host, the last listed after %v", fleet.hosts, float64(calls)/float64(fleet.hosts), listed)
 		g.Expect(float64(calls) / float64(fleet.hosts)).To(BeNumerically("<=", fleet.callsPerHost))
 		g.Expect(listed).To(BeNumerically("<=", fleet.listed))
 	}
 	atOnce, _ := startOfFleet(313, func(failures int, u float64) time.Duration {
 		return time.Duration(min(failures, 1)) * time.Duration((0.5+u)*float64(minRetryPause))
 	})
-	t.Log(fmt.Sprintf("313 hosts that don't wait: %.2f calls a host", float64(atOnce)/313))
+	t.Logf("313 hosts that don't wait: %.2f calls a host", float64(atOnce)/313)
 }
 
 // Guards against a host that can't announce itself at the first start of a
