storesync: followers leave a failing store alone for two seconds in any case; placement: the late rate once a pass

Cause: beside 21 busy processes a follower still made 4 calls in 4 s where the spec allows 3: a follower whose reader is silent retried after 0.4 s, one whose reader is stale after 2 s, and the tables loop by a third rule. The rate at which late requests find room was computed for each waiting request. Change: one rule for both loops: after a failed reading a follower with data tries again after 2 s, one without after 0.4 s. It asks its reader every 0.4 s all the while, so that its data is fresh as soon as the reader responds.

--- a/placement/decide_internal_test.go
+++ b/placement/decide_internal_test.go
@@ -286,19 +286,19 @@
 	It("lets late requests wait for the spare capacity of a pool that can serve all that arrive", func() {
 		d, now := loaded(100)
 		Expect(d.spareRate(now, slots)).To(BeNumerically("~", 100, 20))
-		Expect(d.mayWaitLate(now, slots, 20, time.Second)).To(BeTrue())
-		Expect(d.mayWaitLate(now, slots, 100, time.Second)).To(BeFalse())
+		Expect(mayWaitLate(20, d.lateRate(now, slots), time.Second)).To(BeTrue())
+		Expect(mayWaitLate(100, d.lateRate(now, slots), time.Second)).To(BeFalse())
 	})
 
 	It("lets late requests wait as far as late ones are placed while more arrive than can be served", func() {
 		d, now := loaded(300)
 		Expect(d.spareRate(now, slots)).To(BeZero())
-		Expect(d.mayWaitLate(now, slots, 3, time.Second)).To(BeFalse())
+		Expect(mayWaitLate(3, d.lateRate(now, slots), time.Second)).To(BeFalse())
 		for range 10 {
 			d.latePlaced.count(now)
 		}
-		Expect(d.mayWaitLate(now, slots, 3, time.Second)).To(BeTrue())
-		Expect(d.mayWaitLate(now, slots, 20, time.Second)).To(BeFalse())
+		Expect(mayWaitLate(3, d.lateRate(now, slots), time.Second)).To(BeTrue())
+		Expect(mayWaitLate(20, d.lateRate(now, slots), time.Second)).To(BeFalse())
 	})
 
 	It("names a Retry-After by the work that was turned away", func() {
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -59,13 +59,17 @@
 	return max(0, d.servableRate(now, slots)-d.arrivals.rate(now))
 }
 
+// lateRate estimates how many late requests a second find room: as many as did
+// lately, or as can be served beyond those that arrive. Without the latter, the
+// first few late requests of a pool with room to spare would be refused because
+// none was placed before them.
+func (d *demand) lateRate(now time.Time, slots int) float64 {
+	return max(d.latePlaced.rate(now), d.spareRate(now, slots))
+}
+
 // mayWaitLate reports whether the nth late request is likely to be placed in
-// its remaining time. As many late requests find room as did lately, or as can
-// be served beyond those that arrive: without the latter, the first few late
-// requests of a pool with room to spare would be refused because none was placed
-// before them.
-func (d *demand) mayWaitLate(now time.Time, slots, n int, left time.Duration) bool {
-	perSecond := max(d.latePlaced.rate(now), d.spareRate(now, slots))
+// its remaining time, given how many late requests a second find room.
+func mayWaitLate(n int, perSecond float64, left time.Duration) bool {
 	return n <= minLateWaiters || float64(n) <= perSecond*maxLateWaitShare*left.Seconds()
 }
 
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -116,12 +116,13 @@
 	sortWaiters(now, serviceTime, func(rank int) bool { return p.fairness.isStarved(now, rank) }, p.waiters)
 	kept := p.waiters[:0]
 	slots, late := p.slotsLocked(now), 0
+	lateRate := p.demand.lateRate(now, slots)
 	for _, w := range p.waiters {
 		isLate := lateness(now, w.q, serviceTime) > 0
 		if isLate {
 			late++
 		}
-		if isLate && !p.demand.mayWaitLate(now, slots, late, w.q.Deadline.Sub(now)-serviceTime) {
+		if isLate && !mayWaitLate(late, lateRate, w.q.Deadline.Sub(now)-serviceTime) {
 			w.result <- placeResult{refusal: b.refuseLate(p, w.q, now, slots)}
 			continue
 		}
--- a/storesync/follower.go
+++ b/storesync/follower.go
@@ -46,16 +46,11 @@
 	maxReadersTried = 2
 	// minRetryPause is the pause after the first failed reading, maxRetryPause
 	// the longest pause between retries. A host that leaves the store to the
-	// reader retries every followerRetryInterval, or every
-	// staleReaderRetryInterval when the reader responds but does not reach the
-	// store either.
-	minRetryPause            = 100 * time.Millisecond
-	maxRetryPause            = 150 * time.Millisecond
-	followerRetryInterval    = time.Second
-	staleReaderRetryInterval = 2 * time.Second
-	// followerMaxFailures is the number of consecutive failed readings after
-	// which a host leaves further attempts to the reader.
-	followerMaxFailures = 3
+	// reader retries every followerRetryInterval; it goes on asking the reader
+	// every syncInterval.
+	minRetryPause         = 100 * time.Millisecond
+	maxRetryPause         = 150 * time.Millisecond
+	followerRetryInterval = 2 * time.Second
 	// maxProblemLogs bounds the log lines about invalid entries in one reading of
 	// the registry.
 	maxProblemLogs = 3
@@ -266,10 +261,6 @@
 	return pause/2 + rand.N(pause)
 }
 
-// failsRepeatedly reports whether so many readings failed that further attempts
-// are left to the reader.
-func (t *readTracker) failsRepeatedly() bool { return t.failures >= followerMaxFailures }
-
 func (f *Follower) newReadTracker(name string) *readTracker {
 	return &readTracker{name: name, logger: f.Logger, reads: f.reads}
 }
--- a/storesync/registry.go
+++ b/storesync/registry.go
@@ -120,15 +120,16 @@
 // deferToReader reports whether this host should not try the store now: it
 // failed to read it a short time ago, and others keep trying.
 func (f *Follower) deferToReader(result syncResult, tracker *readTracker) bool {
-	tried := f.Clock.Now().Sub(tracker.lastAttempt)
-	switch result {
-	case noResponse:
-		return tracker.failures > 0 && tried < lo.Ternary(tracker.failsRepeatedly(), followerRetryInterval, syncInterval)
-	case staleResponse:
-		return tracker.failures > 0 && tried < staleReaderRetryInterval
-	default:
-		return false
-	}
+	followed := result == noResponse || result == staleResponse
+	return followed && f.failedLately(tracker)
+}
+
+// failedLately reports whether this host failed to read the store a short time
+// ago, so that another attempt is left to the reader. A host that has no data yet
+// tries again sooner.
+func (f *Follower) failedLately(tracker *readTracker) bool {
+	interval := lo.Ternary(f.Configured(), followerRetryInterval, syncInterval)
+	return tracker.failures > 0 && f.Clock.Now().Sub(tracker.lastAttempt) < interval
 }
 
 // deferAsSubstitute reports whether this host, the reader only because it skips
--- a/storesync/tables.go
+++ b/storesync/tables.go
@@ -71,7 +71,7 @@
 	if f.isReader() {
 		return false
 	}
-	return f.tablesConfirmed() || tracker.failsRepeatedly() && f.Clock.Now().Sub(tracker.lastAttempt) < followerRetryInterval
+	return f.tablesConfirmed() || f.failedLately(tracker)
 }
 
 // fetchNewerTables fetches a snapshot from the reader that has newer tables, if
