proxy: the spec on idle time keeps a margin that a busy machine does not use up

Cause: once, beside 21 busy processes, the second request of the spec came more than 120 ms after the first, 30 ms later than meant, and met a closed connection. Change: the same proportions at eight times the length (500 ms, 1 s, a request after 750 ms, closed no sooner than 830 ms after it): a quarter of a second to spare instead of 30 ms.

--- a/proxy/bodies_test.go
+++ b/proxy/bodies_test.go
@@ -45,7 +45,7 @@
 
 	It("bound the idle time of a connection and the arrival time of a header", func() {
 		times := func(_ *Options, t *table.Tables) {
-			t.Limits = table.CallerLimits{HeaderTimeout: 60 * time.Millisecond, IdleTimeout: 120 * time.Millisecond}
+			t.Limits = table.CallerLimits{HeaderTimeout: 500 * time.Millisecond, IdleTimeout: time.Second}
 		}
 		b := newHarness([]*rawUpstream{newUpstream(respondAlways(okResponse))}, times)
 		ask := func(c *caller, raw string) int {
@@ -57,12 +57,12 @@
 		Expect(ask(b.dial(), "GET /specs/a HTTP/1.1\r\n")).To(Equal(408))
 		unused := b.dial()
 		Expect(ask(unused, getSpec)).To(Equal(200))
-		time.Sleep(90 * time.Millisecond)
+		time.Sleep(750 * time.Millisecond)
 		Expect(ask(unused, getSpec)).To(Equal(200))
 		began := time.Now()
 		_, err := unused.br.ReadByte()
 		Expect(err).To(MatchError(io.EOF))
-		Expect(time.Since(began)).To(BeNumerically(">=", 100*time.Millisecond))
+		Expect(time.Since(began)).To(BeNumerically(">=", 830*time.Millisecond))
 	})
 
 	It("allow requests within them", func() {
