storesync: a host that restarts reads the store at once when its reader does not answer

Change: the wait is taken back; announcements spread over the start stay. Conclusion: at a loss of all hosts every host reads the store as before; what would help both is knowing sooner that the reader is not up (a connection attempt to a host without power takes 0.1 s).

--- a/storesync/registry.go
+++ b/storesync/registry.go
@@ -43,11 +43,11 @@
 	case <-f.hostsListed:
 	}
 	for wait := f.bootstrapWait(); ; wait -= bootstrapRetryInterval {
-		readers := f.readersToTry()
-		if len(readers) == 0 {
+		reader := f.readerHost()
+		if reader.Name == f.Roster.Self().Name {
 			break
 		}
-		if slices.ContainsFunc(readers, f.fetchSnapshot) {
+		if f.fetchSnapshot(reader) {
 			return
 		}
 		if wait <= 0 || ctx.Err() != nil {
@@ -65,26 +65,15 @@
 	// firstStartWait is how long hosts wait for the reader when the whole
 	// deployment starts for the first time: callers come seconds later.
 	firstStartWait = 1500 * time.Millisecond
-	// restartWait is how long a host that restarts waits for the reader: when many
-	// hosts restart at the same moment, so does the reader, which needs less than
-	// that to read the store for all.
-	restartWait = 200 * time.Millisecond
 )
 
-// bootstrapWait returns how long a host that starts retries the reader.
+// bootstrapWait returns how long a host that starts retries the reader. One that
+// restarts while callers wait for it reads the store after the first failure.
 func (f *Follower) bootstrapWait() time.Duration {
-	return lo.Ternary(f.FirstStart, firstStartWait, restartWait)
-}
-
-// readersToTry returns the hosts that this host may get its data from, the best
-// first; none when it is the reader.
-func (f *Follower) readersToTry() []roster.Host {
-	ranked := f.Roster.Rank(f.Clock.Now(), readerTask)
-	before := lo.IndexOf(lo.Map(ranked, func(h roster.Host, _ int) string { return h.Name }), f.Roster.Self().Name)
-	if before < 0 {
-		before = len(ranked)
+	if f.FirstStart {
+		return firstStartWait
 	}
-	return ranked[:min(before, maxReadersTried)]
+	return 0
 }
 
 // syncRegistry brings the registry up to date, from the reader or from the
