table: a split may be of any number of parts and name one twice, as before

Cause: reading the change again: the check of weights had also brought the INI format's bounds (16 parts, each once) to the platform's configurations. The platform accepted those before and hosts served them; refusing one would leave an older version in force on all hosts. Change: table.Validate checks weights alone; the INI parser keeps its own checks.

--- a/storesync/hosts.go
+++ b/storesync/hosts.go
@@ -65,7 +65,7 @@
 	f.mu.Lock()
 	f.announcedAt = f.Clock.Now()
 	f.mu.Unlock()
-	// In a deployment that starts, the other hosts announce themselves too.
+	// The other hosts of a deployment that starts announce themselves meanwhile.
 	f.sleep(ctx, discoveryDelay, nil)
 	if f.FirstStart {
 		f.sleep(ctx, f.started.Add(announceSpread+discoveryDelay).Sub(f.Clock.Now()), nil)
--- a/storesync/registry.go
+++ b/storesync/registry.go
@@ -109,8 +109,7 @@
 // deferToReader reports whether this host should not try the store now: it
 // failed to read it a short time ago, and others keep trying.
 func (f *Follower) deferToReader(result syncResult, tracker *readTracker) bool {
-	followed := result == noResponse || result == staleResponse
-	return followed && f.failedLately(tracker)
+	return (result == noResponse || result == staleResponse) && f.failedLately(tracker)
 }
 
 // failedLately reports whether this host failed to read the store a short time
--- a/table/validate.go
+++ b/table/validate.go
@@ -32,12 +32,6 @@
 // weight 0 gets none, which is how a pool is added before it gets requests, or
 // kept after its last one; some pool must get them.
 func checkSplit(p *fileParser, route Route) {
-	if len(route.Split) == 0 {
-		return
-	}
-	if len(route.Split) > MaxSplit {
-		p.addProblem(route.Name, "split", strconv.Itoa(len(route.Split))+" pools", "at most "+strconv.Itoa(MaxSplit))
-	}
 	total := 0
 	for _, s := range route.Split {
 		if s.Weight < 0 || s.Weight > MaxWeight {
@@ -46,12 +40,9 @@
 		}
 		total += s.Weight
 	}
-	if total == 0 {
+	if len(route.Split) > 0 && total == 0 {
 		p.addProblem(route.Name, "split", "weights that are all 0", "a weight of 1 or more for at least one pool")
 	}
-	if twice := lo.FindDuplicatesBy(route.Split, func(s WeightedPool) string { return s.Pool }); len(twice) > 0 {
-		p.addProblem(route.Name, "split", twice[0].Pool+" twice", "each pool once")
-	}
 }
 
 // ValidatePoolDelete returns an error of type Problems when routes use the pool,
