--- a/placement/doc.go
+++ b/placement/doc.go
@@ -10,7 +10,9 @@
 //
 // Where no target has a free slot, the request waits in a queue at this host
 // while the targets are queried again, until a target has room or the request
-// clearly can't be served in time; then it is refused at once (decision.go).
+// clearly can't be served in time; then it is refused at once (decision.go). How
+// long late requests may wait, and when refused callers should come back, follows
+// from what arrives and what the targets can serve (demand.go).
 // Targets whose calls fail are ejected for a while and then tried with one call
 // at a time (health.go), whatever health they report.
 //
