storesync: the test's store counts a long poll as one call

The fake counted a reading of the tables again every 5 ms while it waited for a change, 160 calls for one of 0.8 s: one follower that was the reader for a second, because a response came late, fails the spec, which allows just that. Change: a reading counts once. The bounds stay.

--- a/storesync/storesync_test.go
+++ b/storesync/storesync_test.go
@@ -99,8 +99,13 @@
 
 var errUnreachable = errors.New("store is unreachable")
 
+// call counts a call and returns its error.
 func (s source) call() error {
 	s.calls[s.host]++
+	return s.reach()
+}
+
+func (s source) reach() error {
 	if s.unreachable[s.host] || s.unreachable[""] {
 		return errUnreachable
 	}
@@ -108,9 +113,12 @@
 }
 
 func (s source) Tables(after storesync.Cursor, wait time.Duration) (storesync.TablesReading, error) {
+	s.mu.Lock()
+	s.calls[s.host]++
+	s.mu.Unlock()
 	for end := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
 		s.mu.Lock()
-		err := s.call()
+		err := s.reach()
 		forgotten := s.forgotten && after != 0
 		s.forgotten = false
 		r := storesync.TablesReading{Cursor: storesync.Cursor(s.version)}
