--- a/placement/load_test.go
+++ b/placement/load_test.go
@@ -68,8 +68,7 @@
 // Guards against a Retry-After that is too short for a burst: refused callers come
 // back while it lasts, are refused again until they give up, and take the slots of
 // those who ask for the first time. The load is 3 times the usual one for 4 s;
-// nine in ten of all callers must be served. With a third of a second for all,
-// 0.12 were refused and 0.59 in time.
+// nine in ten of all callers must be served.
 func TestBurstServesCallersThatComeBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- a/storesync/announce_internal_test.go
+++ b/storesync/announce_internal_test.go
@@ -98,8 +98,7 @@
 }
 
 // Guards against a host that can't announce itself at the first start of a
-// deployment and, as it knows no other host, reads the store like a reader: in a
-// fleet of 313 hosts half of them did.
+// deployment and, as it knows no other host, reads the store like a reader.
 func TestHostThatIsNotAnnouncedLeavesTheStoreAlone(t *testing.T) {
 	g := NewWithT(t)
 	node, err := hostmsg.Listen(netip.MustParseAddrPort("127.0.0.1:0"), zap.NewNop(), nil)
