backpressure, proxy: hosts log the rate limits that targets name

Change: the header is read from every response, ordered by when the request was sent and when the header arrived (package backpressure), logged when it changes, and exported. Nothing is decided by it yet. Ruled out: taking the limit from the end of an attempt; a long response would delay it. Tests: merging is independent of the order of arrival (rapid); malformed, doubled and negative values are ignored.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/chestnutfield/chestnutfield/backpressure"
 	"github.com/chestnutfield/chestnutfield/hostmsg"
 	"github.com/chestnutfield/chestnutfield/internal/metric"
 	"github.com/chestnutfield/chestnutfield/lb"
@@ -207,6 +208,7 @@
 var (
 	_ lb.IdentifiedAttempt = (*attempt)(nil)
 	_ lb.ExplainedAttempt  = (*attempt)(nil)
+	_ lb.ObservedAttempt   = (*attempt)(nil)
 )
 
 // Target returns the address to send to.
@@ -215,6 +217,11 @@
 // Identity returns the ID of the target.
 func (a *attempt) Identity() string { return a.response.Target }
 
+// Observe implements lb.ObservedAttempt.
+func (a *attempt) Observe(o backpressure.Observation) {
+	a.client.Local.RecordObservation(a.instance(), o, "")
+}
+
 func (a *attempt) instance() registry.Instance {
 	return registry.Instance{ID: a.response.Target, StartedMillis: a.response.StartedMillis}
 }
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -47,6 +47,9 @@
 	// Draining is the header that an upstream sets to 1 on its responses while it
 	// is draining.
 	Draining string
+	// RateLimit is the header with which an upstream names the requests a second
+	// that it takes from all hosts together, for as long as its responses have it.
+	RateLimit string
 	// Outcome is the header that tells a caller whether a request that got no
 	// response from an upstream ran (package outcome).
 	Outcome string
--- a/lb/lb.go
+++ b/lb/lb.go
@@ -13,6 +13,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/chestnutfield/chestnutfield/backpressure"
 	"github.com/chestnutfield/chestnutfield/outcome"
 	"github.com/chestnutfield/chestnutfield/table"
 )
@@ -175,6 +176,13 @@
 	Basis() SelectionBasis
 }
 
+// ObservedAttempt is an Attempt that takes what the header of a response says
+// of the rate limit of its target, before the attempt ends.
+type ObservedAttempt interface {
+	Attempt
+	Observe(o backpressure.Observation)
+}
+
 // Feedback is what the end of an attempt shows about its target.
 type Feedback struct {
 	Result
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/chestnutfield/chestnutfield/backpressure"
 	"github.com/chestnutfield/chestnutfield/lb"
 	"github.com/chestnutfield/chestnutfield/load"
 	"github.com/chestnutfield/chestnutfield/outcome"
@@ -69,6 +70,8 @@
 	opts    Options
 	metrics *metrics
 	pools   atomic.Pointer[map[string]partitions]
+	// rateLimits holds what targets showed about their rate limits.
+	rateLimits *backpressure.Book
 	// queriesPerTarget bounds the load queries a second to one target by all
 	// hosts together.
 	queriesPerTarget atomic.Pointer[float64]
@@ -97,7 +100,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &Balancer{opts: o, metrics: m}
+	b := &Balancer{opts: o, metrics: m, rateLimits: backpressure.NewBook()}
 	b.pools.Store(&map[string]partitions{})
 	b.SetMaxQueriesPerSecond(o.MaxQueriesPerSecond)
 	return b, nil
--- a/placement/metrics.go
+++ b/placement/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/lo"
 
+	"github.com/chestnutfield/chestnutfield/backpressure"
 	"github.com/chestnutfield/chestnutfield/internal/metric"
 	"github.com/chestnutfield/chestnutfield/outcome"
 )
@@ -15,6 +16,10 @@
 	loadQueries *prometheus.CounterVec
 	refusals    *prometheus.CounterVec
 	waits       *prometheus.HistogramVec
+	// rateLimits holds the limits that targets name now; limitChanges counts
+	// their changes.
+	rateLimits   *prometheus.GaugeVec
+	limitChanges *prometheus.CounterVec
 }
 
 // waitBuckets reach from the time of one load query (1 ms) to the longest usual
@@ -36,8 +41,27 @@
 			Help:    "Time from a request's arrival until its target was chosen.",
 			Buckets: waitBuckets,
 		}, []string{"pool"}),
+		rateLimits: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "chestnut_target_rate_limit",
+			Help: "Requests a second that a target takes from all hosts together, while it names a limit.",
+		}, []string{"target"}),
+		limitChanges: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chestnut_target_rate_limit_changes_total",
+			Help: "Changes of the rate limits of targets, by where this host learned of them.",
+		}, []string{"source"}),
 	}
-	return m, metric.Register(r, "placement", m.loadQueries, m.refusals, m.waits)
+	return m, metric.Register(r, "placement", m.loadQueries, m.refusals, m.waits, m.rateLimits, m.limitChanges)
+}
+
+// recordRateLimit records a change of a target's rate limit that the host with
+// the address from reported, "" for this one.
+func (m *metrics) recordRateLimit(target string, o backpressure.Observation, from string) {
+	m.limitChanges.WithLabelValues(lo.Ternary(from == "", "response", "host")).Inc()
+	if o.Limited {
+		m.rateLimits.WithLabelValues(target).Set(o.PerSecond)
+		return
+	}
+	m.rateLimits.DeleteLabelValues(target)
 }
 
 func (m *metrics) countQuery(err error) {
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -266,6 +266,7 @@
 			handover = string(value)
 		}
 	}
+	c.observeRateLimit(t, x.Header())
 	return t.readHandover(handover)
 }
 
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/chestnutfield/chestnutfield/internal/token"
 	"github.com/chestnutfield/chestnutfield/outcome"
@@ -42,8 +43,14 @@
 	attempts sync.WaitGroup
 	// connections counts the open connections of callers.
 	connections atomic.Int64
+	// malformedLog bounds the log lines about malformed headers of targets.
+	malformedLog rate.Sometimes
 }
 
+// malformedLogInterval is the time between two log lines about malformed headers
+// of targets.
+const malformedLogInterval = 10 * time.Second
+
 // New returns a Server that is ready to Serve.
 func New(opts Options) (*Server, error) {
 	opts, err := opts.withDefaults()
@@ -66,6 +73,8 @@
 		upstream: opts.Client,
 		metrics:  m,
 		watcher:  w,
+
+		malformedLog: rate.Sometimes{Interval: malformedLogInterval},
 	}
 	if opts.PeerServer != nil {
 		s.peerToken = token.New(opts.PeerServer.Token)
