--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -73,26 +73,34 @@
 }
 
 func newHost(name string) *host {
-	node, err := hostmsg.Listen(netip.MustParseAddrPort("127.0.0.1:0"), zap.NewNop(), nil)
+	h, err := startHost(name)
 	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = h.node.Close() })
+	return h
+}
+
+func startHost(name string) (*host, error) {
+	node, err := hostmsg.Listen(netip.MustParseAddrPort("127.0.0.1:0"), zap.NewNop(), nil)
+	if err != nil {
+		return nil, err
+	}
 	h := &host{
 		name: name, node: node, loads: &loadStub{reports: map[string]load.Report{}},
 		roster: roster.New(roster.Host{Name: name, Addr: node.Addr(), Strength: 1}),
 	}
-	local, err := placement.New(placement.Options{LoadQuerier: h.loads, FailureDomain: "a", MaxQueriesPerSecond: 1000, Seed: 1})
-	Expect(err).NotTo(HaveOccurred())
-	h.local = local
+	h.local, err = placement.New(placement.Options{LoadQuerier: h.loads, FailureDomain: "a", MaxQueriesPerSecond: 1000, Seed: 1})
+	if err != nil {
+		return nil, err
+	}
 	h.setTargets("t1", "t2")
 	h.loads.set("t1", 0)
 	h.loads.set("t2", 0)
-	h.server = coordinator.NewServer(node, local, clockwork.NewRealClock(), zap.NewNop())
+	h.server = coordinator.NewServer(node, h.local, clockwork.NewRealClock(), zap.NewNop())
 	h.client, err = coordinator.NewClient(coordinator.Options{
-		Node: node, Roster: h.roster, Local: local, FailureDomain: "a", Clock: clockwork.NewRealClock(), Logger: zap.NewNop(),
+		Node: node, Roster: h.roster, Local: h.local, FailureDomain: "a", Clock: clockwork.NewRealClock(), Logger: zap.NewNop(),
 	})
-	Expect(err).NotTo(HaveOccurred())
 	go func() { _ = node.Run() }()
-	DeferCleanup(func() { _ = node.Close() })
-	return h
+	return h, err
 }
 
 func target(id string) registry.Target {
