coordinator, placement: a target's rate limit holds over all hosts

What callers saw: nothing; the target in need got several times what it asked for. Cause: no host read the limit. Class: what a target says to one host has to bind all of them, and a share that each host takes for itself adds up when hosts disagree on who coordinates. Change: a host passes a limit on to the witnesses of the target's partition, five hosts that all hosts with the same list agree on. The coordinator sends within 0.9 of a limit while a majority of them has voted for it within 0.9 s; a vote binds its witness for 1 s, and a restarted witness votes for nobody that long. All hosts share the other 0.1 for requests that they place on their own: one permit in each period at a random moment that can't be saved up. A host that knows a limit rejects a choice that was made without it and tells the coordinator. Limits survive a target's absence from the registry and a change of partitions. What no limit allows before its deadline is refused at once with the time until it is. Targets with a limit are not queried for their load; one that has not been heard for 2 s gets a request, so that the end of its limit is heard. Ruled out: shares of the limit by host alone (0.14 requests a second a host at 18 hosts, saved-up shares exceed the bound at 313); the first host of the ranking without votes (two halves of a split network each take the whole).

--- a/backpressure/observation_test.go
+++ b/backpressure/observation_test.go
@@ -52,7 +52,7 @@
 
 func TestRatesAreParsed(t *testing.T) {
 	g := NewWithT(t)
-	for text, want := range map[string]float64{"4.2": 4.2, "0": 0, " 12 ": 12, "1e3": 1000} {
+	for text, want := range map[string]float64{"4.2": 4.2, "0": 0, "12": 12, "1e3": 1000} {
 		got, err := backpressure.ParseRates([]string{text})
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(got).To(Equal(want))
--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -52,18 +52,20 @@
 // lb.QueueingBalancer and is safe for concurrent use.
 type Client struct {
 	Options
-	requests  *prometheus.CounterVec
-	isolation isolationDetector
+	requests   *prometheus.CounterVec
+	isolation  isolationDetector
+	rateLimits *rateLimits
 }
 
 var _ lb.QueueingBalancer = (*Client)(nil)
 
 // NewClient returns a client. It fails when a metric can't be registered.
 func NewClient(o Options) (*Client, error) {
-	c := &Client{Options: o, requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+	c := &Client{Options: o, rateLimits: newRateLimits(o), requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "chestnut_desk_requests_total",
 		Help: "Requests placed, by who placed them.",
 	}, []string{"by"})}
+	o.Local.SetFleet(c.rateLimits)
 	return c, metric.Register(o.Registerer, "coordinator", c.requests)
 }
 
@@ -77,6 +79,10 @@
 	return roster.Task{Kind: taskKind, Name: pool + "/" + strconv.Itoa(partition)}
 }
 
+// Run renews the leases under which this host sends to targets with a rate limit,
+// until the context ends.
+func (c *Client) Run(ctx context.Context) { c.rateLimits.run(ctx) }
+
 // Pick chooses by what this host knows, without asking a coordinator.
 func (c *Client) Pick(q lb.PickQuery) (lb.Attempt, bool) { return c.Local.Pick(q) }
 
@@ -124,17 +130,37 @@
 			// coordinator's refusal says nothing of the other targets.
 			return nil, refusal, ok && choice == 0
 		}
-		if c.Local.HasTarget(q.Pool, a.instance()) {
+		limitUnknown := c.limitUnknown(host, a.response)
+		if !limitUnknown && c.Local.HasTarget(q.Pool, a.instance()) {
 			return a, nil, true
 		}
 		a.Done(c.Clock.Now(), abandoned)
 		c.Logger.Info("coordinator chose a target that this host may not use; asking for another", zap.String("desk", host.Name), zap.String("pool", q.Pool),
-			zap.String("target", a.Identity()), zap.String("request", q.RequestID))
+			zap.String("target", a.Identity()), zap.String("request", q.RequestID), zap.Bool("rate_limit_unknown", limitUnknown))
 		q.Exclude = append(q.Exclude, a.Target())
 	}
 	return nil, nil, false
 }
 
+// limitUnknown records what a coordinator knows of rate limits and reports
+// whether it placed the request without knowing that of the chosen target. Then
+// the coordinator is told.
+func (c *Client) limitUnknown(host roster.Host, r placeResponse) bool {
+	now := c.Clock.Now()
+	chosen := registry.Instance{ID: r.Target, StartedMillis: r.StartedMillis}
+	known := false
+	for _, n := range r.Known {
+		c.Local.RecordObservation(n.instance(), n.observation(now), host.Addr.String())
+		known = known || n.Limited && n.instance() == chosen
+	}
+	o, _ := c.Local.RateLimit(chosen)
+	if !o.Limited || known {
+		return false
+	}
+	c.rateLimits.publish(host, chosen, o)
+	return true
+}
+
 // requestTarget asks a coordinator for a target and waits until the request is
 // placed or refused; ok is false when the coordinator doesn't respond.
 func (c *Client) requestTarget(ctx context.Context, host roster.Host, q lb.PlaceQuery) (*attempt, *lb.Refusal, bool) {
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -64,6 +64,8 @@
 	client *coordinator.Client
 	server *coordinator.Server
 	local  *placement.Balancer
+	// stop ends the host without notice.
+	stop func()
 }
 
 // setTargets sets the targets in a host's own view of the registry.
@@ -75,7 +77,7 @@
 func newHost(name string) *host {
 	h, err := startHost(name)
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(func() { _ = h.node.Close() })
+	DeferCleanup(h.stop)
 	return h
 }
 
@@ -100,6 +102,9 @@
 		Node: node, Roster: h.roster, Local: h.local, FailureDomain: "a", Clock: clockwork.NewRealClock(), Logger: zap.NewNop(),
 	})
 	go func() { _ = node.Run() }()
+	ctx, stop := context.WithCancel(context.Background())
+	h.stop = func() { stop(); _ = node.Close() }
+	go h.client.Run(ctx)
 	return h, err
 }
 
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/chestnutfield/chestnutfield/backpressure"
 	"github.com/chestnutfield/chestnutfield/hostmsg"
 	"github.com/chestnutfield/chestnutfield/lb"
 	"github.com/chestnutfield/chestnutfield/outcome"
@@ -16,6 +17,8 @@
 	kindPlace hostmsg.Kind = iota + 10
 	kindDone
 	kindCancel
+	kindObservation
+	kindVote
 )
 
 // placeRequest asks a coordinator for a target. Times are in milliseconds and
@@ -81,6 +84,9 @@
 	// Reason and RetryAfter (in milliseconds) describe a refusal.
 	Reason     outcome.Reason
 	RetryAfter int64
+	// Known is what the coordinator knows of rate limits in the partition, that of
+	// the chosen target among them.
+	Known []observationNotice
 }
 
 func newPlaceResponse(a lb.Attempt, r *lb.Refusal) placeResponse {
@@ -122,3 +128,45 @@
 	_         struct{} `cbor:",toarray"`
 	MessageID uint64
 }
+
+// observationNotice tells what is known of a target's rate limit. Ages are in
+// milliseconds.
+type observationNotice struct {
+	_             struct{} `cbor:",toarray"`
+	ID            string
+	StartedMillis int64
+	Limited       bool
+	PerSecond     float64
+	// SentAge and HeardAge are the ages of the request and of its response.
+	SentAge, HeardAge int64
+}
+
+func newObservationNotice(now time.Time, instance registry.Instance, o backpressure.Observation) observationNotice {
+	return observationNotice{
+		ID: instance.ID, StartedMillis: instance.StartedMillis, Limited: o.Limited, PerSecond: o.PerSecond,
+		SentAge: now.Sub(o.SentAt).Milliseconds(), HeardAge: now.Sub(o.HeardAt).Milliseconds(),
+	}
+}
+
+func (n observationNotice) instance() registry.Instance {
+	return registry.Instance{ID: n.ID, StartedMillis: n.StartedMillis}
+}
+
+func (n observationNotice) observation(now time.Time) backpressure.Observation {
+	return backpressure.Observation{
+		Limited: n.Limited, PerSecond: n.PerSecond,
+		SentAt: now.Add(-hostmsg.Milliseconds(n.SentAge)), HeardAt: now.Add(-hostmsg.Milliseconds(n.HeardAge)),
+	}
+}
+
+// voteRequest asks a witness to vote for a candidate as the holder of a task's
+// lease.
+type voteRequest struct {
+	_               struct{} `cbor:",toarray"`
+	Task, Candidate string
+}
+
+type voteResponse struct {
+	_       struct{} `cbor:",toarray"`
+	Granted bool
+}
--- a/coordinator/ratelimit_test.go
+++ b/coordinator/ratelimit_test.go
@@ -11,6 +11,7 @@
 	"github.com/samber/lo"
 
 	"github.com/chestnutfield/chestnutfield/backpressure"
+	"github.com/chestnutfield/chestnutfield/coordinator"
 	"github.com/chestnutfield/chestnutfield/lb"
 	"github.com/chestnutfield/chestnutfield/roster"
 )
@@ -63,30 +64,62 @@
 	return worst
 }
 
-// TestTargetGetsNoMoreThanItsRateLimitFromAllHosts guards against hosts that each
-// obey a target's rate limit, or none, but not together.
-func TestTargetGetsNoMoreThanItsRateLimitFromAllHosts(t *testing.T) {
-	g := NewWithT(t)
-	hosts := make([]*host, 6)
-	for i := range hosts {
+// fleet is a few hosts that know each other; the first is the coordinator.
+type fleet []*host
+
+func startFleet(t *testing.T, g *WithT, n int) fleet {
+	f := make(fleet, n)
+	for i := range f {
 		h, err := startHost(fmt.Sprint("host-", i))
 		g.Expect(err).NotTo(HaveOccurred())
-		t.Cleanup(func() { _ = h.node.Close() })
-		hosts[i] = h
+		t.Cleanup(h.stop)
+		f[i] = h
 	}
-	all := lo.Map(hosts, func(h *host, _ int) roster.Host { return h.roster.Self() })
-	for _, h := range hosts {
+	all := lo.Map(f, func(h *host, _ int) roster.Host { return h.roster.Self() })
+	for _, h := range f {
 		h.roster.SetHosts(all)
 	}
-	target := &limitedTarget{id: "t1", perSecond: 2.5}
+	first := f[0].roster.Rank(time.Now(), coordinator.Task("p", 1))[0].Name
+	_, i, _ := lo.FindIndexOf(f, func(h *host) bool { return h.name == first })
+	f[0], f[i] = f[i], f[0]
+	return f
+}
+
+// load sends some 40 requests a second to the target's pool through the given
+// hosts.
+func (f fleet) load(t *testing.T, target *limitedTarget, through fleet, length time.Duration) {
 	var requests sync.WaitGroup
-	for end := time.Now().Add(7 * time.Second); time.Now().Before(end); time.Sleep(time.Duration(rand.ExpFloat64() * float64(25*time.Millisecond))) {
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(time.Duration(rand.ExpFloat64() * float64(25*time.Millisecond))) {
 		requests.Go(func() {
-			if a, refusal := hosts[rand.N(len(hosts))].client.Place(t.Context(), query(2*time.Second)); refusal == nil {
+			if a, refusal := through[rand.N(len(through))].client.Place(t.Context(), query(2*time.Second)); refusal == nil {
 				target.serve(a)
 			}
 		})
 	}
 	requests.Wait()
+}
+
+// TestTargetGetsNoMoreThanItsRateLimitFromAllHosts guards against hosts that each
+// obey a target's rate limit, or none, but not together.
+func TestTargetGetsNoMoreThanItsRateLimitFromAllHosts(t *testing.T) {
+	g := NewWithT(t)
+	fleet := startFleet(t, g, 6)
+	target := &limitedTarget{id: "t1", perSecond: 2.5}
+	fleet.load(t, target, fleet, 7*time.Second)
+	g.Expect(target.worstWindow()).To(BeNumerically("<=", limitFactor*target.perSecond*limitWindow.Seconds()+limitSlack))
+}
+
+// TestRateLimitHoldsWhileTheCoordinatorIsLost guards against a coordinator that
+// takes over without knowing the limit, or beside the one before it, and against
+// hosts that send on their own meanwhile. Afterwards the target must still be
+// used.
+func TestRateLimitHoldsWhileTheCoordinatorIsLost(t *testing.T) {
+	g := NewWithT(t)
+	fleet := startFleet(t, g, 6)
+	target := &limitedTarget{id: "t1", perSecond: 4}
+	time.AfterFunc(2500*time.Millisecond, fleet[0].stop)
+	fleet.load(t, target, fleet[1:], 9*time.Second)
 	g.Expect(target.worstWindow()).To(BeNumerically("<=", limitFactor*target.perSecond*limitWindow.Seconds()+limitSlack))
+	late := lo.CountBy(target.arrivals, func(at time.Time) bool { return at.Sub(target.arrivals[0]) > 5*time.Second })
+	g.Expect(late).To(BeNumerically(">=", 7), "half of the limit in the last seconds")
 }
--- a/coordinator/server.go
+++ b/coordinator/server.go
@@ -11,6 +11,8 @@
 
 	"github.com/chestnutfield/chestnutfield/hostmsg"
 	"github.com/chestnutfield/chestnutfield/lb"
+	"github.com/chestnutfield/chestnutfield/placement"
+	"github.com/chestnutfield/chestnutfield/registry"
 )
 
 const (
@@ -43,7 +45,7 @@
 // Server places the requests of other hosts for a host that is their
 // coordinator. It is safe for concurrent use.
 type Server struct {
-	placer lb.QueueingBalancer
+	placer *placement.Balancer
 	clock  clockwork.Clock
 	log    *zap.Logger
 
@@ -53,7 +55,7 @@
 
 // NewServer returns a server that handles the placement messages arriving at a
 // node.
-func NewServer(node *hostmsg.Node, placer lb.QueueingBalancer, clock clockwork.Clock, log *zap.Logger) *Server {
+func NewServer(node *hostmsg.Node, placer *placement.Balancer, clock clockwork.Clock, log *zap.Logger) *Server {
 	s := &Server{placer: placer, clock: clock, log: log, pending: map[requestKey]*pendingRequest{}}
 	node.Handle(kindPlace, s.place)
 	node.Handle(kindDone, s.done)
@@ -92,6 +94,8 @@
 	a, refusal := s.placer.Place(ctx, q)
 	queuedTimer.Stop()
 	response := newPlaceResponse(a, refusal)
+	chosen := registry.Instance{ID: response.Target, StartedMillis: response.StartedMillis}
+	response.Known = knownLimits(s.clock.Now(), s.placer, q.Pool, q.Partition, chosen)
 	s.mu.Lock()
 	_, isPending := s.pending[key]
 	r.response, r.attempt = response, a
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,18 +67,19 @@
 
 // Gateway is one entry host.
 type Gateway struct {
-	settings  *settings.Settings
-	placer    *placement.Balancer
-	budget    *retry.Budget
-	log       *zap.Logger
-	follower  *storesync.Follower
-	node      *hostmsg.Node
-	proxy     *proxy.Server
-	ready     *readyServer
-	clock     clockwork.Clock
-	callersLn net.Listener
-	readyLn   net.Listener
-	peersLn   net.Listener
+	settings    *settings.Settings
+	placer      *placement.Balancer
+	coordinator *coordinator.Client
+	budget      *retry.Budget
+	log         *zap.Logger
+	follower    *storesync.Follower
+	node        *hostmsg.Node
+	proxy       *proxy.Server
+	ready       *readyServer
+	clock       clockwork.Clock
+	callersLn   net.Listener
+	readyLn     net.Listener
+	peersLn     net.Listener
 
 	cancel  context.CancelFunc
 	loops   sync.WaitGroup
@@ -118,7 +119,7 @@
 	placer := do.MustInvoke[*placement.Balancer](i)
 	coordinator.NewServer(node, placer, o.Clock, o.Logger)
 	g := &Gateway{
-		settings: s, placer: placer, budget: do.MustInvoke[*retry.Budget](i), log: o.Logger, follower: f, node: node, proxy: server, clock: o.Clock,
+		settings: s, placer: placer, coordinator: do.MustInvoke[*coordinator.Client](i), budget: do.MustInvoke[*retry.Budget](i), log: o.Logger, follower: f, node: node, proxy: server, clock: o.Clock,
 		ready: newReadyServer(o.ReadyPath, f.Configured, o.Registry),
 	}
 	if err := g.listen(); err != nil {
@@ -262,6 +263,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
 	g.loops.Go(func() { g.follower.Run(ctx) })
+	g.loops.Go(func() { g.coordinator.Run(ctx) })
 	g.serve("mesh", g.node.Run)
 	g.serve("news", func() error { return g.follower.Serve(g.peersLn) })
 	g.serve("ready", func() error { return g.ready.serve(g.readyLn) })
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -70,6 +70,9 @@
 	// CallerGone: the caller closed its connection and does not read the response
 	// (502).
 	CallerGone
+	// RateLimited: the targets take no more requests a second before the deadline
+	// (503).
+	RateLimited
 )
 
 var reasonNames = map[Reason]string{
@@ -79,6 +82,7 @@
 	KeyReused: "key-reused", UpstreamLost: "upstream-lost",
 	UpstreamTimeout: "upstream-timeout", BadRequest: "bad-request",
 	TooLarge: "too-large", Stopping: "stopping", NotConfigured: "not-configured", CallerGone: "caller-gone",
+	RateLimited: "rate-limited",
 }
 
 // String returns the reason as in metric labels and logs, "invalid" for an
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"github.com/chestnutfield/chestnutfield/backpressure"
@@ -72,6 +73,7 @@
 	pools   atomic.Pointer[map[string]partitions]
 	// rateLimits holds what targets showed about their rate limits.
 	rateLimits *backpressure.Book
+	fleet      atomic.Pointer[Fleet]
 	// queriesPerTarget bounds the load queries a second to one target by all
 	// hosts together.
 	queriesPerTarget atomic.Pointer[float64]
@@ -102,6 +104,7 @@
 	}
 	b := &Balancer{opts: o, metrics: m, rateLimits: backpressure.NewBook()}
 	b.pools.Store(&map[string]partitions{})
+	b.SetFleet(soleHost{since: o.Clock.Now()})
 	b.SetMaxQueriesPerSecond(o.MaxQueriesPerSecond)
 	return b, nil
 }
@@ -203,8 +206,12 @@
 	if p.closed {
 		return placeResult{partitionClosed: true}, true
 	}
+	candidates = lo.Filter(candidates, func(t *target, _ int) bool { return p.permitted(now, t) })
 	t, v := p.bestOf(now, candidates, q.FailureDomain)
-	return b.tryPlace(p, q, t, v, now)
+	if t == nil {
+		t, v = p.best(now, q.FailureDomain, q.Exclude)
+	}
+	return b.tryPlace(p, q, t, v, now, len(p.waiters))
 }
 
 // unpack returns the result in the form of lb.QueueingBalancer.
@@ -229,9 +236,13 @@
 // startAttempt counts a call that is about to be sent. The caller holds the
 // partition's lock.
 func (b *Balancer) startAttempt(p *partition, t *target, v targetState) *attempt {
+	now := b.opts.Clock.Now()
 	t.inFlight++
 	t.sinceReport++
-	c := call{sentAt: b.opts.Clock.Now(), expected: time.Duration(v.atUsualSpeed().durationFactor() * float64(p.serviceTimeLocked()))}
+	if t.limiter != nil {
+		t.limiter.Take(now, p.role())
+	}
+	c := call{sentAt: now, expected: time.Duration(v.atUsualSpeed().durationFactor() * float64(p.serviceTimeLocked()))}
 	t.calls.begin(c)
 	return &attempt{balancer: b, partition: p, target: t, call: c, basis: v.basis(), durationFactor: v.durationFactor()}
 }
--- a/placement/decide_internal_test.go
+++ b/placement/decide_internal_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/samber/lo"
 
+	"github.com/chestnutfield/chestnutfield/backpressure"
 	"github.com/chestnutfield/chestnutfield/lb"
 	"github.com/chestnutfield/chestnutfield/load"
 	"github.com/chestnutfield/chestnutfield/registry"
@@ -203,44 +204,48 @@
 	})
 })
 
+func soleRole() backpressure.Role { return backpressure.Role{HeldSince: start, Hosts: 1} }
+
+func setTargets(p *partition, targets ...registry.Target) {
+	p.update(start, "/health", targets, backpressure.NewBook())
+}
+
 var _ = Describe("a partition", func() {
 	registered := func(id string, domain string) registry.Target {
 		return registry.Target{Entry: registry.Entry{Instance: registry.Instance{ID: id, StartedMillis: 1}, FailureDomain: domain, Slots: 2}}
 	}
 
 	It("keeps the state of an instance, but not for its next process", func() {
-		p := newPartition("p", 1, rand.New(rand.NewPCG(1, 1)))
-		p.update("/health", []registry.Target{registered("a", "x")})
+		p := newPartition("p", 1, rand.New(rand.NewPCG(1, 1)), soleRole)
+		setTargets(p, registered("a", "x"))
 		p.recordReport(start, p.targets[0], load.Report{InFlight: 1, Slots: 2})
-		p.update("/health", []registry.Target{registered("a", "x"), registered("b", "x")})
+		setTargets(p, registered("a", "x"), registered("b", "x"))
 		Expect(p.targets[0].reportAt).To(Equal(start))
 		restarted := registered("a", "x")
 		restarted.StartedMillis = 2
-		p.update("/health", []registry.Target{restarted})
+		setTargets(p, restarted)
 		Expect(p.targets[0].reportAt.IsZero()).To(BeTrue())
 	})
 
 	It("picks targets of its own failure domain first, and of others too", func() {
-		p := newPartition("p", 1, rand.New(rand.NewPCG(1, 1)))
-		p.update("/health", []registry.Target{
-			registered("a", "x"), registered("b", "x"), registered("c", "x"),
-			registered("d", "y"), registered("e", "z"), registered("f", "z"),
-		})
+		p := newPartition("p", 1, rand.New(rand.NewPCG(1, 1)), soleRole)
+		setTargets(p, registered("a", "x"), registered("b", "x"), registered("c", "x"),
+			registered("d", "y"), registered("e", "z"), registered("f", "z"))
 		sameDomain := lo.CountBy(p.candidates(start, 5, "x", nil), func(t *target) bool { return t.FailureDomain == "x" })
 		Expect(sameDomain).To(Equal(3))
 		Expect(p.candidates(start, 5, "nowhere", nil)).To(HaveLen(5))
 	})
 
 	It("uses ejected targets when there are no others", func() {
-		p := newPartition("p", 1, rand.New(rand.NewPCG(1, 1)))
-		p.update("/health", []registry.Target{registered("a", "x")})
+		p := newPartition("p", 1, rand.New(rand.NewPCG(1, 1)), soleRole)
+		setTargets(p, registered("a", "x"))
 		p.targets[0].health.ejectedUntil = start.Add(time.Hour)
 		Expect(p.candidates(start, 5, "x", nil)).To(HaveLen(1))
 	})
 
 	It("stops querying targets that report no load", func() {
-		p := newPartition("p", 1, rand.New(rand.NewPCG(1, 1)))
-		p.update("/health", []registry.Target{registered("a", "x")})
+		p := newPartition("p", 1, rand.New(rand.NewPCG(1, 1)), soleRole)
+		setTargets(p, registered("a", "x"))
 		for range maxMissingReports {
 			_, skip := p.queryPath()
 			Expect(skip).To(BeFalse())
--- a/placement/partition.go
+++ b/placement/partition.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -9,6 +10,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/chestnutfield/chestnutfield/backpressure"
 	"github.com/chestnutfield/chestnutfield/lb"
 	"github.com/chestnutfield/chestnutfield/load"
 	"github.com/chestnutfield/chestnutfield/registry"
@@ -41,6 +43,10 @@
 	calls       callTracker
 	report      load.Report
 	reportAt    time.Time
+	// limiter is set while the target names a rate limit.
+	limiter *backpressure.Limiter
+	// limitHeardAt is when the limit was last heard.
+	limitHeardAt time.Time
 }
 
 // partition holds the targets of one partition of a pool, with its own lock.
@@ -58,6 +64,10 @@
 	hasReported    bool
 	missingReports int
 	targets        []*target
+	// limited is the number of targets that name a rate limit, role this host's
+	// part in their limits.
+	limited int
+	role    func() backpressure.Role
 	// serviceTime is the usual time of a request on an idle target.
 	serviceTime time.Duration
 	rng         *rand.Rand
@@ -75,8 +85,8 @@
 	wake        chan struct{}
 }
 
-func newPartition(pool string, number int, rng *rand.Rand) *partition {
-	return &partition{pool: pool, number: number, rng: rng, wake: make(chan struct{}, 1), fairness: newFairness(), demand: newDemand()}
+func newPartition(pool string, number int, rng *rand.Rand, role func() backpressure.Role) *partition {
+	return &partition{pool: pool, number: number, rng: rng, role: role, wake: make(chan struct{}, 1), fairness: newFairness(), demand: newDemand()}
 }
 
 // close removes the partition; requests that wait in it are placed in another
@@ -101,8 +111,9 @@
 	}
 }
 
-// update replaces the targets; the state of an instance that remains is kept.
-func (p *partition) update(healthPath string, targets []registry.Target) {
+// update replaces the targets; the state of an instance that remains is kept,
+// and the rate limit of one that returns is looked up.
+func (p *partition) update(now time.Time, healthPath string, targets []registry.Target, rateLimits *backpressure.Book) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := lo.KeyBy(p.targets, func(t *target) registry.Instance { return t.Instance })
@@ -112,8 +123,13 @@
 			k.Target = t
 			return k
 		}
-		return &target{Target: t}
+		added := &target{Target: t}
+		if o, ok := rateLimits.Lookup(t.Instance); ok {
+			p.applyRateLimit(now, added, o)
+		}
+		return added
 	})
+	p.countLimited()
 }
 
 // candidates picks up to n random targets that may be chosen. Half of them,
@@ -148,6 +164,16 @@
 	})
 }
 
+// splitByRateLimit separates targets without a rate limit from those with one.
+func (p *partition) splitByRateLimit(targets []*target) (unlimited, limited []*target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.limited == 0 {
+		return targets, nil
+	}
+	return lo.FilterReject(targets, func(t *target, _ int) bool { return t.limiter == nil })
+}
+
 // countRequest counts an arriving request of a rank.
 func (p *partition) countRequest(now time.Time, rank int) {
 	p.mu.Lock()
@@ -175,6 +201,10 @@
 	}
 	if v.reportAge == maxReportAge {
 		v.slowdown = t.calls.slowdown(now)
+		if t.limiter != nil && !p.role().HeldSince.IsZero() {
+			// This host places all requests at the target.
+			v.reportAge = 0
+		}
 		return v
 	}
 	if t.report.Slots > 0 {
@@ -187,12 +217,15 @@
 	return v
 }
 
-// bestOf returns the target of the lowest cost and its state. The caller holds
-// the lock.
+// bestOf returns the target of the lowest cost and its state; a target whose rate
+// limit was not heard for a while goes first. The caller holds the lock.
 func (p *partition) bestOf(now time.Time, candidates []*target, domain string) (*target, targetState) {
 	var best *target
 	var bestState targetState
 	for _, t := range candidates {
+		if p.limitCheckDue(now, t) {
+			return t, p.state(now, t, domain)
+		}
 		if v := p.state(now, t, domain); best == nil || v.cost() < bestState.cost() {
 			best, bestState = t, v
 		}
@@ -201,21 +234,23 @@
 }
 
 // best returns the best of all targets that may be chosen. A target without a
-// recent report is not taken for idle: those with one go first. The caller
-// holds the lock.
+// recent report is not taken for idle: those with one go first, and those with a
+// rate limit, which are not queried. The caller holds the lock.
 func (p *partition) best(now time.Time, domain string, exclude []netip.AddrPort) (*target, targetState) {
 	available := p.available(now, exclude)
 	known := lo.Filter(available, func(t *target, _ int) bool {
-		return !t.reportAt.IsZero() && now.Sub(t.reportAt) < maxReportAge
+		return t.limiter != nil || !t.reportAt.IsZero() && now.Sub(t.reportAt) < maxReportAge
 	})
 	return p.bestOf(now, lo.Ternary(len(known) > 0, known, available), domain)
 }
 
 // available returns the targets that are not excluded and may be chosen by their
-// health; all that are not excluded when health allows none of them. The caller
-// holds the lock.
+// rate limit and health; health does not count when it allows none of them. The
+// caller holds the lock.
 func (p *partition) available(now time.Time, exclude []netip.AddrPort) []*target {
-	usable := lo.Filter(p.targets, func(t *target, _ int) bool { return !slices.Contains(exclude, t.Addr) })
+	usable := lo.Filter(p.targets, func(t *target, _ int) bool {
+		return !slices.Contains(exclude, t.Addr) && p.permitted(now, t)
+	})
 	available := lo.Filter(usable, func(t *target, _ int) bool { return t.health.available(now, t.inFlight) })
 	if len(available) == 0 {
 		return usable
@@ -238,7 +273,11 @@
 		if !t.health.available(now, t.inFlight) {
 			return 0
 		}
-		return max(t.Slots, 1)
+		slots := max(t.Slots, 1)
+		if t.limiter != nil {
+			slots = min(slots, int(math.Round(t.limiter.Rate(p.role())*p.demand.callTime.Seconds())))
+		}
+		return slots
 	})
 }
 
--- a/placement/partitions.go
+++ b/placement/partitions.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
 
+	"github.com/chestnutfield/chestnutfield/backpressure"
 	"github.com/chestnutfield/chestnutfield/registry"
 )
 
@@ -53,9 +54,10 @@
 		if i < len(old) {
 			ps[i] = old[i]
 		} else {
-			ps[i] = newPartition(pool, i+1, rand.New(rand.NewPCG(b.opts.Seed, xxhash.Sum64String(pool)+uint64(i))))
+			ps[i] = newPartition(pool, i+1, rand.New(rand.NewPCG(b.opts.Seed, xxhash.Sum64String(pool)+uint64(i))),
+				func() backpressure.Role { return (*b.fleet.Load()).Role(pool, i+1) })
 		}
-		ps[i].update(spec.HealthPath, groups[i])
+		ps[i].update(b.opts.Clock.Now(), spec.HealthPath, groups[i], b.rateLimits)
 	}
 	return ps
 }
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -127,7 +127,7 @@
 			continue
 		}
 		t, v := p.best(now, w.q.FailureDomain, w.q.Exclude)
-		result, done := b.tryPlace(p, w.q, t, v, now)
+		result, done := b.tryPlace(p, w.q, t, v, now, len(kept))
 		if done {
 			if isLate && result.attempt != nil {
 				p.demand.latePlaced.count(now)
@@ -171,10 +171,11 @@
 }
 
 // tryPlace sends one request to the best target or refuses it; false when it
-// has to wait. The caller holds the partition's lock.
-func (b *Balancer) tryPlace(p *partition, q lb.PlaceQuery, t *target, v targetState, now time.Time) (placeResult, bool) {
+// has to wait. ahead is the number of waiting requests that go before it. The
+// caller holds the partition's lock.
+func (b *Balancer) tryPlace(p *partition, q lb.PlaceQuery, t *target, v targetState, now time.Time, ahead int) (placeResult, bool) {
 	if t == nil {
-		return placeResult{refusal: b.refuse(q, outcome.NoTarget, noTargetRetryAfter)}, true
+		return b.waitForPermit(p, q, now, ahead)
 	}
 	s := decisionInput{
 		now: now, received: q.Received, deadline: q.Deadline, objective: q.Route.Objective,
--- a/placement/ratelimit.go
+++ b/placement/ratelimit.go
@@ -1,13 +1,56 @@
 package placement
 
 import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"github.com/chestnutfield/chestnutfield/backpressure"
 	"github.com/chestnutfield/chestnutfield/lb"
+	"github.com/chestnutfield/chestnutfield/outcome"
 	"github.com/chestnutfield/chestnutfield/registry"
 )
 
+// maxRateLimitRetryAfter bounds the Retry-After while targets want less than
+// arrives.
+const maxRateLimitRetryAfter = 30 * time.Second
+
+// limitCheckInterval is the longest time that a target with a rate limit gets no
+// request while its limit allows one.
+const limitCheckInterval = 2 * time.Second
+
+// Fleet is the other hosts, with which this one shares the rate limits of
+// targets.
+type Fleet interface {
+	// Role returns this host's part in the rate limits of a partition's targets.
+	Role(pool string, partition int) backpressure.Role
+	// Observed is called for each response to this host from a target that has
+	// named a rate limit; changed is true when it says something new.
+	Observed(pool string, partition int, instance registry.Instance, o backpressure.Observation, changed bool)
+}
+
+// soleHost is the Fleet of a host that shares its targets with no other.
+type soleHost struct{ since time.Time }
+
+func (s soleHost) Role(string, int) backpressure.Role {
+	return backpressure.Role{HeldSince: s.since, Hosts: 1}
+}
+
+func (soleHost) Observed(string, int, registry.Instance, backpressure.Observation, bool) {}
+
+// SetFleet sets the hosts that rate limits are shared with; without it, this host
+// uses them alone.
+func (b *Balancer) SetFleet(f Fleet) { b.fleet.Store(&f) }
+
+// PartitionID names a partition of a pool, numbered from 1.
+type PartitionID struct {
+	Pool   string
+	Number int
+}
+
 var _ lb.ObservedAttempt = (*attempt)(nil)
 
 // Observe implements lb.ObservedAttempt.
@@ -18,12 +61,23 @@
 // RecordObservation records what a target showed about its rate limit. from is
 // the address of the host that reported it, "" when this host saw the response.
 func (b *Balancer) RecordObservation(instance registry.Instance, o backpressure.Observation, from string) {
-	now, changed := b.rateLimits.Record(instance, o)
-	if !changed {
+	current, changed := b.rateLimits.Record(instance, o)
+	if !changed && !current.Limited {
 		return
 	}
-	b.logRateLimit(instance, now, from)
-	b.metrics.recordRateLimit(instance.ID, now, from)
+	if changed {
+		b.logRateLimit(instance, current, from)
+		b.metrics.recordRateLimit(instance.ID, current, from)
+	}
+	for pool, ps := range *b.pools.Load() {
+		p := ps.ofTarget(instance.ID)
+		if p == nil || !p.setRateLimit(b.opts.Clock.Now(), instance, current) {
+			continue
+		}
+		if from == "" {
+			(*b.fleet.Load()).Observed(pool, p.number, instance, current, changed)
+		}
+	}
 }
 
 func (b *Balancer) logRateLimit(instance registry.Instance, o backpressure.Observation, from string) {
@@ -40,3 +94,126 @@
 func (b *Balancer) RateLimit(instance registry.Instance) (o backpressure.Observation, ok bool) {
 	return b.rateLimits.Lookup(instance)
 }
+
+// RateLimitedPartitions returns the partitions with a target that names a rate
+// limit.
+func (b *Balancer) RateLimitedPartitions() []PartitionID {
+	var out []PartitionID
+	for pool, ps := range *b.pools.Load() {
+		for _, p := range ps {
+			if len(p.rateLimited(1)) > 0 {
+				out = append(out, PartitionID{Pool: pool, Number: p.number})
+			}
+		}
+	}
+	return out
+}
+
+// RateLimitedTargets returns up to limit random targets of a partition that name
+// a rate limit.
+func (b *Balancer) RateLimitedTargets(pool string, partition, limit int) []registry.Instance {
+	ps := (*b.pools.Load())[pool]
+	if partition < 1 || partition > len(ps) {
+		return nil
+	}
+	return ps[partition-1].rateLimited(limit)
+}
+
+// rateLimited returns up to limit random targets with a rate limit.
+func (p *partition) rateLimited(limit int) []registry.Instance {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.limited == 0 {
+		return nil
+	}
+	limited := lo.FilterMap(p.targets, func(t *target, _ int) (registry.Instance, bool) { return t.Instance, t.limiter != nil })
+	rand.Shuffle(len(limited), func(i, j int) { limited[i], limited[j] = limited[j], limited[i] })
+	return limited[:min(limit, len(limited))]
+}
+
+// setRateLimit applies what is known of a target's rate limit; false when the
+// target is not in this partition.
+func (p *partition) setRateLimit(now time.Time, instance registry.Instance, o backpressure.Observation) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t, ok := lo.Find(p.targets, func(t *target) bool { return t.Instance == instance })
+	if ok {
+		p.applyRateLimit(now, t, o)
+		p.countLimited()
+	}
+	return ok
+}
+
+// applyRateLimit gives a target its limiter or takes it away. The caller holds
+// the lock.
+func (p *partition) applyRateLimit(now time.Time, t *target, o backpressure.Observation) {
+	t.limitHeardAt = o.HeardAt
+	switch {
+	case !o.Limited:
+		t.limiter = nil
+	case t.limiter == nil:
+		t.limiter = backpressure.NewLimiter(now, o.PerSecond, p.rng.Float64())
+	default:
+		t.limiter.SetRate(now, p.role(), o.PerSecond)
+	}
+}
+
+// limitCheckDue reports whether a target has to be sent a request so that this
+// host hears whether it still has its rate limit: it might otherwise never be
+// chosen. The caller holds the lock.
+func (p *partition) limitCheckDue(now time.Time, t *target) bool {
+	return t.limiter != nil && t.inFlight == 0 && now.Sub(t.limitHeardAt) >= limitCheckInterval && !p.role().HeldSince.IsZero()
+}
+
+// countLimited counts the targets with a rate limit. The caller holds the lock.
+func (p *partition) countLimited() {
+	p.limited = lo.CountBy(p.targets, func(t *target) bool { return t.limiter != nil })
+}
+
+// permitted reports whether the rate limit of a target allows a request now. The
+// caller holds the lock.
+func (p *partition) permitted(now time.Time, t *target) bool {
+	return t.limiter == nil || t.limiter.Wait(now, p.role()) == 0
+}
+
+// permitWait returns the time until the rate limits of the targets allow one more
+// request when that many go before it; ok is false when no target has a limit.
+// The caller holds the lock.
+func (p *partition) permitWait(now time.Time, q lb.PlaceQuery, ahead int) (wait time.Duration, ok bool) {
+	role, perSecond := p.role(), 0.0
+	for _, t := range p.targets {
+		if t.limiter == nil || slices.Contains(q.Exclude, t.Addr) {
+			continue
+		}
+		w := t.limiter.Wait(now, role)
+		if !ok || w < wait {
+			wait, ok = w, true
+		}
+		perSecond += t.limiter.Rate(role)
+	}
+	if ok && ahead > 0 {
+		wait += time.Duration(min(float64(ahead)/perSecond, maxRateLimitRetryAfter.Seconds()) * float64(time.Second))
+	}
+	return wait, ok
+}
+
+// waitForPermit decides about a request for which no target is left but those
+// whose rate limit is used up; ahead is the number of requests that go before
+// it. The caller holds the lock.
+func (b *Balancer) waitForPermit(p *partition, q lb.PlaceQuery, now time.Time, ahead int) (placeResult, bool) {
+	wait, limited := p.permitWait(now, q, ahead)
+	switch left := q.Deadline.Sub(now); {
+	case !limited:
+		return placeResult{refusal: b.refuse(q, outcome.NoTarget, noTargetRetryAfter)}, true
+	case !q.Hedge && wait+p.serviceTimeLocked() <= left:
+		return placeResult{}, false
+	default:
+		retryAfter := min(max(wait, minRetryAfter), maxRateLimitRetryAfter)
+		if !q.Hedge {
+			b.opts.Logger.Info("request refused: the targets take no more requests a second before its deadline", zap.String("request", q.RequestID), zap.String("pool", q.Pool),
+				zap.Duration("waited", now.Sub(q.Received)), zap.Duration("left", left), zap.Duration("permit_in", wait), zap.Int("ahead", ahead),
+				zap.Int("limited", p.limited), zap.Int("targets", len(p.targets)), zap.Bool("lease_held", !p.role().HeldSince.IsZero()))
+		}
+		return placeResult{refusal: b.refuse(q, outcome.RateLimited, retryAfter+rand.N(retryAfter/2))}, true
+	}
+}
--- a/placement/report_refresh.go
+++ b/placement/report_refresh.go
@@ -43,12 +43,19 @@
 
 // refreshReports queries the candidates whose reports are not fresh, as far as
 // the budget allows. It returns those with a fresh report or a response in time,
-// or all candidates when there are none or the targets are not queried.
+// or all candidates when there are none or the targets are not queried. Targets
+// with a rate limit are never queried: a query is a request too.
 func (b *Balancer) refreshReports(ctx context.Context, p *partition, candidates []*target) []*target {
 	path, skip := p.queryPath()
 	if skip {
 		return candidates
 	}
+	queried, limited := p.splitByRateLimit(candidates)
+	return append(b.refreshQueried(ctx, p, queried, path), limited...)
+}
+
+// refreshQueried is refreshReports for targets without a rate limit.
+func (b *Balancer) refreshQueried(ctx context.Context, p *partition, candidates []*target, path string) []*target {
 	now := b.opts.Clock.Now()
 	fresh, stale := p.splitByFreshness(now, candidates)
 	stale = stale[:b.takeQueries(now, p, len(stale))]
--- a/proxy/finish.go
+++ b/proxy/finish.go
@@ -85,6 +85,7 @@
 var endDetails = map[outcome.Reason]string{
 	outcome.NoTarget:        "no target could take the request",
 	outcome.LimitReached:    "connection limit of the targets is reached",
+	outcome.RateLimited:     "targets take no more requests a second",
 	outcome.DeadlinePassed:  "deadline passed before dispatch",
 	outcome.UpstreamLost:    "upstream connection was lost",
 	outcome.UpstreamTimeout: "upstream did not answer in time",
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -208,6 +208,15 @@
 	return lo.Ternary(found, first, r.self)
 }
 
+// Preferred returns the first hosts for a task, up to limit of them, those that
+// fail or leave included: all hosts with the same list agree on them.
+func (r *Roster) Preferred(task Task, limit int) []Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := r.ranking(task)
+	return slices.Clone(all[:min(limit, len(all))])
+}
+
 // ranking returns all hosts ranked for a task. The caller holds the lock and
 // must not change the result.
 func (r *Roster) ranking(task Task) []Host {
