coordinator: seven witnesses, five votes: hosts whose lists differ elect one holder

Change: seven witnesses and a quorum of five; lists that differ by two hosts still share a witness. Two lost witnesses are still borne.

--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -11,7 +11,7 @@
 const (
 	// maxWitnesses is the number of hosts that vote on the lease of a partition:
 	// two of them may be lost.
-	maxWitnesses = 5
+	maxWitnesses = 7
 	// leaseDuration is how long a vote binds its witness; the holder counts it for
 	// leaseUse of that from when it asked, so that its lease ends first.
 	leaseDuration = time.Second
@@ -59,7 +59,7 @@
 type lease struct {
 	// votes holds until when the vote of each witness may be used.
 	votes map[string]time.Time
-	// heldSince is when a majority was reached, zero while there is none.
+	// heldSince is when a quorum was reached, zero while there is none.
 	heldSince time.Time
 }
 
@@ -70,12 +70,17 @@
 	}
 }
 
+// quorum returns how many of n witnesses have to vote for a holder: so many that,
+// with all maxWitnesses, two hosts whose host lists differ by two hosts can't both
+// have them.
+func quorum(n int) int { return max(n/2+1, (2*n+2)/3) }
+
 // check returns since when this host holds the lease, zero when it doesn't: it
-// needs the votes of a majority of the present witnesses.
+// needs the votes of a quorum of the present witnesses.
 func (l *lease) check(now time.Time, witnesses []roster.Host) time.Time {
 	granted := lo.CountBy(witnesses, func(h roster.Host) bool { return now.Before(l.votes[h.Name]) })
 	switch {
-	case 2*granted <= len(witnesses):
+	case granted < quorum(len(witnesses)):
 		l.heldSince = time.Time{}
 	case l.heldSince.IsZero():
 		l.heldSince = now
--- a/coordinator/lease_internal_test.go
+++ b/coordinator/lease_internal_test.go
@@ -121,10 +121,21 @@
 	}
 	first, second := &lease{votes: map[string]time.Time{}}, &lease{votes: map[string]time.Time{}}
 	now := began.Add(leaseDuration)
-	g.Expect(ask(now.Add(-time.Millisecond), first, "first", []int{0, 1, 2, 3, 4}).IsZero()).To(BeTrue(), "restarted witnesses don't vote")
-	g.Expect(ask(now, first, "first", []int{0, 1, 2, 3, 4})).To(Equal(now))
-	alive := []int{2, 3, 4}
+	g.Expect(ask(now.Add(-time.Millisecond), first, "first", []int{0, 1, 2, 3, 4, 5, 6}).IsZero()).To(BeTrue(), "restarted witnesses don't vote")
+	g.Expect(ask(now, first, "first", []int{0, 1, 2, 3, 4, 5, 6})).To(Equal(now))
+	alive := []int{2, 3, 4, 5, 6}
 	g.Expect(ask(now.Add(leaseUse), second, "second", alive).IsZero()).To(BeTrue(), "the first votes still bind")
 	g.Expect(first.check(now.Add(leaseUse), witnesses).IsZero()).To(BeTrue(), "the lease ends before the votes do")
 	g.Expect(ask(now.Add(leaseDuration), second, "second", alive).IsZero()).To(BeFalse())
 }
+
+// TestHostListsThatDifferAllowOneHolder guards against two holders while a host
+// has joined or left and not all hosts know it.
+func TestHostListsThatDifferAllowOneHolder(t *testing.T) {
+	g := NewWithT(t)
+	for n := 1; n <= maxWitnesses; n++ {
+		different := lo.Ternary(n == maxWitnesses, 2, 0)
+		g.Expect(2*quorum(n)).To(BeNumerically(">", n+different), "of %d witnesses", n)
+		g.Expect(quorum(n)).To(BeNumerically("<=", n))
+	}
+}
