storesync, platform: versions of the store are ordered by its era

Cause: a store that comes back from an older copy gives its versions out again. Readings below the last version were ignored, so that hosts stopped following the reader and read the store themselves; a cursor skipped tables that were written below it; a target that had gone came back with the copy, one that the copy lacked was dropped at once, and the host list shrank to the copy's. In a new era missing targets keep their two seconds, targets that had gone need a newer entry, the tables are read in full, and the reader announces the hosts again that the copy lacks, 100 a call. A response of an earlier era is a failed reading.

--- a/registry/target_tracker.go
+++ b/registry/target_tracker.go
@@ -19,8 +19,20 @@
 	// have expired: it is shorter than the three heartbeats after which they
 	// do.
 	maxListingGap = 2500 * time.Millisecond
+	// goneRetention is how long a target that has gone is remembered: longer than
+	// a copy from which the store is restored is old.
+	goneRetention = 2 * time.Minute
 )
 
+// goneTarget is a target whose entry was removed.
+type goneTarget struct {
+	Entry
+	at time.Time
+	// restoredSince is true when the store was restored after the removal, so that
+	// an entry that is no newer is from the older copy.
+	restoredSince bool
+}
+
 // trackedTarget is the state of one target in a TargetTracker.
 type trackedTarget struct {
 	Target
@@ -34,6 +46,7 @@
 // new work. It is not safe for concurrent use.
 type TargetTracker struct {
 	targets map[string]*trackedTarget
+	gone    map[string]goneTarget
 	// lastListing is the time of the last listing, readableSince that of the
 	// first one after a gap.
 	lastListing   time.Time
@@ -41,11 +54,38 @@
 }
 
 // NewTargetTracker returns an empty tracker.
-func NewTargetTracker() *TargetTracker { return &TargetTracker{targets: map[string]*trackedTarget{}} }
+func NewTargetTracker() *TargetTracker {
+	return &TargetTracker{targets: map[string]*trackedTarget{}, gone: map[string]goneTarget{}}
+}
 
 // LastListing returns the time of the last listing, zero before the first.
 func (tr *TargetTracker) LastListing() time.Time { return tr.lastListing }
 
+// StoreRestored records that the store was restored from an older copy before a
+// listing made at now. Entries may be missing from the copy until their targets
+// write them again, and it may hold those of targets that have gone.
+func (tr *TargetTracker) StoreRestored(now time.Time) {
+	tr.readableSince = now
+	for id, g := range tr.gone {
+		g.restoredSince = true
+		tr.gone[id] = g
+	}
+}
+
+// Outdated reports whether an entry is from an older copy of the store: its
+// target has gone and has not written since.
+func (tr *TargetTracker) Outdated(e Entry) bool {
+	g, ok := tr.gone[e.ID]
+	return ok && g.restoredSince && !g.Older(e)
+}
+
+// remove removes a target and remembers it.
+func (tr *TargetTracker) remove(now time.Time, t *trackedTarget) Change {
+	delete(tr.targets, t.ID)
+	tr.gone[t.ID] = goneTarget{Entry: t.Entry, at: now}
+	return Change{Target: t.Target, Kind: Removed}
+}
+
 // ApplyListing applies a complete listing of the registry made at now and
 // returns the changes, sorted by target ID.
 func (tr *TargetTracker) ApplyListing(now time.Time, entries []Entry) []Change {
@@ -53,9 +93,13 @@
 		tr.readableSince = now
 	}
 	tr.lastListing = now
+	maps.DeleteFunc(tr.gone, func(_ string, g goneTarget) bool { return now.Sub(g.at) > goneRetention })
 	var changes []Change
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
+		if tr.Outdated(e) {
+			continue
+		}
 		listed[e.ID] = true
 		if kind, ok := tr.applyEntry(now, e); ok {
 			changes = append(changes, Change{Target: tr.targets[e.ID].Target, Kind: kind})
@@ -96,6 +140,7 @@
 		updated.WarmupEnd = old.WarmupEnd
 	}
 	tr.targets[e.ID] = updated
+	delete(tr.gone, e.ID)
 	switch {
 	case old == nil || old.Instance != e.Instance:
 		return lo.Ternary(e.Leaving, Leaving, Joined), true
@@ -119,8 +164,7 @@
 			t.missing = true
 			changes = append(changes, Change{Target: t.Target, Kind: Missing})
 		default:
-			delete(tr.targets, id)
-			changes = append(changes, Change{Target: t.Target, Kind: Removed})
+			changes = append(changes, tr.remove(now, t))
 		}
 	}
 	return changes
@@ -150,10 +194,9 @@
 		return nil
 	}
 	var changes []Change
-	for id, t := range tr.targets {
+	for _, t := range tr.targets {
 		if t.missing {
-			delete(tr.targets, id)
-			changes = append(changes, Change{Target: t.Target, Kind: Removed})
+			changes = append(changes, tr.remove(now, t))
 		}
 	}
 	return sortByID(changes)
--- a/storesync/follower.go
+++ b/storesync/follower.go
@@ -126,9 +126,11 @@
 	tablesConfirmedAt time.Time
 	// announcedAt is when this host added itself to the host list.
 	announcedAt time.Time
-	// knownHosts is the host list, hostsHash a hash over it.
-	knownHosts []roster.Host
-	hostsHash  uint64
+	// knownHosts is the host list, hostsHash a hash over it; hostsVersion is the
+	// version of its last reading by this host.
+	knownHosts   []roster.Host
+	hostsHash    uint64
+	hostsVersion uint64
 	// activity is maintained only while this host is the reader.
 	activity hostActivity
 	// newerTablesReader is a reader that has newer tables than this host; its
--- a/storesync/hosts.go
+++ b/storesync/hosts.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"github.com/chestnutfield/chestnutfield/roster"
@@ -48,10 +49,11 @@
 	if f.awaitsFirstStart() {
 		f.sleep(ctx, f.started.Add(f.firstAnnouncement).Sub(f.Clock.Now()), nil)
 	} else {
-		hosts, err := f.Source.Hosts()
+		r, err := f.Source.Hosts()
 		if err != nil {
 			return err
 		}
+		hosts := f.restoreHosts(r)
 		// After a failure of all hosts, the listed ones are those that restart.
 		f.setHosts(hosts)
 		if slices.Contains(hosts, f.Roster.Self()) {
@@ -70,14 +72,51 @@
 	if f.FirstStart {
 		f.sleep(ctx, f.started.Add(announceSpread+discoveryDelay).Sub(f.Clock.Now()), nil)
 	}
-	hosts, err := f.Source.Hosts()
+	r, err := f.Source.Hosts()
 	if err != nil {
 		return err
 	}
-	f.setHosts(hosts)
+	f.setHosts(f.restoreHosts(r))
 	return nil
 }
 
+// restoreHosts returns the hosts of a reading and, when the store was restored
+// from an older copy since the last one, those that the copy lacks. The reader
+// writes them again for all: many hosts that do so themselves would exceed what
+// one part of the store takes.
+func (f *Follower) restoreHosts(r HostsReading) []roster.Host {
+	f.mu.Lock()
+	known, restored := f.knownHosts, f.hostsVersion != 0 && Era(r.Version) > Era(f.hostsVersion)
+	f.mu.Unlock()
+	_, lost := lo.Difference(r.Hosts, known)
+	lost = lo.Reject(lost, func(h roster.Host, _ int) bool {
+		return lo.ContainsBy(r.Hosts, func(listed roster.Host) bool { return listed.Name == h.Name })
+	})
+	hosts := slices.Concat(r.Hosts, lost)
+	if !restored {
+		hosts = r.Hosts
+	} else if f.isReader() && !f.announceAgain(lost) {
+		// The next reading tries again.
+		return hosts
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hostsVersion = r.Version
+	return hosts
+}
+
+// announceAgain writes the rows of other hosts again; false when that failed.
+func (f *Follower) announceAgain(lost []roster.Host) bool {
+	for _, chunk := range lo.Chunk(lost, MaxAnnounced) {
+		err := f.Source.Announce(chunk...)
+		f.Logger.Info("announcing hosts again that the restored copy of the store lacks", zap.Int("hosts", len(chunk)), zap.Error(err))
+		if err != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // awaitsFirstStart reports whether the whole deployment starts for the first
 // time and this host has not announced itself yet. It then knows no other host,
 // and would read the store like a reader.
@@ -137,7 +176,12 @@
 		select {
 		case <-ctx.Done():
 		case <-f.hostsWake:
-			if !f.fetchSnapshot(f.readerHost()) || f.removedFromHosts() {
+			if !f.fetchSnapshot(f.readerHost()) {
+				return
+			}
+			if f.removedFromHosts() {
+				// Many hosts may notice this at the same moment.
+				f.sleep(ctx, announceDelay(0, rand.Float64()), nil)
 				return
 			}
 		case <-f.Clock.After(hostsReadInterval):
--- a/storesync/registry.go
+++ b/storesync/registry.go
@@ -162,8 +162,24 @@
 func (f *Follower) applyReading(r RegistryReading, began time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.registry.replace(r.Version, began, r.Entries)
-	f.applyChanges(f.tracker.ApplyListing(began, r.Entries))
+	f.noteEra(began, r.Version)
+	outdated, entries := lo.FilterReject(r.Entries, func(e registry.Entry, _ int) bool { return f.tracker.Outdated(e) })
+	f.registry.replace(r.Version, began, entries)
+	f.registry.withhold(lo.Map(outdated, func(e registry.Entry, _ int) string { return e.ID }))
+	f.applyChanges(f.tracker.ApplyListing(began, entries))
+}
+
+// noteEra prepares for data of a version whose era this host has not seen yet:
+// the store was restored from an older copy. The caller holds f.mu.
+func (f *Follower) noteEra(readAt time.Time, version uint64) {
+	before := f.registry.version
+	if before == 0 || Era(version) <= Era(before) {
+		return
+	}
+	f.tracker.StoreRestored(readAt)
+	f.Logger.Warn("store was restored from an older copy; missing targets stay in use for now, and those that had gone are left out",
+		zap.Uint64("era", Era(version)), zap.Uint64("era_before", Era(before)), zap.Uint64("number", Number(version)), zap.Uint64("number_before", Number(before)),
+		zap.Uint64("tables_in_force", f.Current().Version))
 }
 
 // syncResult is the outcome of a sync request.
@@ -280,6 +296,7 @@
 		return needsSnapshot
 	}
 	readAt := requestedAt.Add(-registryAge)
+	f.noteEra(readAt, r.RegistryVersion)
 	f.registry.apply(r.RegistryVersion, readAt, r.changed(), r.Removed)
 	if len(r.Changed)+len(r.Removed) == 0 && f.targets != nil && f.tracker.ConfirmUnchanged(readAt) {
 		return upToDate
--- a/storesync/registry_state.go
+++ b/storesync/registry_state.go
@@ -34,7 +34,8 @@
 }
 
 // replace sets the state to a complete reading. Readings and entries older than
-// those already held are ignored.
+// those already held are ignored; the latter count as changed, since another host
+// may have read them from a restored store.
 func (s *registryState) replace(version uint64, at time.Time, entries []registry.Entry) {
 	if version < s.version {
 		return
@@ -47,6 +48,7 @@
 		listed[e.ID] = true
 		before, known := s.entries[e.ID]
 		if known && e.Older(before) {
+			s.changed[e.ID] = version
 			continue
 		}
 		s.entries[e.ID] = e
@@ -63,6 +65,14 @@
 	s.version, s.readAt = version, at
 }
 
+// withhold counts entries that a reading held and this host leaves out as removed
+// at the present version: another host may have read them.
+func (s *registryState) withhold(ids []string) {
+	for _, id := range ids {
+		s.changed[id] = s.version
+	}
+}
+
 // equivalent reports whether two entries of a target differ at most in Sequence
 // and WarmupLeft, which are no change to tell other hosts about.
 func equivalent(a, b registry.Entry) bool {
--- a/storesync/snapshot.go
+++ b/storesync/snapshot.go
@@ -332,10 +332,12 @@
 	}
 	readAt := requestedAt.Add(-hostmsg.Milliseconds(s.RegistryAge))
 	entries := lo.Map(c.Entries, fromWire)
-	switch {
-	case c.RegistryVersion < f.registry.version:
+	if c.RegistryVersion < f.registry.version {
 		// This host has read a newer registry itself.
 		return true
+	}
+	f.noteEra(readAt, c.RegistryVersion)
+	switch {
 	case c.Whole:
 		f.registry.replace(c.RegistryVersion, readAt, entries)
 	case had.registry != f.registry.version:
--- a/storesync/source.go
+++ b/storesync/source.go
@@ -14,7 +14,22 @@
 // the tables have to be read in full.
 var ErrHistoryLost = errors.New("the store's history does not reach back to the cursor")
 
-// Cursor is a position in the store's history; 0 is before the first change.
+// A version orders what the store held. A store that was restored from an older
+// copy gives out again the numbers that it had given out since, with other
+// content, so a version is composed of the store's era, which rises with each
+// restore, and its number within the era.
+const eraShift = 40
+
+// NewVersion returns the version with a number in an era.
+func NewVersion(era, number uint64) uint64 { return era<<eraShift | number&(1<<eraShift-1) }
+
+// Era returns the era of a version.
+func Era(version uint64) uint64 { return version >> eraShift }
+
+// Number returns the number of a version within its era.
+func Number(version uint64) uint64 { return version & (1<<eraShift - 1) }
+
+// Cursor is a version up to which changes were read; 0 is before the first change.
 type Cursor uint64
 
 // TablesReading is the result of reading the tables.
@@ -36,6 +51,16 @@
 	Problems []error
 }
 
+// HostsReading is the host list at one moment.
+type HostsReading struct {
+	// Version is the version of the store at that moment.
+	Version uint64
+	Hosts   []roster.Host
+}
+
+// MaxAnnounced is the number of hosts that one call of Source.Announce may add.
+const MaxAnnounced = 100
+
 // Source gives access to the store. Methods are safe for concurrent use. After
 // an error nothing is known about the store's content; a change may have been
 // made or not.
@@ -46,10 +71,11 @@
 	Tables(after Cursor, wait time.Duration) (TablesReading, error)
 	// Registry returns the registry entries that targets wrote of themselves.
 	Registry() (RegistryReading, error)
-	// Announce adds this host to the host list or replaces its row.
-	Announce(h roster.Host) error
+	// Announce adds hosts, at most MaxAnnounced, to the host list or replaces their
+	// rows.
+	Announce(hosts ...roster.Host) error
 	// Hosts returns the host list.
-	Hosts() ([]roster.Host, error)
+	Hosts() (HostsReading, error)
 	// RemoveHost removes a host from the host list, unless its row has changed
 	// meanwhile.
 	RemoveHost(h roster.Host) error
--- a/storesync/store_retry_internal_test.go
+++ b/storesync/store_retry_internal_test.go
@@ -28,12 +28,12 @@
 	return TablesReading{}, s.fail()
 }
 func (s *failingSource) Registry() (RegistryReading, error) { return RegistryReading{}, s.fail() }
-func (s *failingSource) Announce(roster.Host) error {
+func (s *failingSource) Announce(...roster.Host) error {
 	s.announcements.Add(1)
 	return s.fail()
 }
-func (s *failingSource) RemoveHost(roster.Host) error  { return s.fail() }
-func (s *failingSource) Hosts() ([]roster.Host, error) { return nil, s.fail() }
+func (s *failingSource) RemoveHost(roster.Host) error { return s.fail() }
+func (s *failingSource) Hosts() (HostsReading, error) { return HostsReading{}, s.fail() }
 
 // readerStub is a reader with stale data. It drops sync requests while it is
 // deaf, as a busy host or a lossy link does.
--- a/storesync/storesync_test.go
+++ b/storesync/storesync_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -35,11 +36,12 @@
 
 // store is a Source in memory, shared by the hosts of a test.
 type store struct {
-	mu      sync.Mutex
-	version uint64
-	tables  *table.Tables
-	entries map[string]registry.Entry
-	hosts   map[string]roster.Host
+	mu sync.Mutex
+	// era rises when the store is restored from a copy, which sets version back.
+	era, version uint64
+	tables       *table.Tables
+	entries      map[string]registry.Entry
+	hosts        map[string]roster.Host
 	// unreachable holds the hosts that can't reach the store; "" is all.
 	unreachable map[string]bool
 	// forgotten makes the next reading of changes return ErrHistoryLost.
@@ -121,8 +123,8 @@
 		err := s.reach()
 		forgotten := s.forgotten && after != 0
 		s.forgotten = false
-		r := storesync.TablesReading{Cursor: storesync.Cursor(s.version)}
-		if after == 0 || uint64(after) < s.version {
+		r := storesync.TablesReading{Cursor: storesync.Cursor(storesync.NewVersion(s.era, s.version))}
+		if after < r.Cursor {
 			r.Tables = s.tables
 		}
 		s.mu.Unlock()
@@ -143,13 +145,15 @@
 	if err := s.call(); err != nil {
 		return storesync.RegistryReading{}, err
 	}
-	return storesync.RegistryReading{Version: s.version, Entries: lo.Values(s.entries)}, nil
+	return storesync.RegistryReading{Version: storesync.NewVersion(s.era, s.version), Entries: lo.Values(s.entries)}, nil
 }
 
-func (s source) Announce(h roster.Host) error {
+func (s source) Announce(hosts ...roster.Host) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.hosts[h.Name] = h
+	for _, h := range hosts {
+		s.hosts[h.Name] = h
+	}
 	return s.call()
 }
 
@@ -162,10 +166,32 @@
 	return s.call()
 }
 
-func (s source) Hosts() ([]roster.Host, error) {
+func (s source) Hosts() (storesync.HostsReading, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storesync.HostsReading{Version: storesync.NewVersion(s.era, s.version), Hosts: lo.Values(s.hosts)}, s.call()
+}
+
+// copyOf is a copy of what the store holds.
+type copyOf struct {
+	version uint64
+	tables  *table.Tables
+	entries map[string]registry.Entry
+	hosts   map[string]roster.Host
+}
+
+func (s *store) backUp() copyOf {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return copyOf{s.version, s.tables, maps.Clone(s.entries), maps.Clone(s.hosts)}
+}
+
+// restore replaces what the store holds with an older copy.
+func (s *store) restore(c copyOf) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return lo.Values(s.hosts), s.call()
+	s.era++
+	s.version, s.tables, s.entries, s.hosts = c.version, c.tables, maps.Clone(c.entries), maps.Clone(c.hosts)
 }
 
 // host follows the store.
