placement, proxy: targets that say that they leave, or name a Retry-After, are obeyed

Cause: no host read either header. A target that leaves without an entry in the registry got requests until it refused three in a row; one that refused with a Retry-After was asked again by the same host at once. Change: both come by the way of rate limits. A host that hears that a target leaves takes it out at once, whatever the registry or another host says later of the same process, and tells the witnesses; a coordinator that still chooses it is refused and told. A Retry-After keeps this host away from the target, load queries included, and its coordinators are asked for another; afterwards the target gets one request at a time until one succeeds. When all targets of a partition want nothing, callers are refused at once with the time until one does. Malformed headers are ignored, counted and logged every 10 s. Ruled out: a Retry-After that binds all hosts; it names this host alone.

--- a/backpressure/book.go
+++ b/backpressure/book.go
@@ -18,7 +18,7 @@
 	maxShardEntries = 1024
 )
 
-// Book holds the latest observation of each target that has named a limit. It is
+// Book holds the latest observation of each target that has asked for less. It is
 // safe for concurrent use.
 type Book struct {
 	seed   maphash.Seed
@@ -45,14 +45,14 @@
 
 // Record merges an observation into the book. It returns the one that holds now
 // and whether that says something new of the target. A target that has never
-// named a limit is not entered.
+// asked for less is not entered.
 func (b *Book) Record(instance registry.Instance, o Observation) (now Observation, changed bool) {
 	s := b.shard(instance)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known, found := s.entries[instance]
 	if !found {
-		if !o.Limited {
+		if !o.Limited && !o.Leaving {
 			return o, false
 		}
 		s.makeRoom(o.HeardAt)
@@ -65,7 +65,7 @@
 }
 
 // Lookup returns the observation of a target; ok is false when it has never
-// named a limit.
+// asked for less.
 func (b *Book) Lookup(instance registry.Instance) (o Observation, ok bool) {
 	s := b.shard(instance)
 	s.mu.Lock()
--- a/backpressure/observation.go
+++ b/backpressure/observation.go
@@ -1,23 +1,28 @@
 package backpressure
 
-import (
-	"math"
-	"strconv"
-	"strings"
-	"time"
+import "time"
 
-	"github.com/pkg/errors"
-)
+// Signal is what the header of one response says about the requests that its
+// target takes.
+type Signal struct {
+	Observation
+	// RetryAfter is how long the target wants no request from the host that sent
+	// this one; 0 when it did not say.
+	RetryAfter time.Duration
+}
 
-// Observation is what one response of a target shows about its rate limit.
-// Times are on the clock of the host that holds it.
+// Observation is what one response of a target shows that binds all hosts. Times
+// are on the clock of the host that holds it.
 type Observation struct {
+	// Leaving is true when the target said that it leaves: its process takes no new
+	// requests any more.
+	Leaving bool
 	// Limited is true when the response named a limit: PerSecond requests a
 	// second from all hosts together.
 	Limited   bool
 	PerSecond float64
-	// SentAt is when the request was sent, HeardAt when the header of its
-	// response arrived.
+	// SentAt is when the request was sent, zero for a response that does not show
+	// whether the target has a limit; HeardAt is when its header arrived.
 	SentAt, HeardAt time.Time
 }
 
@@ -25,7 +30,15 @@
 // of arrival. The latest limit holds until a request that was sent after it was
 // heard gets a response without one: earlier responses may have been written
 // before the target named its limit.
+//
+// A target that has said that it leaves stays so, whatever comes later.
 func Merge(a, b Observation) Observation {
+	merged := mergeLimits(a, b)
+	merged.Leaving = a.Leaving || b.Leaving
+	return merged
+}
+
+func mergeLimits(a, b Observation) Observation {
 	switch {
 	case a.Limited && b.Limited:
 		if b.HeardAt.After(a.HeardAt) {
@@ -49,25 +62,5 @@
 // Same reports whether two observations say the same of the target, whatever
 // their times.
 func (o Observation) Same(other Observation) bool {
-	return o.Limited == other.Limited && o.PerSecond == other.PerSecond
-}
-
-// MaxPerSecond is the greatest rate limit that is accepted, in requests a
-// second: far above what one target can serve.
-const MaxPerSecond = 1e6
-
-// ErrInvalidRate means that a rate limit is malformed.
-var ErrInvalidRate = errors.New("rate limit is malformed; expected a decimal number of requests a second from 0 to 1000000")
-
-// ParseRates parses the values of the rate limit header of one response: exactly
-// one decimal number of requests a second.
-func ParseRates(values []string) (float64, error) {
-	if len(values) != 1 {
-		return 0, errors.Wrapf(ErrInvalidRate, "%d values", len(values))
-	}
-	rate, err := strconv.ParseFloat(strings.TrimSpace(values[0]), 64)
-	if err != nil || math.IsNaN(rate) || rate < 0 || rate > MaxPerSecond {
-		return 0, errors.Wrapf(ErrInvalidRate, "%.40q", values[0])
-	}
-	return rate, nil
+	return o.Limited == other.Limited && o.PerSecond == other.PerSecond && o.Leaving == other.Leaving
 }
--- a/backpressure/observation_test.go
+++ b/backpressure/observation_test.go
@@ -50,16 +50,18 @@
 	})
 }
 
-func TestRatesAreParsed(t *testing.T) {
+func TestHeadersAreParsed(t *testing.T) {
 	g := NewWithT(t)
 	for text, want := range map[string]float64{"4.2": 4.2, "0": 0, "12": 12, "1e3": 1000} {
-		got, err := backpressure.ParseRates([]string{text})
+		got, err := backpressure.ParseRate([]string{text})
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(got).To(Equal(want))
 	}
 	for _, values := range [][]string{{""}, {"-1"}, {"NaN"}, {"Inf"}, {"1e9"}, {"3;q=1"}, {"3, 4"}, {"3", "3"}} {
-		_, err := backpressure.ParseRates(values)
-		g.Expect(err).To(MatchError(backpressure.ErrInvalidRate), "%q", values)
+		_, err := backpressure.ParseRate(values)
+		g.Expect(err).To(MatchError(backpressure.ErrInvalidHeader), "%q", values)
+		_, err = backpressure.ParseRetryAfter(values)
+		g.Expect(err).To(MatchError(backpressure.ErrInvalidHeader), "%q", values)
 	}
 }
 
--- /dev/null
+++ b/coordinator/backpressure.go
@@ -0,0 +1,221 @@
+package coordinator
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"github.com/chestnutfield/chestnutfield/backpressure"
+	"github.com/chestnutfield/chestnutfield/hostmsg"
+	"github.com/chestnutfield/chestnutfield/placement"
+	"github.com/chestnutfield/chestnutfield/registry"
+	"github.com/chestnutfield/chestnutfield/roster"
+)
+
+const (
+	// voteTimeout bounds one request for a vote: several round trips between
+	// failure domains, short against leaseRenewInterval.
+	voteTimeout = 100 * time.Millisecond
+	// republishInterval is the time between two notices of an unchanged rate
+	// limit from one host, in case an earlier one was lost.
+	republishInterval = 2 * time.Second
+	// maxKnownLimits is the number of rate limits in a placeResponse.
+	maxKnownLimits = 4
+)
+
+// fleet is this host's part in what targets ask all hosts for: it passes on what
+// this host hears to the witnesses of the target's partition, votes on leases, and
+// holds those of the partitions that this host coordinates. It implements
+// placement.Fleet and is safe for concurrent use.
+type fleet struct {
+	Options
+
+	mu      sync.Mutex
+	ballots *ballots
+	leases  map[roster.Task]*lease
+	// publishedAt is when this host last passed on a target's rate limit.
+	publishedAt map[registry.Instance]time.Time
+}
+
+var _ placement.Fleet = (*fleet)(nil)
+
+func newFleet(o Options) *fleet {
+	f := &fleet{
+		Options: o, ballots: newBallots(o.Clock.Now()),
+		leases: map[roster.Task]*lease{}, publishedAt: map[registry.Instance]time.Time{},
+	}
+	o.Node.Handle(kindObservation, f.handleObservation)
+	o.Node.Handle(kindVote, f.handleVote)
+	return f
+}
+
+// Role implements placement.Fleet.
+func (f *fleet) Role(pool string, partition int) backpressure.Role {
+	task := Task(pool, partition)
+	role := backpressure.Role{Hosts: f.Roster.Count()}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if l := f.leases[task]; l != nil {
+		role.HeldSince = l.check(f.Clock.Now(), witnessesOf(f.Roster, task))
+	}
+	return role
+}
+
+// Observed implements placement.Fleet.
+func (f *fleet) Observed(pool string, partition int, instance registry.Instance, o backpressure.Observation, changed bool) {
+	now := f.Clock.Now()
+	f.mu.Lock()
+	due := changed || now.Sub(f.publishedAt[instance]) >= republishInterval
+	if due {
+		if len(f.publishedAt) >= maxBallots {
+			f.publishedAt = lo.OmitBy(f.publishedAt, func(_ registry.Instance, at time.Time) bool { return now.Sub(at) >= republishInterval })
+		}
+		f.publishedAt[instance] = now
+	}
+	f.mu.Unlock()
+	if !due {
+		return
+	}
+	for _, h := range witnessesOf(f.Roster, Task(pool, partition)) {
+		if h.Name != f.Roster.Self().Name {
+			f.publish(h, instance, o)
+		}
+	}
+}
+
+// publish tells one host what is known of a target's rate limit.
+func (f *fleet) publish(h roster.Host, instance registry.Instance, o backpressure.Observation) {
+	if err := f.Node.Notify(h.Addr, kindObservation, newObservationNotice(f.Clock.Now(), instance, o)); err != nil {
+		f.Logger.Debug("rate limit of a target not passed on; it is sent again with a later response", zap.String("to", h.Name), zap.String("target", instance.ID), zap.Error(err))
+	}
+}
+
+func (f *fleet) handleObservation(m hostmsg.Message) {
+	var n observationNotice
+	if err := m.Decode(&n); err != nil {
+		f.Logger.Debug("malformed notice of a rate limit dropped", zap.Stringer("from", m.From), zap.Error(err))
+		return
+	}
+	f.Local.RecordObservation(n.instance(), n.observation(f.Clock.Now()), m.From.String())
+}
+
+func (f *fleet) handleVote(m hostmsg.Message) {
+	var q voteRequest
+	if err := m.Decode(&q); err != nil {
+		f.Logger.Debug("malformed request for a vote dropped", zap.Stringer("from", m.From), zap.Error(err))
+		return
+	}
+	m.Respond(voteResponse{Granted: f.vote(roster.Task{Kind: taskKind, Name: q.Task}, q.Candidate)})
+}
+
+func (f *fleet) vote(task roster.Task, candidate string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ballots.vote(f.Clock.Now(), task, candidate)
+}
+
+// run renews this host's leases until the context ends.
+func (f *fleet) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.Clock.After(leaseRenewInterval):
+			f.renew(ctx)
+		}
+	}
+}
+
+// renew asks for votes for the partitions that this host coordinates and that
+// have a target with a rate limit; the leases of others lapse.
+func (f *fleet) renew(ctx context.Context) {
+	self := f.Roster.Self().Name
+	wanted := map[roster.Task]placement.PartitionID{}
+	for _, id := range f.Local.RateLimitedPartitions() {
+		task := Task(id.Pool, id.Number)
+		if f.Roster.Rank(f.Clock.Now(), task)[0].Name == self {
+			wanted[task] = id
+		}
+	}
+	f.dropLapsed(wanted)
+	var votes sync.WaitGroup
+	for task := range wanted {
+		before := f.held(task)
+		for _, h := range witnessesOf(f.Roster, task) {
+			votes.Go(func() { f.requestVote(ctx, h, task) })
+		}
+		votes.Wait()
+		if now := f.held(task); now != before {
+			f.Logger.Info(lo.Ternary(now, "lease of a partition's rate limits acquired; this host sends within all but a small part of them",
+				"lease of a partition's rate limits lost; this host sends within its share of the small part"),
+				zap.String("partition", task.Name), zap.Int("hosts", f.Roster.Count()))
+		}
+	}
+}
+
+func (f *fleet) held(task roster.Task) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l := f.leases[task]
+	return l != nil && !l.check(f.Clock.Now(), witnessesOf(f.Roster, task)).IsZero()
+}
+
+// dropLapsed forgets the leases that are neither wanted nor held any more.
+func (f *fleet) dropLapsed(wanted map[roster.Task]placement.PartitionID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for task, l := range f.leases {
+		if _, keep := wanted[task]; !keep && l.check(f.Clock.Now(), witnessesOf(f.Roster, task)).IsZero() {
+			delete(f.leases, task)
+		}
+	}
+	for task := range wanted {
+		if f.leases[task] == nil {
+			f.leases[task] = &lease{votes: map[string]time.Time{}}
+		}
+	}
+}
+
+// requestVote asks one witness for its vote and counts it.
+func (f *fleet) requestVote(ctx context.Context, h roster.Host, task roster.Task) {
+	askedAt, self := f.Clock.Now(), f.Roster.Self().Name
+	granted := false
+	if h.Name == self {
+		granted = f.vote(task, self)
+	} else {
+		callCtx, cancel := context.WithTimeout(ctx, voteTimeout)
+		defer cancel()
+		var response voteResponse
+		if err := f.Node.Call(callCtx, h.Addr, kindVote, voteRequest{Task: task.Name, Candidate: self}, &response); err != nil {
+			f.Logger.Debug("witness did not vote; asking again at the next renewal", zap.String("witness", h.Name), zap.String("partition", task.Name), zap.Error(err))
+			return
+		}
+		granted = response.Granted
+	}
+	if !granted {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if l := f.leases[task]; l != nil {
+		l.record(h.Name, askedAt)
+	}
+}
+
+// knownLimits returns what this host knows of the rate limits in a partition, as
+// a placeResponse carries it: that of the chosen target first, then some others.
+func knownLimits(now time.Time, local *placement.Balancer, pool string, partition int, chosen registry.Instance) []observationNotice {
+	var known []observationNotice
+	if o, ok := local.Observation(chosen); ok {
+		known = append(known, newObservationNotice(now, chosen, o))
+	}
+	for _, instance := range local.RateLimitedTargets(pool, partition, maxKnownLimits) {
+		if o, ok := local.Observation(instance); ok && instance != chosen && len(known) < maxKnownLimits {
+			known = append(known, newObservationNotice(now, instance, o))
+		}
+	}
+	return known
+}
--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -52,20 +52,20 @@
 // lb.QueueingBalancer and is safe for concurrent use.
 type Client struct {
 	Options
-	requests   *prometheus.CounterVec
-	isolation  isolationDetector
-	rateLimits *rateLimits
+	requests  *prometheus.CounterVec
+	isolation isolationDetector
+	fleet     *fleet
 }
 
 var _ lb.QueueingBalancer = (*Client)(nil)
 
 // NewClient returns a client. It fails when a metric can't be registered.
 func NewClient(o Options) (*Client, error) {
-	c := &Client{Options: o, rateLimits: newRateLimits(o), requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+	c := &Client{Options: o, fleet: newFleet(o), requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "chestnut_desk_requests_total",
 		Help: "Requests placed, by who placed them.",
 	}, []string{"by"})}
-	o.Local.SetFleet(c.rateLimits)
+	o.Local.SetFleet(c.fleet)
 	return c, metric.Register(o.Registerer, "coordinator", c.requests)
 }
 
@@ -81,7 +81,7 @@
 
 // Run renews the leases under which this host sends to targets with a rate limit,
 // until the context ends.
-func (c *Client) Run(ctx context.Context) { c.rateLimits.run(ctx) }
+func (c *Client) Run(ctx context.Context) { c.fleet.run(ctx) }
 
 // Pick chooses by what this host knows, without asking a coordinator.
 func (c *Client) Pick(q lb.PickQuery) (lb.Attempt, bool) { return c.Local.Pick(q) }
@@ -92,8 +92,12 @@
 	if q.Partition == 0 {
 		q.Partition = c.Local.DrawPartition(q.Pool)
 	}
+	paused, all := c.Local.PausedTargets(now, q.Pool, q.Partition)
+	// The local balancer knows itself which targets are paused, and until when.
+	local := q
+	q.Exclude = slices.Concat(q.Exclude, paused)
 	for i, host := range c.Roster.Rank(now, Task(q.Pool, q.Partition)) {
-		if i == maxCoordinatorsTried || host.Name == c.Roster.Self().Name || c.isolation.isolated(now, c.Node.LastResponseAt()) {
+		if all || i == maxCoordinatorsTried || host.Name == c.Roster.Self().Name || c.isolation.isolated(now, c.Node.LastResponseAt()) {
 			break
 		}
 		a, refusal, ok := c.requestUsableTarget(ctx, host, q)
@@ -109,8 +113,8 @@
 		c.Logger.Info("coordinator did not respond; it is skipped for a while and the request is placed elsewhere", zap.String("desk", host.Name), zap.String("pool", q.Pool), zap.String("request", q.RequestID))
 	}
 	c.requests.WithLabelValues("self").Inc()
-	q.FailureDomain = c.FailureDomain
-	return c.Local.Place(ctx, q)
+	local.FailureDomain = c.FailureDomain
+	return c.Local.Place(ctx, local)
 }
 
 // maxChoices is the number of times that a coordinator is asked for one request
@@ -130,35 +134,35 @@
 			// coordinator's refusal says nothing of the other targets.
 			return nil, refusal, ok && choice == 0
 		}
-		limitUnknown := c.limitUnknown(host, a.response)
-		if !limitUnknown && c.Local.HasTarget(q.Pool, a.instance()) {
+		informed := c.coordinatorInformed(host, a.response)
+		if informed && c.Local.TakesRequests(q.Pool, a.instance()) {
 			return a, nil, true
 		}
 		a.Done(c.Clock.Now(), abandoned)
 		c.Logger.Info("coordinator chose a target that this host may not use; asking for another", zap.String("desk", host.Name), zap.String("pool", q.Pool),
-			zap.String("target", a.Identity()), zap.String("request", q.RequestID), zap.Bool("rate_limit_unknown", limitUnknown))
+			zap.String("target", a.Identity()), zap.String("request", q.RequestID), zap.Bool("coordinator_informed", informed))
 		q.Exclude = append(q.Exclude, a.Target())
 	}
 	return nil, nil, false
 }
 
-// limitUnknown records what a coordinator knows of rate limits and reports
-// whether it placed the request without knowing that of the chosen target. Then
-// the coordinator is told.
-func (c *Client) limitUnknown(host roster.Host, r placeResponse) bool {
+// coordinatorInformed records what a coordinator knows of the targets' wishes and
+// reports whether it knew those of the target that it chose. One that did not is
+// told.
+func (c *Client) coordinatorInformed(host roster.Host, r placeResponse) bool {
 	now := c.Clock.Now()
 	chosen := registry.Instance{ID: r.Target, StartedMillis: r.StartedMillis}
-	known := false
+	knewLimit := false
 	for _, n := range r.Known {
 		c.Local.RecordObservation(n.instance(), n.observation(now), host.Addr.String())
-		known = known || n.Limited && n.instance() == chosen
+		knewLimit = knewLimit || n.Limited && n.instance() == chosen
 	}
-	o, _ := c.Local.RateLimit(chosen)
-	if !o.Limited || known {
-		return false
+	o, _ := c.Local.Observation(chosen)
+	if !o.Leaving && (!o.Limited || knewLimit) {
+		return true
 	}
-	c.rateLimits.publish(host, chosen, o)
-	return true
+	c.fleet.publish(host, chosen, o)
+	return false
 }
 
 // requestTarget asks a coordinator for a target and waits until the request is
@@ -244,8 +248,8 @@
 func (a *attempt) Identity() string { return a.response.Target }
 
 // Observe implements lb.ObservedAttempt.
-func (a *attempt) Observe(o backpressure.Observation) {
-	a.client.Local.RecordObservation(a.instance(), o, "")
+func (a *attempt) Observe(s backpressure.Signal) {
+	a.client.Local.RecordSignal(a.instance(), s)
 }
 
 func (a *attempt) instance() registry.Instance {
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -129,12 +129,13 @@
 	MessageID uint64
 }
 
-// observationNotice tells what is known of a target's rate limit. Ages are in
+// observationNotice tells what a target asked all hosts for. Ages are in
 // milliseconds.
 type observationNotice struct {
 	_             struct{} `cbor:",toarray"`
 	ID            string
 	StartedMillis int64
+	Leaving       bool
 	Limited       bool
 	PerSecond     float64
 	// SentAge and HeardAge are the ages of the request and of its response.
@@ -143,7 +144,7 @@
 
 func newObservationNotice(now time.Time, instance registry.Instance, o backpressure.Observation) observationNotice {
 	return observationNotice{
-		ID: instance.ID, StartedMillis: instance.StartedMillis, Limited: o.Limited, PerSecond: o.PerSecond,
+		ID: instance.ID, StartedMillis: instance.StartedMillis, Leaving: o.Leaving, Limited: o.Limited, PerSecond: o.PerSecond,
 		SentAge: now.Sub(o.SentAt).Milliseconds(), HeardAge: now.Sub(o.HeardAt).Milliseconds(),
 	}
 }
@@ -154,7 +155,7 @@
 
 func (n observationNotice) observation(now time.Time) backpressure.Observation {
 	return backpressure.Observation{
-		Limited: n.Limited, PerSecond: n.PerSecond,
+		Leaving: n.Leaving, Limited: n.Limited, PerSecond: n.PerSecond,
 		SentAt: now.Add(-hostmsg.Milliseconds(n.SentAge)), HeardAt: now.Add(-hostmsg.Milliseconds(n.HeardAge)),
 	}
 }
--- a/coordinator/ratelimit_test.go
+++ b/coordinator/ratelimit_test.go
@@ -36,7 +36,9 @@
 	}
 	time.Sleep(20 * time.Millisecond)
 	if o, ok := a.(lb.ObservedAttempt); ok {
-		o.Observe(backpressure.Observation{Limited: limited, PerSecond: lo.Ternary(limited, l.perSecond, 0), SentAt: sent, HeardAt: time.Now()})
+		o.Observe(backpressure.Signal{Observation: backpressure.Observation{
+			Limited: limited, PerSecond: lo.Ternary(limited, l.perSecond, 0), SentAt: sent, HeardAt: time.Now(),
+		}})
 	}
 	a.Done(time.Now(), lb.Feedback{Result: lb.Result{Verdict: lb.Succeeded, Latency: time.Since(sent)}})
 }
@@ -64,11 +66,11 @@
 	return worst
 }
 
-// fleet is a few hosts that know each other; the first is the coordinator.
-type fleet []*host
+// testFleet is a few hosts that know each other; the first is the coordinator.
+type testFleet []*host
 
-func startFleet(t *testing.T, g *WithT, n int) fleet {
-	f := make(fleet, n)
+func startFleet(t *testing.T, g *WithT, n int) testFleet {
+	f := make(testFleet, n)
 	for i := range f {
 		h, err := startHost(fmt.Sprint("host-", i))
 		g.Expect(err).NotTo(HaveOccurred())
@@ -87,7 +89,7 @@
 
 // load sends some 40 requests a second to the target's pool through the given
 // hosts.
-func (f fleet) load(t *testing.T, target *limitedTarget, through fleet, length time.Duration) {
+func (f testFleet) load(t *testing.T, target *limitedTarget, through testFleet, length time.Duration) {
 	var requests sync.WaitGroup
 	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(time.Duration(rand.ExpFloat64() * float64(25*time.Millisecond))) {
 		requests.Go(func() {
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -5,8 +5,13 @@
 package dialect
 
 import (
+	"cmp"
 	"net/http"
+	"slices"
 
+	"github.com/valyala/fasthttp"
+
+	"github.com/chestnutfield/chestnutfield/backpressure"
 	"github.com/chestnutfield/chestnutfield/load"
 )
 
@@ -74,3 +79,23 @@
 		Outcome:        "Chestnut-Outcome",
 	}
 }
+
+// drainingValue is the value that Draining has while an upstream is draining.
+const drainingValue = "1"
+
+// Signal returns what a response says about the requests that its upstream takes.
+// values returns all values of a header. Malformed headers are left out and
+// reported as an error.
+func (d Dialect) Signal(status int, values func(name string) []string) (s backpressure.Signal, err error) {
+	if limit := values(d.RateLimit); d.RateLimit != "" && len(limit) > 0 {
+		if s.PerSecond, err = backpressure.ParseRate(limit); err == nil {
+			s.Limited = true
+		}
+	}
+	s.Leaving = d.Draining != "" && slices.Equal(values(d.Draining), []string{drainingValue})
+	if after := values(fasthttp.HeaderRetryAfter); status == http.StatusServiceUnavailable && len(after) > 0 {
+		retryAfter, retryErr := backpressure.ParseRetryAfter(after)
+		s.RetryAfter, err = retryAfter, cmp.Or(err, retryErr)
+	}
+	return s, err
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -177,8 +177,9 @@
 func newPlacement(i do.Injector) (*placement.Balancer, error) {
 	o, s := do.MustInvoke[Options](i), do.MustInvoke[*settings.Settings](i)
 	hosts := do.MustInvoke[*roster.Roster](i)
-	return placement.New(placement.Options{
-		LoadQuerier:         placement.HTTPLoadQuerier{Client: do.MustInvoke[*upstream.Client](i), Dialect: o.Dialect},
+	querier := &placement.HTTPLoadQuerier{Client: do.MustInvoke[*upstream.Client](i), Dialect: o.Dialect}
+	placer, err := placement.New(placement.Options{
+		LoadQuerier:         querier,
 		FailureDomain:       s.Host.FailureDomain,
 		ParseLoad:           o.Dialect.ParseLoad,
 		MaxQueriesPerSecond: s.Bounds.ProbesPerSecond,
@@ -193,6 +194,8 @@
 		Clock:      o.Clock,
 		Registerer: o.Registry,
 	})
+	querier.Observer = placer
+	return placer, err
 }
 
 func newCoordinatorClient(i do.Injector) (*coordinator.Client, error) {
--- a/lb/lb.go
+++ b/lb/lb.go
@@ -177,10 +177,10 @@
 }
 
 // ObservedAttempt is an Attempt that takes what the header of a response says
-// of the rate limit of its target, before the attempt ends.
+// about the requests that its target takes, before the attempt ends.
 type ObservedAttempt interface {
 	Attempt
-	Observe(o backpressure.Observation)
+	Observe(s backpressure.Signal)
 }
 
 // Feedback is what the end of an attempt shows about its target.
--- a/placement/ratelimit.go
+++ b/placement/backpressure.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -14,8 +15,8 @@
 	"github.com/chestnutfield/chestnutfield/registry"
 )
 
-// maxRateLimitRetryAfter bounds the Retry-After while targets want less than
-// arrives.
+// maxRateLimitRetryAfter bounds the Retry-After of a refusal while targets want
+// less than arrives.
 const maxRateLimitRetryAfter = 30 * time.Second
 
 // limitCheckInterval is the longest time that a target with a rate limit gets no
@@ -54,24 +55,79 @@
 var _ lb.ObservedAttempt = (*attempt)(nil)
 
 // Observe implements lb.ObservedAttempt.
-func (a *attempt) Observe(o backpressure.Observation) {
-	a.balancer.RecordObservation(a.target.Instance, o, "")
+func (a *attempt) Observe(s backpressure.Signal) {
+	a.balancer.RecordSignal(a.target.Instance, s)
 }
 
-// RecordObservation records what a target showed about its rate limit. from is
-// the address of the host that reported it, "" when this host saw the response.
+// RecordSignal records what a response to this host says about the requests that
+// its target takes.
+func (b *Balancer) RecordSignal(instance registry.Instance, s backpressure.Signal) {
+	b.RecordObservation(instance, s.Observation, "")
+	if s.RetryAfter <= 0 {
+		return
+	}
+	until := s.HeardAt.Add(s.RetryAfter)
+	for _, ps := range *b.pools.Load() {
+		if p := ps.ofTarget(instance.ID); p != nil && p.pause(instance, until) {
+			b.opts.Logger.Info("target wants no requests from this host for a while", zap.String("target", instance.ID), zap.Duration("retry_after", s.RetryAfter))
+		}
+	}
+}
+
+// RecordMalformed counts and logs a response to a load query that has a malformed
+// header; the header is ignored.
+func (b *Balancer) RecordMalformed(instance registry.Instance, err error) {
+	b.metrics.malformedSignals.Inc()
+	b.malformedLog.Do(func() {
+		b.opts.Logger.Warn("header with which a target asks for fewer requests is ignored", zap.String("target", instance.ID), zap.Error(err))
+	})
+}
+
+// pause keeps this host from a target until a time, after which it gets one
+// request at a time until one succeeds; false when that says nothing new.
+func (p *partition) pause(instance registry.Instance, until time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t, ok := lo.Find(p.targets, func(t *target) bool { return t.Instance == instance })
+	if !ok || !until.After(t.pausedUntil) {
+		return false
+	}
+	t.pausedUntil, t.health.halfOpen = until, true
+	return true
+}
+
+// PausedTargets returns the addresses of the targets of a partition that want no
+// requests from this host now; all is true when the partition has no other.
+func (b *Balancer) PausedTargets(now time.Time, pool string, partition int) (paused []netip.AddrPort, all bool) {
+	ps := (*b.pools.Load())[pool]
+	if partition < 1 || partition > len(ps) {
+		return nil, false
+	}
+	p := ps[partition-1]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, t := range p.targets {
+		if now.Before(t.pausedUntil) {
+			paused = append(paused, t.Addr)
+		}
+	}
+	return paused, len(paused) > 0 && len(paused) == len(p.targets)
+}
+
+// RecordObservation records what a target asked all hosts for. from is the
+// address of the host that reported it, "" when this host saw the response.
 func (b *Balancer) RecordObservation(instance registry.Instance, o backpressure.Observation, from string) {
-	current, changed := b.rateLimits.Record(instance, o)
+	current, changed := b.asked.Record(instance, o)
 	if !changed && !current.Limited {
 		return
 	}
 	if changed {
-		b.logRateLimit(instance, current, from)
-		b.metrics.recordRateLimit(instance.ID, current, from)
+		b.logObservation(instance, current, from)
+		b.metrics.recordObservation(instance.ID, current, from)
 	}
 	for pool, ps := range *b.pools.Load() {
 		p := ps.ofTarget(instance.ID)
-		if p == nil || !p.setRateLimit(b.opts.Clock.Now(), instance, current) {
+		if p == nil || !p.applyObservation(b.opts.Clock.Now(), instance, current) {
 			continue
 		}
 		if from == "" {
@@ -80,19 +136,22 @@
 	}
 }
 
-func (b *Balancer) logRateLimit(instance registry.Instance, o backpressure.Observation, from string) {
+func (b *Balancer) logObservation(instance registry.Instance, o backpressure.Observation, from string) {
 	message := "target names no rate limit any more"
-	if o.Limited {
+	switch {
+	case o.Leaving:
+		message = "target says that it leaves; it gets no more requests"
+	case o.Limited:
 		message = "target named a rate limit for all hosts together"
 	}
 	b.opts.Logger.Info(message, zap.String("target", instance.ID), zap.Int64("born", instance.StartedMillis),
 		zap.Float64("per_second", o.PerSecond), zap.String("reported_by", from), zap.Duration("age", b.opts.Clock.Now().Sub(o.HeardAt)))
 }
 
-// RateLimit returns the latest observation of a target's rate limit; ok is false
-// when it has never named one.
-func (b *Balancer) RateLimit(instance registry.Instance) (o backpressure.Observation, ok bool) {
-	return b.rateLimits.Lookup(instance)
+// Observation returns the latest observation of a target; ok is false when it has
+// never asked for less.
+func (b *Balancer) Observation(instance registry.Instance) (o backpressure.Observation, ok bool) {
+	return b.asked.Lookup(instance)
 }
 
 // RateLimitedPartitions returns the partitions with a target that names a rate
@@ -131,17 +190,21 @@
 	return limited[:min(limit, len(limited))]
 }
 
-// setRateLimit applies what is known of a target's rate limit; false when the
-// target is not in this partition.
-func (p *partition) setRateLimit(now time.Time, instance registry.Instance, o backpressure.Observation) bool {
+// applyObservation applies what a target asked for; false when the target is not
+// in this partition. One that leaves is removed.
+func (p *partition) applyObservation(now time.Time, instance registry.Instance, o backpressure.Observation) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t, ok := lo.Find(p.targets, func(t *target) bool { return t.Instance == instance })
-	if ok {
-		p.applyRateLimit(now, t, o)
-		p.countLimited()
+	if !ok {
+		return false
+	}
+	p.applyRateLimit(now, t, o)
+	if o.Leaving {
+		p.targets = lo.Without(p.targets, t)
 	}
-	return ok
+	p.countLimited()
+	return true
 }
 
 // applyRateLimit gives a target its limiter or takes it away. The caller holds
@@ -170,26 +233,31 @@
 	p.limited = lo.CountBy(p.targets, func(t *target) bool { return t.limiter != nil })
 }
 
-// permitted reports whether the rate limit of a target allows a request now. The
+// permitted reports whether a target takes a request from this host now. The
 // caller holds the lock.
 func (p *partition) permitted(now time.Time, t *target) bool {
-	return t.limiter == nil || t.limiter.Wait(now, p.role()) == 0
+	return !now.Before(t.pausedUntil) && (t.limiter == nil || t.limiter.Wait(now, p.role()) == 0)
 }
 
-// permitWait returns the time until the rate limits of the targets allow one more
-// request when that many go before it; ok is false when no target has a limit.
+// permitWait returns the time until a target takes one more request from this host
+// when that many go before it; ok is false when none has asked for less.
 // The caller holds the lock.
 func (p *partition) permitWait(now time.Time, q lb.PlaceQuery, ahead int) (wait time.Duration, ok bool) {
 	role, perSecond := p.role(), 0.0
 	for _, t := range p.targets {
-		if t.limiter == nil || slices.Contains(q.Exclude, t.Addr) {
+		if slices.Contains(q.Exclude, t.Addr) || t.limiter == nil && !now.Before(t.pausedUntil) {
 			continue
 		}
-		w := t.limiter.Wait(now, role)
+		w := t.pausedUntil.Sub(now)
+		if t.limiter != nil {
+			w = max(w, t.limiter.Wait(now, role))
+			perSecond += t.limiter.Rate(role)
+		} else {
+			perSecond += float64(max(t.Slots, 1)) / p.serviceTimeLocked().Seconds()
+		}
 		if !ok || w < wait {
 			wait, ok = w, true
 		}
-		perSecond += t.limiter.Rate(role)
 	}
 	if ok && ahead > 0 {
 		wait += time.Duration(min(float64(ahead)/perSecond, maxRateLimitRetryAfter.Seconds()) * float64(time.Second))
@@ -198,7 +266,7 @@
 }
 
 // waitForPermit decides about a request for which no target is left but those
-// whose rate limit is used up; ahead is the number of requests that go before
+// that take none now; ahead is the number of requests that go before
 // it. The caller holds the lock.
 func (b *Balancer) waitForPermit(p *partition, q lb.PlaceQuery, now time.Time, ahead int) (placeResult, bool) {
 	wait, limited := p.permitWait(now, q, ahead)
@@ -210,7 +278,7 @@
 	default:
 		retryAfter := min(max(wait, minRetryAfter), maxRateLimitRetryAfter)
 		if !q.Hedge {
-			b.opts.Logger.Info("request refused: the targets take no more requests a second before its deadline", zap.String("request", q.RequestID), zap.String("pool", q.Pool),
+			b.opts.Logger.Info("request refused: no target takes another request from this host before its deadline", zap.String("request", q.RequestID), zap.String("pool", q.Pool),
 				zap.Duration("waited", now.Sub(q.Received)), zap.Duration("left", left), zap.Duration("permit_in", wait), zap.Int("ahead", ahead),
 				zap.Int("limited", p.limited), zap.Int("targets", len(p.targets)), zap.Bool("lease_held", !p.role().HeldSince.IsZero()))
 		}
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/lo"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/chestnutfield/chestnutfield/backpressure"
 	"github.com/chestnutfield/chestnutfield/lb"
@@ -35,6 +36,9 @@
 	// noTargetRetryAfter is the Retry-After while a pool has no target: by then
 	// the registry has been read again.
 	noTargetRetryAfter = 500 * time.Millisecond
+	// malformedLogInterval is the time between two log lines about malformed
+	// headers of targets.
+	malformedLogInterval = 10 * time.Second
 )
 
 // Options configure a Balancer. LoadQuerier is required.
@@ -71,9 +75,11 @@
 	opts    Options
 	metrics *metrics
 	pools   atomic.Pointer[map[string]partitions]
-	// rateLimits holds what targets showed about their rate limits.
-	rateLimits *backpressure.Book
-	fleet      atomic.Pointer[Fleet]
+	// asked holds what targets asked all hosts for.
+	asked *backpressure.Book
+	fleet atomic.Pointer[Fleet]
+	// malformedLog bounds the log lines about malformed headers of targets.
+	malformedLog rate.Sometimes
 	// queriesPerTarget bounds the load queries a second to one target by all
 	// hosts together.
 	queriesPerTarget atomic.Pointer[float64]
@@ -102,7 +108,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &Balancer{opts: o, metrics: m, rateLimits: backpressure.NewBook()}
+	b := &Balancer{opts: o, metrics: m, asked: backpressure.NewBook(), malformedLog: rate.Sometimes{Interval: malformedLogInterval}}
 	b.pools.Store(&map[string]partitions{})
 	b.SetFleet(soleHost{since: o.Clock.Now()})
 	b.SetMaxQueriesPerSecond(o.MaxQueriesPerSecond)
@@ -314,10 +320,11 @@
 	return 0
 }
 
-// HasTarget reports whether an instance is among the targets of a pool.
-func (b *Balancer) HasTarget(pool string, instance registry.Instance) bool {
+// TakesRequests reports whether an instance is among the targets of a pool and
+// takes requests from this host.
+func (b *Balancer) TakesRequests(pool string, instance registry.Instance) bool {
 	p := (*b.pools.Load())[pool].ofTarget(instance.ID)
-	return p != nil && p.hasInstance(instance)
+	return p != nil && p.takesRequests(b.opts.Clock.Now(), instance)
 }
 
 // RecordRemoteEnd records the end of a request that another host placed, so
--- a/placement/load_querier.go
+++ b/placement/load_querier.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/chestnutfield/chestnutfield/backpressure"
 	"github.com/chestnutfield/chestnutfield/dialect"
 	"github.com/chestnutfield/chestnutfield/load"
 	"github.com/chestnutfield/chestnutfield/registry"
@@ -33,6 +34,32 @@
 type HTTPLoadQuerier struct {
 	Client  *upstream.Client
 	Dialect dialect.Dialect
+	// Observer receives what the responses say about the requests that the targets
+	// take; nil ignores it.
+	Observer SignalObserver
+}
+
+// SignalObserver receives what responses to load queries say.
+type SignalObserver interface {
+	RecordSignal(instance registry.Instance, s backpressure.Signal)
+	RecordMalformed(instance registry.Instance, err error)
+}
+
+// observe passes on what a response says. It never shows that a target has no rate
+// limit: health checks may be answered without the headers of other responses.
+func (q HTTPLoadQuerier) observe(instance registry.Instance, x *upstream.Exchange) {
+	if q.Observer == nil {
+		return
+	}
+	s, err := q.Dialect.Signal(x.Header().StatusCode(), x.HeaderValues)
+	if err != nil {
+		q.Observer.RecordMalformed(instance, err)
+	}
+	s.HeardAt = time.Now()
+	if s.Limited {
+		s.SentAt = s.HeardAt
+	}
+	q.Observer.RecordSignal(instance, s)
 }
 
 // maxQueryConnections bounds the connections to one target that load queries
@@ -64,6 +91,7 @@
 	if id := exchange.HeaderValue(q.Dialect.Identity); id != "" && id != t.ID {
 		return load.Report{}, ErrWrongTarget
 	}
+	q.observe(t.Instance, exchange)
 	text := exchange.HeaderValue(q.Dialect.Load)
 	if text == "" {
 		return load.Report{}, ErrNoLoadReport
--- a/placement/metrics.go
+++ b/placement/metrics.go
@@ -16,10 +16,13 @@
 	loadQueries *prometheus.CounterVec
 	refusals    *prometheus.CounterVec
 	waits       *prometheus.HistogramVec
-	// rateLimits holds the limits that targets name now; limitChanges counts
-	// their changes.
-	rateLimits   *prometheus.GaugeVec
-	limitChanges *prometheus.CounterVec
+	// rateLimits holds the limits that targets name now; observationChanges counts
+	// the changes of what targets ask for.
+	rateLimits         *prometheus.GaugeVec
+	observationChanges *prometheus.CounterVec
+	// malformedSignals counts the responses to load queries of which a header was
+	// ignored.
+	malformedSignals prometheus.Counter
 }
 
 // waitBuckets reach from the time of one load query (1 ms) to the longest usual
@@ -45,19 +48,23 @@
 			Name: "chestnut_target_rate_limit",
 			Help: "Requests a second that a target takes from all hosts together, while it names a limit.",
 		}, []string{"target"}),
-		limitChanges: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "chestnut_target_rate_limit_changes_total",
-			Help: "Changes of the rate limits of targets, by where this host learned of them.",
+		malformedSignals: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "chestnut_load_query_malformed_headers_total",
+			Help: "Responses to load queries with a malformed rate limit or Retry-After, which was ignored.",
+		}),
+		observationChanges: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chestnut_target_backpressure_changes_total",
+			Help: "Changes of the rate limits of targets and targets that said that they leave, by where this host learned of them.",
 		}, []string{"source"}),
 	}
-	return m, metric.Register(r, "placement", m.loadQueries, m.refusals, m.waits, m.rateLimits, m.limitChanges)
+	return m, metric.Register(r, "placement", m.loadQueries, m.refusals, m.waits, m.rateLimits, m.observationChanges, m.malformedSignals)
 }
 
-// recordRateLimit records a change of a target's rate limit that the host with
-// the address from reported, "" for this one.
-func (m *metrics) recordRateLimit(target string, o backpressure.Observation, from string) {
-	m.limitChanges.WithLabelValues(lo.Ternary(from == "", "response", "host")).Inc()
-	if o.Limited {
+// recordObservation records a change of what a target asks for, which the host
+// with the address from reported, "" for this one.
+func (m *metrics) recordObservation(target string, o backpressure.Observation, from string) {
+	m.observationChanges.WithLabelValues(lo.Ternary(from == "", "response", "host")).Inc()
+	if o.Limited && !o.Leaving {
 		m.rateLimits.WithLabelValues(target).Set(o.PerSecond)
 		return
 	}
--- a/placement/partition.go
+++ b/placement/partition.go
@@ -47,6 +47,8 @@
 	limiter *backpressure.Limiter
 	// limitHeardAt is when the limit was last heard.
 	limitHeardAt time.Time
+	// pausedUntil is until when the target wants no request from this host.
+	pausedUntil time.Time
 }
 
 // partition holds the targets of one partition of a pool, with its own lock.
@@ -111,12 +113,16 @@
 	}
 }
 
-// update replaces the targets; the state of an instance that remains is kept,
-// and the rate limit of one that returns is looked up.
-func (p *partition) update(now time.Time, healthPath string, targets []registry.Target, rateLimits *backpressure.Book) {
+// update replaces the targets; the state of an instance that remains is kept, and
+// what one that returns asked for is looked up.
+func (p *partition) update(now time.Time, healthPath string, targets []registry.Target, asked *backpressure.Book) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := lo.KeyBy(p.targets, func(t *target) registry.Instance { return t.Instance })
+	targets = lo.Reject(targets, func(t registry.Target, _ int) bool {
+		o, _ := asked.Lookup(t.Instance)
+		return o.Leaving
+	})
 	p.healthPath = healthPath
 	p.targets = lo.Map(targets, func(t registry.Target, _ int) *target {
 		if k := known[t.Instance]; k != nil && k.Addr == t.Addr {
@@ -124,7 +130,7 @@
 			return k
 		}
 		added := &target{Target: t}
-		if o, ok := rateLimits.Lookup(t.Instance); ok {
+		if o, ok := asked.Lookup(t.Instance); ok {
 			p.applyRateLimit(now, added, o)
 		}
 		return added
@@ -281,11 +287,12 @@
 	})
 }
 
-// hasInstance reports whether an instance is among the targets.
-func (p *partition) hasInstance(instance registry.Instance) bool {
+// takesRequests reports whether an instance is among the targets and takes
+// requests from this host; its rate limit does not count.
+func (p *partition) takesRequests(now time.Time, instance registry.Instance) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.ContainsFunc(p.targets, func(t *target) bool { return t.Instance == instance })
+	return slices.ContainsFunc(p.targets, func(t *target) bool { return t.Instance == instance && !now.Before(t.pausedUntil) })
 }
 
 // recordRemoteEnd records the end of a call of another host; false when the
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -266,7 +266,7 @@
 			handover = string(value)
 		}
 	}
-	c.observeRateLimit(t, x.Header())
+	c.observeSignal(t, x)
 	return t.readHandover(handover)
 }
 
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -23,8 +23,8 @@
 	attempts     *prometheus.CounterVec
 	latency      *prometheus.HistogramVec
 	addedLatency *prometheus.HistogramVec
-	// malformedRateLimits counts the responses whose rate limit was ignored.
-	malformedRateLimits prometheus.Counter
+	// malformedSignals counts the responses of which a header was ignored.
+	malformedSignals prometheus.Counter
 
 	maxCallers int
 	mu         sync.RWMutex
@@ -58,14 +58,14 @@
 			Help:    "The part of chestnut_request_seconds not spent waiting for upstreams or for admission.",
 			Buckets: addedBuckets,
 		}, []string{"class"}),
-		malformedRateLimits: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "chestnut_malformed_rate_limits_total",
-			Help: "Responses of targets that named a malformed rate limit, which was ignored.",
+		malformedSignals: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "chestnut_malformed_backpressure_headers_total",
+			Help: "Responses of targets with a malformed rate limit or Retry-After, which was ignored.",
 		}),
 		maxCallers: maxCallers,
 		callers:    make(map[string]struct{}),
 	}
-	if err := metric.Register(reg, "proxy", m.requests, m.refusals, m.attempts, m.latency, m.addedLatency, m.malformedRateLimits); err != nil {
+	if err := metric.Register(reg, "proxy", m.requests, m.refusals, m.attempts, m.latency, m.addedLatency, m.malformedSignals); err != nil {
 		return nil, err
 	}
 	return m, nil
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/samber/lo"
 	"github.com/valyala/fasthttp"
 )
 
@@ -189,12 +190,18 @@
 // HeaderValue returns the value of a response header, whatever the case of its
 // name; "" when there is none or name is empty.
 func (x *Exchange) HeaderValue(name string) string {
+	return lo.FirstOrEmpty(x.HeaderValues(name))
+}
+
+// HeaderValues returns all values of a response header, whatever the case of its
+// name.
+func (x *Exchange) HeaderValues(name string) (values []string) {
 	for n, v := range x.resp.Header.All() {
 		if name != "" && strings.EqualFold(string(n), name) {
-			return string(v)
+			values = append(values, string(v))
 		}
 	}
-	return ""
+	return values
 }
 
 // Skip reads to the end of a response that belongs to another request, so
