upstream: a response to another request that never ends is cut off after 4 MiB

Cause: bytes that are no answer may come without end. In a response to another request they were read until the caller's deadline: an order waited 9 s for its 504. Change: skipping such a response fails after 4 MiB; the connection is closed. Ruled out as harmless by tests: endless bytes in place of a response, in a header, a header line, interim responses, a chunk extension, a trailer, and a body without signature; lookups are answered by another target within 2 s and memory stays bounded.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -204,13 +204,20 @@
 	return values
 }
 
+// maxSkippedBytes bounds the body of a response that belongs to another request: a
+// faulty upstream may send one without end.
+const maxSkippedBytes = 4 << 20
+
 // Skip reads to the end of a response that belongs to another request, so
 // that ReadHeader reads the next one. The connection is not reused
 // afterwards.
 func (x *Exchange) Skip() error {
 	x.responseSkipped = true
-	if err := x.DiscardBody(); err != nil {
+	switch n, err := io.Copy(io.Discard, io.LimitReader(x, maxSkippedBytes+1)); {
+	case err != nil:
 		return err
+	case n > maxSkippedBytes:
+		return errors.Wrapf(ErrProtocol, "response to another request exceeds %d bytes", maxSkippedBytes)
 	}
 	_ = x.resp.CloseBodyStream()
 	x.resp.Reset()
