placement, coordinator: pauses outlast a target's absence; requests move to another partition; bounded notices

Cause, found in review: a Retry-After was forgotten when its target was missing from the registry for a moment; requests of a large pool were refused for the limits of one partition while others had room; a target that names another limit with each response caused a log line and seven notices each time. Change: pauses are kept beside the observations; a request that one partition can't take is tried once in another; a limit is logged when it changes by a fifth, and passed on ten times a second at most. The log line of a request has the limit by which its target was chosen (rate_limit).

--- a/backpressure/book.go
+++ b/backpressure/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/maphash"
+	"maps"
 	"sync"
 	"time"
 
@@ -18,8 +19,9 @@
 	maxShardEntries = 1024
 )
 
-// Book holds the latest observation of each target that has asked for less. It is
-// safe for concurrent use.
+// Book holds the latest observation of each target that has asked for less, and the
+// targets that want no request from this host for a while. It is safe for
+// concurrent use.
 type Book struct {
 	seed   maphash.Seed
 	shards [bookShards]bookShard
@@ -28,6 +30,8 @@
 type bookShard struct {
 	mu      sync.Mutex
 	entries map[registry.Instance]Observation
+	// pauses holds until when targets want no request from this host.
+	pauses map[registry.Instance]time.Time
 }
 
 // NewBook returns an empty book.
@@ -35,6 +39,7 @@
 	b := &Book{seed: maphash.MakeSeed()}
 	for i := range b.shards {
 		b.shards[i].entries = map[registry.Instance]Observation{}
+		b.shards[i].pauses = map[registry.Instance]time.Time{}
 	}
 	return b
 }
@@ -74,6 +79,31 @@
 	return o, ok
 }
 
+// Pause records that a target wants no request from this host until a time; false
+// when it said so before for as long or longer.
+func (b *Book) Pause(now time.Time, instance registry.Instance, until time.Time) bool {
+	s := b.shard(instance)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !until.After(s.pauses[instance]) {
+		return false
+	}
+	if len(s.pauses) >= maxShardEntries {
+		maps.DeleteFunc(s.pauses, func(_ registry.Instance, until time.Time) bool { return !now.Before(until) })
+	}
+	s.pauses[instance] = until
+	return true
+}
+
+// PausedUntil returns until when a target wants no request from this host; zero
+// when it never said so.
+func (b *Book) PausedUntil(instance registry.Instance) time.Time {
+	s := b.shard(instance)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pauses[instance]
+}
+
 // makeRoom drops entries that are past their retention and, when the shard is
 // still full, the oldest one. The caller holds the lock.
 func (s *bookShard) makeRoom(now time.Time) {
--- a/backpressure/limiter.go
+++ b/backpressure/limiter.go
@@ -105,6 +105,9 @@
 	return int64(whole), seconds((position - whole) * length.Seconds()), length
 }
 
+// PerSecond returns the limit of all hosts together, in requests a second.
+func (l *Limiter) PerSecond() float64 { return l.perSecond }
+
 // Rate returns the requests a second that a host with this role may send in the
 // long run.
 func (l *Limiter) Rate(role Role) float64 {
--- a/coordinator/backpressure.go
+++ b/coordinator/backpressure.go
@@ -22,6 +22,9 @@
 	// republishInterval is the time between two notices of an unchanged rate
 	// limit from one host, in case an earlier one was lost.
 	republishInterval = 2 * time.Second
+	// minPublishInterval is the time between two notices about one target, which
+	// may name another limit with each response.
+	minPublishInterval = 100 * time.Millisecond
 	// maxKnownLimits is the number of rate limits in a placeResponse.
 	maxKnownLimits = 4
 )
@@ -33,11 +36,17 @@
 type fleet struct {
 	Options
 
-	mu      sync.Mutex
-	ballots *ballots
-	leases  map[roster.Task]*lease
-	// publishedAt is when this host last passed on a target's rate limit.
-	publishedAt map[registry.Instance]time.Time
+	mu           sync.Mutex
+	ballots      *ballots
+	leases       map[roster.Task]*lease
+	publications map[registry.Instance]publication
+}
+
+// publication is when this host last passed on what a target asked for; pending is
+// true when that has changed since.
+type publication struct {
+	at      time.Time
+	pending bool
 }
 
 var _ placement.Fleet = (*fleet)(nil)
@@ -45,7 +54,7 @@
 func newFleet(o Options) *fleet {
 	f := &fleet{
 		Options: o, ballots: newBallots(o.Clock.Now()),
-		leases: map[roster.Task]*lease{}, publishedAt: map[registry.Instance]time.Time{},
+		leases: map[roster.Task]*lease{}, publications: map[registry.Instance]publication{},
 	}
 	o.Node.Handle(kindObservation, f.handleObservation)
 	o.Node.Handle(kindVote, f.handleVote)
@@ -66,17 +75,7 @@
 
 // Observed implements placement.Fleet.
 func (f *fleet) Observed(pool string, partition int, instance registry.Instance, o backpressure.Observation, changed bool) {
-	now := f.Clock.Now()
-	f.mu.Lock()
-	due := changed || now.Sub(f.publishedAt[instance]) >= republishInterval
-	if due {
-		if len(f.publishedAt) >= maxBallots {
-			f.publishedAt = lo.OmitBy(f.publishedAt, func(_ registry.Instance, at time.Time) bool { return now.Sub(at) >= republishInterval })
-		}
-		f.publishedAt[instance] = now
-	}
-	f.mu.Unlock()
-	if !due {
+	if !f.takePublication(f.Clock.Now(), instance, changed) {
 		return
 	}
 	for _, h := range witnessesOf(f.Roster, Task(pool, partition)) {
@@ -86,6 +85,26 @@
 	}
 }
 
+// takePublication reports whether what a target asked for is to be passed on now: at
+// once when it changed, unless it was passed on just before, and now and then
+// otherwise.
+func (f *fleet) takePublication(now time.Time, instance registry.Instance, changed bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	last := f.publications[instance]
+	since := now.Sub(last.at)
+	last.pending = last.pending || changed
+	due := since >= republishInterval || last.pending && since >= minPublishInterval
+	if due {
+		last = publication{at: now}
+	}
+	if len(f.publications) >= maxBallots {
+		f.publications = lo.OmitBy(f.publications, func(_ registry.Instance, p publication) bool { return now.Sub(p.at) >= republishInterval })
+	}
+	f.publications[instance] = last
+	return due
+}
+
 // publish tells one host what is known of a target's rate limit.
 func (f *fleet) publish(h roster.Host, instance registry.Instance, o backpressure.Observation) {
 	if err := f.Node.Notify(h.Addr, kindObservation, newObservationNotice(f.Clock.Now(), instance, o)); err != nil {
--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -86,12 +86,28 @@
 // Pick chooses by what this host knows, without asking a coordinator.
 func (c *Client) Pick(q lb.PickQuery) (lb.Attempt, bool) { return c.Local.Pick(q) }
 
-// Place implements lb.QueueingBalancer.
+// Place implements lb.QueueingBalancer. A request that the targets of one partition
+// can't take is placed in another one.
 func (c *Client) Place(ctx context.Context, q lb.PlaceQuery) (lb.Attempt, *lb.Refusal) {
-	now := c.Clock.Now()
-	if q.Partition == 0 {
-		q.Partition = c.Local.DrawPartition(q.Pool)
+	if q.Partition != 0 {
+		return c.placeInPartition(ctx, q)
+	}
+	q.Partition = c.Local.DrawPartition(q.Pool)
+	a, refusal := c.placeInPartition(ctx, q)
+	if refusal == nil || refusal.Reason != outcome.RateLimited {
+		return a, refusal
+	}
+	other := c.Local.DrawPartition(q.Pool)
+	if other == q.Partition {
+		return nil, refusal
 	}
+	q.Partition = other
+	return c.placeInPartition(ctx, q)
+}
+
+// placeInPartition places a request in its partition of the pool.
+func (c *Client) placeInPartition(ctx context.Context, q lb.PlaceQuery) (lb.Attempt, *lb.Refusal) {
+	now := c.Clock.Now()
 	paused, all := c.Local.PausedTargets(now, q.Pool, q.Partition)
 	// The local balancer knows itself which targets are paused, and until when.
 	local := q
@@ -261,6 +277,7 @@
 	return lb.SelectionBasis{
 		Outstanding: a.response.Outstanding, Slots: a.response.Slots, Slowdown: a.response.Slowdown,
 		Cost: a.response.Cost, Age: hostmsg.Milliseconds(a.response.Age), PlacedBy: a.coordinator.String(),
+		RateLimit: a.response.rateLimit(),
 	}
 }
 
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/chestnutfield/chestnutfield/backpressure"
 	"github.com/chestnutfield/chestnutfield/hostmsg"
 	"github.com/chestnutfield/chestnutfield/lb"
@@ -89,6 +91,13 @@
 	Known []observationNotice
 }
 
+// rateLimit returns the rate limit by which the target of a placed request was
+// chosen, in requests a second; 0 when it names none.
+func (r placeResponse) rateLimit() float64 {
+	n, _ := lo.Find(r.Known, func(n observationNotice) bool { return n.Limited && n.ID == r.Target })
+	return n.PerSecond
+}
+
 func newPlaceResponse(a lb.Attempt, r *lb.Refusal) placeResponse {
 	if r != nil {
 		return placeResponse{State: refused, Reason: r.Reason, RetryAfter: r.RetryAfter.Milliseconds()}
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -55,6 +55,9 @@
 		enc.AddFloat64("slowdown", b.Slowdown)
 		enc.AddDuration("report_age", b.Age)
 		enc.AddFloat64("cost", b.Cost)
+		if b.RateLimit > 0 {
+			enc.AddFloat64("rate_limit", b.RateLimit)
+		}
 		if b.PlacedBy != "" {
 			enc.AddString("placed_by", b.PlacedBy)
 		}
--- a/lb/lb.go
+++ b/lb/lb.go
@@ -166,6 +166,9 @@
 	// targets were compared (lowest wins).
 	Age  time.Duration
 	Cost float64
+	// RateLimit is the limit that the target names, in requests a second; 0 when it
+	// names none.
+	RateLimit float64
 	// PlacedBy is the address of the host that chose, "" for this one.
 	PlacedBy string
 }
--- a/placement/backpressure.go
+++ b/placement/backpressure.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -67,9 +68,13 @@
 		return
 	}
 	until := s.HeardAt.Add(s.RetryAfter)
+	if !b.asked.Pause(s.HeardAt, instance, until) {
+		return
+	}
+	b.opts.Logger.Info("target wants no requests from this host for a while", zap.String("target", instance.ID), zap.Duration("retry_after", s.RetryAfter))
 	for _, ps := range *b.pools.Load() {
-		if p := ps.ofTarget(instance.ID); p != nil && p.pause(instance, until) {
-			b.opts.Logger.Info("target wants no requests from this host for a while", zap.String("target", instance.ID), zap.Duration("retry_after", s.RetryAfter))
+		if p := ps.ofTarget(instance.ID); p != nil {
+			p.pause(instance, until)
 		}
 	}
 }
@@ -84,16 +89,13 @@
 }
 
 // pause keeps this host from a target until a time, after which it gets one
-// request at a time until one succeeds; false when that says nothing new.
-func (p *partition) pause(instance registry.Instance, until time.Time) bool {
+// request at a time until one succeeds.
+func (p *partition) pause(instance registry.Instance, until time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	t, ok := lo.Find(p.targets, func(t *target) bool { return t.Instance == instance })
-	if !ok || !until.After(t.pausedUntil) {
-		return false
+	if t, ok := lo.Find(p.targets, func(t *target) bool { return t.Instance == instance }); ok {
+		t.pausedUntil, t.health.halfOpen = until, true
 	}
-	t.pausedUntil, t.health.halfOpen = until, true
-	return true
 }
 
 // PausedTargets returns the addresses of the targets of a partition that want no
@@ -117,14 +119,17 @@
 // RecordObservation records what a target asked all hosts for. from is the
 // address of the host that reported it, "" when this host saw the response.
 func (b *Balancer) RecordObservation(instance registry.Instance, o backpressure.Observation, from string) {
+	before, _ := b.asked.Lookup(instance)
 	current, changed := b.asked.Record(instance, o)
 	if !changed && !current.Limited {
 		return
 	}
 	if changed {
-		b.logObservation(instance, current, from)
 		b.metrics.recordObservation(instance.ID, current, from)
 	}
+	if changed && worthLogging(before, current) {
+		b.logObservation(instance, current, from)
+	}
 	for pool, ps := range *b.pools.Load() {
 		p := ps.ofTarget(instance.ID)
 		if p == nil || !p.applyObservation(b.opts.Clock.Now(), instance, current) {
@@ -136,6 +141,16 @@
 	}
 }
 
+// minLoggedChange is the least change of a rate limit that is logged, as a part of
+// the former one: a target may name another limit with each response.
+const minLoggedChange = 0.2
+
+// worthLogging reports whether a target asks for something clearly different.
+func worthLogging(before, now backpressure.Observation) bool {
+	return before.Leaving != now.Leaving || before.Limited != now.Limited ||
+		math.Abs(now.PerSecond-before.PerSecond) >= minLoggedChange*before.PerSecond
+}
+
 func (b *Balancer) logObservation(instance registry.Instance, o backpressure.Observation, from string) {
 	message := "target names no rate limit any more"
 	switch {
--- a/placement/partition.go
+++ b/placement/partition.go
@@ -129,7 +129,8 @@
 			k.Target = t
 			return k
 		}
-		added := &target{Target: t}
+		added := &target{Target: t, pausedUntil: asked.PausedUntil(t.Instance)}
+		added.health.halfOpen = now.Before(added.pausedUntil)
 		if o, ok := asked.Lookup(t.Instance); ok {
 			p.applyRateLimit(now, added, o)
 		}
@@ -201,6 +202,9 @@
 		slots: max(t.Slots, 1), cold: now.Before(t.WarmupEnd),
 		crossDomain: t.FailureDomain != domain, failureRate: t.health.failureRate, outstanding: t.inFlight,
 	}
+	if t.limiter != nil {
+		v.rateLimit = t.limiter.PerSecond()
+	}
 	v.reportAge = maxReportAge
 	if !t.reportAt.IsZero() {
 		v.reportAge = min(now.Sub(t.reportAt), maxReportAge)
@@ -276,7 +280,7 @@
 // holds the lock.
 func (p *partition) slotsLocked(now time.Time) int {
 	return lo.SumBy(p.targets, func(t *target) int {
-		if !t.health.available(now, t.inFlight) {
+		if now.Before(t.pausedUntil) || !t.health.available(now, t.inFlight) {
 			return 0
 		}
 		slots := max(t.Slots, 1)
--- a/placement/target_state.go
+++ b/placement/target_state.go
@@ -45,6 +45,9 @@
 	failureRate float64
 	// reportAge is the age of the load report.
 	reportAge time.Duration
+	// rateLimit is the limit that the target names, in requests a second; 0 when it
+	// names none.
+	rateLimit float64
 }
 
 // hasFreeSlot reports whether a request would find a free slot.
@@ -57,7 +60,7 @@
 }
 
 func (s targetState) basis() lb.SelectionBasis {
-	return lb.SelectionBasis{Outstanding: s.outstanding, Slots: s.slots, Slowdown: s.slowdown, Age: s.reportAge, Cost: s.cost()}
+	return lb.SelectionBasis{Outstanding: s.outstanding, Slots: s.slots, Slowdown: s.slowdown, Age: s.reportAge, Cost: s.cost(), RateLimit: s.rateLimit}
 }
 
 // durationFactor is the expected time of a request in multiples of the usual
