storesync: hosts that read the store around a restore agree again

Cause, found by a model test that draws writes, copies, restores, readings, syncs and restarts: (1) a host that read the store between the reader's last reading of one era and its first of the next was sent changes since a version that the reader had never held, and kept or lacked targets for good; (2) a target whose removal reached a host after the restore was taken up again from the copy; (3) an entry of the copy that a starting host had read and the reader knew better was contradicted only while the copy still had it. Change: a version between two eras' readings gets the whole registry; any removal is remembered once the store was restored; what the reader contradicts counts as changed in the first reading that agrees, too.

--- a/registry/target_tracker.go
+++ b/registry/target_tracker.go
@@ -28,9 +28,6 @@
 type goneTarget struct {
 	Entry
 	at time.Time
-	// restoredSince is true when the store was restored after the removal, so that
-	// an entry that is no newer is from the older copy.
-	restoredSince bool
 }
 
 // trackedTarget is the state of one target in a TargetTracker.
@@ -47,6 +44,9 @@
 type TargetTracker struct {
 	targets map[string]*trackedTarget
 	gone    map[string]goneTarget
+	// restored is true once the store was restored from an older copy: an entry of
+	// a target that has gone may then be from the copy.
+	restored bool
 	// lastListing is the time of the last listing, readableSince that of the
 	// first one after a gap.
 	lastListing   time.Time
@@ -65,18 +65,14 @@
 // listing made at now. Entries may be missing from the copy until their targets
 // write them again, and it may hold those of targets that have gone.
 func (tr *TargetTracker) StoreRestored(now time.Time) {
-	tr.readableSince = now
-	for id, g := range tr.gone {
-		g.restoredSince = true
-		tr.gone[id] = g
-	}
+	tr.readableSince, tr.restored = now, true
 }
 
 // Outdated reports whether an entry is from an older copy of the store: its
 // target has gone and has not written since.
 func (tr *TargetTracker) Outdated(e Entry) bool {
 	g, ok := tr.gone[e.ID]
-	return ok && g.restoredSince && !g.Older(e)
+	return ok && tr.restored && !g.Older(e)
 }
 
 // remove removes a target and remembers it.
--- a/storesync/registry.go
+++ b/storesync/registry.go
@@ -164,8 +164,7 @@
 	defer f.mu.Unlock()
 	f.noteEra(began, r.Version)
 	outdated, entries := lo.FilterReject(r.Entries, func(e registry.Entry, _ int) bool { return f.tracker.Outdated(e) })
-	f.registry.replace(r.Version, began, entries)
-	f.registry.withhold(lo.Map(outdated, func(e registry.Entry, _ int) string { return e.ID }))
+	f.registry.replace(r.Version, began, entries, lo.Map(outdated, func(e registry.Entry, _ int) string { return e.ID })...)
 	f.applyChanges(f.tracker.ApplyListing(began, entries))
 }
 
--- a/storesync/registry_state.go
+++ b/storesync/registry_state.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/chestnutfield/chestnutfield/registry"
 )
 
@@ -27,28 +29,43 @@
 	// changed maps each entry, removed ones included, to the version of its last
 	// change.
 	changed map[string]uint64
+	// contradicted holds the entries of the last reading that this host knows
+	// better.
+	contradicted map[string]struct{}
+	// gaps are the versions between the last reading of an era and the first one of
+	// the next: what another host read there is unknown here.
+	gaps []versionGap
 }
 
+// versionGap is the range of versions between two readings of different eras, both
+// excluded.
+type versionGap struct{ from, to uint64 }
+
+// maxGaps is the number of eras that are remembered.
+const maxGaps = 16
+
 func newRegistryState() *registryState {
 	return &registryState{entries: map[string]registry.Entry{}, changed: map[string]uint64{}}
 }
 
 // replace sets the state to a complete reading. Readings and entries older than
-// those already held are ignored; the latter count as changed, since another host
-// may have read them from a restored store.
-func (s *registryState) replace(version uint64, at time.Time, entries []registry.Entry) {
+// those already held are ignored. outdated holds the IDs of entries that were read
+// and left out. What another host may have read and this one knows better counts
+// as changed in this reading, and once more in the first reading that agrees.
+func (s *registryState) replace(version uint64, at time.Time, entries []registry.Entry, outdated ...string) {
 	if version < s.version {
 		return
 	}
 	if s.firstVersion == 0 {
 		s.firstVersion = version
 	}
+	contradicted := lo.Keyify(outdated)
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
 		before, known := s.entries[e.ID]
 		if known && e.Older(before) {
-			s.changed[e.ID] = version
+			contradicted[e.ID] = struct{}{}
 			continue
 		}
 		s.entries[e.ID] = e
@@ -56,21 +73,26 @@
 			s.changed[e.ID] = version
 		}
 	}
+	for id := range lo.Assign(s.contradicted, contradicted) {
+		s.changed[id] = version
+	}
+	s.contradicted = contradicted
 	for id := range s.entries {
 		if !listed[id] {
 			delete(s.entries, id)
 			s.changed[id] = version
 		}
 	}
-	s.version, s.readAt = version, at
+	s.setVersion(version, at)
 }
 
-// withhold counts entries that a reading held and this host leaves out as removed
-// at the present version: another host may have read them.
-func (s *registryState) withhold(ids []string) {
-	for _, id := range ids {
-		s.changed[id] = s.version
+// setVersion sets the version and the time of the last reading.
+func (s *registryState) setVersion(version uint64, at time.Time) {
+	if s.version != 0 && Era(version) != Era(s.version) {
+		s.gaps = append(s.gaps, versionGap{from: s.version, to: version})
+		s.gaps = s.gaps[max(len(s.gaps)-maxGaps, 0):]
 	}
+	s.version, s.readAt = version, at
 }
 
 // equivalent reports whether two entries of a target differ at most in Sequence
@@ -81,9 +103,10 @@
 }
 
 // since returns the entries changed and the IDs removed after a version; ok is
-// false when the version is older than the first reading.
+// false when the version is older than the first reading or in a gap.
 func (s *registryState) since(version uint64) (changed []registry.Entry, removed []string, ok bool) {
-	if s.firstVersion == 0 || version < s.firstVersion {
+	inGap := func(g versionGap) bool { return version > g.from && version < g.to }
+	if s.firstVersion == 0 || version < s.firstVersion || slices.ContainsFunc(s.gaps, inGap) {
 		return nil, nil, false
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.changed)) {
@@ -106,7 +129,7 @@
 		return
 	}
 	if len(changed)+len(removed) == 0 {
-		s.version, s.readAt = version, at
+		s.setVersion(version, at)
 		return
 	}
 	entries := maps.Clone(s.entries)
