coordinator: the leases of all partitions are renewed at the same time

Cause, found in review: one partition after the other; a witness that does not respond costs 0.1 s a partition, so that a host that coordinates nine of them would have lost leases of 0.9 s to one dead witness. Change: all at once. The wording of three log lines; a constant with its own name.

--- a/coordinator/backpressure.go
+++ b/coordinator/backpressure.go
@@ -98,24 +98,24 @@
 	if due {
 		last = publication{at: now}
 	}
-	if len(f.publications) >= maxBallots {
+	if len(f.publications) >= maxRemembered {
 		f.publications = lo.OmitBy(f.publications, func(_ registry.Instance, p publication) bool { return now.Sub(p.at) >= republishInterval })
 	}
 	f.publications[instance] = last
 	return due
 }
 
-// publish tells one host what is known of a target's rate limit.
+// publish tells one host what a target asked for.
 func (f *fleet) publish(h roster.Host, instance registry.Instance, o backpressure.Observation) {
 	if err := f.Node.Notify(h.Addr, kindObservation, newObservationNotice(f.Clock.Now(), instance, o)); err != nil {
-		f.Logger.Debug("rate limit of a target not passed on; it is sent again with a later response", zap.String("to", h.Name), zap.String("target", instance.ID), zap.Error(err))
+		f.Logger.Debug("what a target asked for was not passed on; it is sent again with a later response", zap.String("to", h.Name), zap.String("target", instance.ID), zap.Error(err))
 	}
 }
 
 func (f *fleet) handleObservation(m hostmsg.Message) {
 	var n observationNotice
 	if err := m.Decode(&n); err != nil {
-		f.Logger.Debug("malformed notice of a rate limit dropped", zap.Stringer("from", m.From), zap.Error(err))
+		f.Logger.Debug("malformed notice of what a target asked for dropped", zap.Stringer("from", m.From), zap.Error(err))
 		return
 	}
 	f.Local.RecordObservation(n.instance(), n.observation(f.Clock.Now()), m.From.String())
@@ -152,26 +152,34 @@
 // have a target with a rate limit; the leases of others lapse.
 func (f *fleet) renew(ctx context.Context) {
 	self := f.Roster.Self().Name
-	wanted := map[roster.Task]placement.PartitionID{}
+	wanted := map[roster.Task]bool{}
 	for _, id := range f.Local.RateLimitedPartitions() {
 		task := Task(id.Pool, id.Number)
 		if f.Roster.Rank(f.Clock.Now(), task)[0].Name == self {
-			wanted[task] = id
+			wanted[task] = true
 		}
 	}
 	f.dropLapsed(wanted)
-	var votes sync.WaitGroup
+	var renewals sync.WaitGroup
 	for task := range wanted {
-		before := f.held(task)
-		for _, h := range witnessesOf(f.Roster, task) {
-			votes.Go(func() { f.requestVote(ctx, h, task) })
-		}
-		votes.Wait()
-		if now := f.held(task); now != before {
-			f.Logger.Info(lo.Ternary(now, "lease of a partition's rate limits acquired; this host sends within all but a small part of them",
-				"lease of a partition's rate limits lost; this host sends within its share of the small part"),
-				zap.String("partition", task.Name), zap.Int("hosts", f.Roster.Count()))
-		}
+		renewals.Go(func() { f.renewLease(ctx, task) })
+	}
+	renewals.Wait()
+}
+
+// renewLease asks the witnesses of one partition for their votes.
+func (f *fleet) renewLease(ctx context.Context, task roster.Task) {
+	before := f.held(task)
+	var votes sync.WaitGroup
+	for _, h := range witnessesOf(f.Roster, task) {
+		votes.Go(func() { f.requestVote(ctx, h, task) })
+	}
+	votes.Wait()
+	switch now := f.held(task); {
+	case now && !before:
+		f.Logger.Info("lease of a partition's rate limits acquired; this host sends within all but a small part of them", zap.String("partition", task.Name), zap.Int("hosts", f.Roster.Count()))
+	case before && !now:
+		f.Logger.Info("lease of a partition's rate limits lost; this host sends within its share of the small part", zap.String("partition", task.Name), zap.Int("hosts", f.Roster.Count()))
 	}
 }
 
@@ -183,11 +191,11 @@
 }
 
 // dropLapsed forgets the leases that are neither wanted nor held any more.
-func (f *fleet) dropLapsed(wanted map[roster.Task]placement.PartitionID) {
+func (f *fleet) dropLapsed(wanted map[roster.Task]bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for task, l := range f.leases {
-		if _, keep := wanted[task]; !keep && l.check(f.Clock.Now(), witnessesOf(f.Roster, task)).IsZero() {
+		if !wanted[task] && l.check(f.Clock.Now(), witnessesOf(f.Roster, task)).IsZero() {
 			delete(f.leases, task)
 		}
 	}
--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -43,16 +43,16 @@
 	if now.Sub(b.startedAt) < leaseDuration || now.Before(current.until) && current.candidate != candidate {
 		return false
 	}
-	if len(b.votes) >= maxBallots {
+	if len(b.votes) >= maxRemembered {
 		b.votes = lo.OmitBy(b.votes, func(_ roster.Task, v ballot) bool { return !now.Before(v.until) })
 	}
 	b.votes[task] = ballot{candidate: candidate, until: now.Add(leaseDuration)}
 	return true
 }
 
-// maxBallots is the number of votes from which those that have expired are
-// dropped.
-const maxBallots = 4096
+// maxRemembered is the number of votes, or of targets that asked for less, from
+// which those that have expired are dropped.
+const maxRemembered = 4096
 
 // lease is a candidate's view of the lease of one partition. It does no I/O and
 // reads no clock.
