upstream: a late second copy of a response reaches no other caller of chestnutd

Cause: responses to chestnutd name no request, so a copy that arrives on a connection in use again is taken for the response to the next request. In a test with a target that repeats each response 0 to 5 ms late, 22 of 300 lookups got another's response. Change: until a target has shown five times that its connections stay silent for 10 ms, one is reused only after that time; once it sent unasked, its connections serve one request each for a minute. The gateway, whose targets repeat the request's ID, and peers reuse at once as before. Ruled out: waiting before each reuse (10 ms a request); closing every connection (1 ms).

--- a/host/forwarding.go
+++ b/host/forwarding.go
@@ -149,7 +149,7 @@
 		Registerer: withSideLabel(do.MustInvoke[*prometheus.Registry](i), "callers"),
 		Logger:     do.MustInvoke[*zap.Logger](i).Named("callers"),
 		Limits:     callerServerLimits(s),
-		Upstream:   upstream.Options{Dial: do.MustInvoke[Options](i).Dial, PeerTLS: clientTLS(peersTLS)},
+		Upstream:   upstream.Options{Dial: do.MustInvoke[Options](i).Dial, PeerTLS: clientTLS(peersTLS), QuietReuses: upstream.DefaultQuietReuses},
 		PeerToken:  s.Peers.Token,
 	})
 	return callerServer{server}, err
@@ -167,7 +167,7 @@
 		Registerer: withSideLabel(do.MustInvoke[*prometheus.Registry](i), "peers"),
 		Logger:     do.MustInvoke[*zap.Logger](i).Named("peers"),
 		Limits:     peerServerLimits(s),
-		Upstream:   upstream.Options{Dial: do.MustInvoke[Options](i).Dial},
+		Upstream:   upstream.Options{Dial: do.MustInvoke[Options](i).Dial, QuietReuses: upstream.DefaultQuietReuses},
 		PeerServer: &proxy.PeerServerOptions{Token: s.Peers.Token, Load: meter.GroupLoadHeader},
 	})
 	return peerServer{server}, err
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -27,6 +27,7 @@
 	DefaultIdleTimeout          = 30 * time.Second
 	DefaultNonIdempotentMaxIdle = time.Second
 	DefaultHeaderBytes          = 16 << 10
+	DefaultQuietReuses          = 5
 )
 
 // Options configures a Client. Zero values select the defaults.
@@ -41,6 +42,11 @@
 	NonIdempotentMaxIdle time.Duration
 	// HeaderBytes bounds the header of a response.
 	HeaderBytes int
+	// QuietReuses is the number of connections of a target that have to stay silent
+	// for quietPeriod after a response before its connections are reused sooner
+	// than that; 0 reuses them at once. Needed where responses don't name their
+	// request.
+	QuietReuses int
 	// PeerTLS is the TLS configuration of connections to peers; nil selects
 	// plain TCP. Peers must not send session tickets: a connection that
 	// receives any record while idle is not reused.
@@ -116,7 +122,11 @@
 	if !o.Idempotent {
 		maxIdle = min(maxIdle, c.opts.NonIdempotentMaxIdle)
 	}
-	cn, ok := t.acquire(now, maxIdle, max(1, o.Limit))
+	quietReuses := c.opts.QuietReuses
+	if o.Peer {
+		quietReuses = 0
+	}
+	cn, ok := t.acquire(now, maxIdle, max(1, o.Limit), quietReuses)
 	if !ok {
 		return nil, ErrConnectionLimit
 	}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -83,6 +83,19 @@
 	return cn.peeked == peekEmpty
 }
 
+// hasUnreadBytes reports whether bytes arrived on a connection that is not usable,
+// other than the end of the stream. The connection can't be used afterwards.
+func (cn *conn) hasUnreadBytes() bool {
+	if err := cn.nc.SetReadDeadline(time.Now().Add(unreadWait)); err != nil {
+		return false
+	}
+	_, err := cn.br.Peek(1)
+	return err == nil
+}
+
+// unreadWait bounds the reading of a byte that has already arrived.
+const unreadWait = time.Millisecond
+
 // discard closes the connection and stops counting it.
 func (cn *conn) discard() {
 	cn.nc.Close()
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -266,6 +266,9 @@
 	cancelled := !x.state.CompareAndSwap(exchangeOpen, exchangeEnded)
 	cn := x.conn
 	keep := !cancelled && !x.responseSkipped && x.requestSent && x.bodyDone && !x.resp.Header.ConnectionClose() && cn.br.Buffered() == 0
+	if cn.br.Buffered() > 0 && x.bodyDone {
+		cn.target.recordUnsolicited(x.client.opts.Clock.Now())
+	}
 	_ = x.resp.CloseBodyStream()
 	if limit, ok := keepAlive(&x.resp.Header); ok {
 		cn.idleLimit = limit
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -16,17 +17,24 @@
 	idle []*conn
 	// open counts idle, busy and opening connections.
 	open int
+	// trust decides how soon idle connections are reused.
+	trust trust
 }
 
 // acquire returns a usable idle connection, or nil after counting a new one
-// that the caller is to open. ok is false when the limit is reached.
-func (t *target) acquire(now time.Time, maxIdle time.Duration, limit int) (cn *conn, ok bool) {
+// that the caller is to open. ok is false when the limit is reached. quietReuses is
+// Options.QuietReuses.
+func (t *target) acquire(now time.Time, maxIdle time.Duration, limit, quietReuses int) (cn *conn, ok bool) {
 	for {
-		cn, ok = t.popIdle(now, maxIdle, limit)
+		cn, ok = t.popIdle(now, maxIdle, limit, quietReuses)
 		if cn == nil {
 			return nil, ok
 		}
-		if cn.isUsable() {
+		usable := cn.isUsable()
+		if quietReuses > 0 {
+			t.recordReuse(now, now.Sub(cn.idleSince), usable, !usable && cn.hasUnreadBytes())
+		}
+		if usable {
 			return cn, true
 		}
 		cn.discard()
@@ -34,15 +42,22 @@
 }
 
 // popIdle is like acquire, but does not check the socket of the connection.
-func (t *target) popIdle(now time.Time, maxIdle time.Duration, limit int) (cn *conn, ok bool) {
+func (t *target) popIdle(now time.Time, maxIdle time.Duration, limit, quietReuses int) (cn *conn, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if n := len(t.idle); n > 0 {
-		last := t.idle[n-1]
-		if idle := now.Sub(last.idleSince); idle <= maxIdle && !last.idleLimitExceeded(idle) {
-			t.idle[n-1] = nil
-			t.idle = t.idle[:n-1]
-			return last, true
+		// Until the target is trusted, the connection that was idle longest is the
+		// one that has been silent for long enough, if any.
+		i := n - 1
+		if quietReuses > 0 && !t.trust.atOnce(now, quietReuses) {
+			i = 0
+		}
+		next := t.idle[i]
+		idle := now.Sub(next.idleSince)
+		fresh := idle <= maxIdle && !next.idleLimitExceeded(idle)
+		if fresh && (quietReuses <= 0 || t.trust.mayReuse(now, idle, quietReuses)) {
+			t.idle = slices.Delete(t.idle, i, i+1)
+			return next, true
 		}
 		if t.open >= limit {
 			t.closeOldest()
@@ -55,6 +70,25 @@
 	return nil, true
 }
 
+// recordReuse records how an idle connection was found when it was to be reused.
+func (t *target) recordReuse(now time.Time, idle time.Duration, usable, unsolicited bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case unsolicited:
+		t.trust.distrust(now)
+	case usable && idle >= quietPeriod:
+		t.trust.quiet++
+	}
+}
+
+// recordUnsolicited records that the target sent bytes that no request asked for.
+func (t *target) recordUnsolicited(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.trust.distrust(now)
+}
+
 // closeOldest closes the connection that was idle longest, so that a new one
 // can be opened. The caller holds the lock.
 func (t *target) closeOldest() {
