upstream: orders avoid connections that the target closes without notice

Cause: an order written to a connection that its target is closing is lost, and stays unknown. Change: a target that closed an idle connection within a second, without notice, gets each order on a new connection for a minute; until a target is trusted, a connection is reused only after 10 ms of silence, by which time such a close has arrived. Only where the rule for second copies holds: chestnutd, not the gateway, whose orders have new connections anyway.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -118,15 +118,7 @@
 func (c *Client) Open(ctx context.Context, o OpenOptions) (*Exchange, error) {
 	t := c.target(o.Target)
 	now := c.opts.Clock.Now()
-	maxIdle := c.opts.IdleTimeout
-	if !o.Idempotent {
-		maxIdle = min(maxIdle, c.opts.NonIdempotentMaxIdle)
-	}
-	quietReuses := c.opts.QuietReuses
-	if o.Peer {
-		quietReuses = 0
-	}
-	cn, ok := t.acquire(now, maxIdle, max(1, o.Limit), quietReuses)
+	cn, ok := t.acquire(now, c.reuseRules(o))
 	if !ok {
 		return nil, ErrConnectionLimit
 	}
@@ -144,6 +136,18 @@
 	return newExchange(c, cn), nil
 }
 
+// reuseRules returns the rules for the connection of an exchange.
+func (c *Client) reuseRules(o OpenOptions) reuseRules {
+	r := reuseRules{maxIdle: c.opts.IdleTimeout, limit: max(1, o.Limit), quietReuses: c.opts.QuietReuses, idempotent: o.Idempotent}
+	if !o.Idempotent {
+		r.maxIdle = min(r.maxIdle, c.opts.NonIdempotentMaxIdle)
+	}
+	if o.Peer {
+		r.quietReuses = 0
+	}
+	return r
+}
+
 func (c *Client) dial(ctx context.Context, t *target, o OpenOptions) (*conn, error) {
 	nc, err := c.open(ctx, t.addr.String(), o.Deadline)
 	if err != nil {
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -21,17 +21,26 @@
 	trust trust
 }
 
+// reuseRules say which idle connection an exchange may use.
+type reuseRules struct {
+	maxIdle time.Duration
+	// limit is this host's share of the target's connections.
+	limit int
+	// quietReuses is Options.QuietReuses.
+	quietReuses int
+	idempotent  bool
+}
+
 // acquire returns a usable idle connection, or nil after counting a new one
-// that the caller is to open. ok is false when the limit is reached. quietReuses is
-// Options.QuietReuses.
-func (t *target) acquire(now time.Time, maxIdle time.Duration, limit, quietReuses int) (cn *conn, ok bool) {
+// that the caller is to open. ok is false when the limit is reached.
+func (t *target) acquire(now time.Time, r reuseRules) (cn *conn, ok bool) {
 	for {
-		cn, ok = t.popIdle(now, maxIdle, limit, quietReuses)
+		cn, ok = t.popIdle(now, r)
 		if cn == nil {
 			return nil, ok
 		}
 		usable := cn.isUsable()
-		if quietReuses > 0 {
+		if r.quietReuses > 0 {
 			t.recordReuse(now, now.Sub(cn.idleSince), usable, !usable && cn.hasUnreadBytes())
 		}
 		if usable {
@@ -42,34 +51,42 @@
 }
 
 // popIdle is like acquire, but does not check the socket of the connection.
-func (t *target) popIdle(now time.Time, maxIdle time.Duration, limit, quietReuses int) (cn *conn, ok bool) {
+func (t *target) popIdle(now time.Time, r reuseRules) (cn *conn, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if n := len(t.idle); n > 0 {
-		// Until the target is trusted, the connection that was idle longest is the
-		// one that has been silent for long enough, if any.
-		i := n - 1
-		if quietReuses > 0 && !t.trust.atOnce(now, quietReuses) {
-			i = 0
-		}
-		next := t.idle[i]
-		idle := now.Sub(next.idleSince)
-		fresh := idle <= maxIdle && !next.idleLimitExceeded(idle)
-		if fresh && (quietReuses <= 0 || t.trust.mayReuse(now, idle, quietReuses)) {
-			t.idle = slices.Delete(t.idle, i, i+1)
-			return next, true
-		}
-		if t.open >= limit {
-			t.closeOldest()
-		}
+	if i := t.reusable(now, r); i >= 0 {
+		cn = t.idle[i]
+		t.idle = slices.Delete(t.idle, i, i+1)
+		return cn, true
+	}
+	if len(t.idle) > 0 && t.open >= r.limit {
+		t.closeOldest()
 	}
-	if t.open >= limit {
+	if t.open >= r.limit {
 		return nil, false
 	}
 	t.open++
 	return nil, true
 }
 
+// reusable returns the index of an idle connection that an exchange may use, -1 when
+// there is none: the one that was used last or, until the target is trusted, the one
+// that was silent for longest. The caller holds the lock.
+func (t *target) reusable(now time.Time, r reuseRules) int {
+	mayReuse := func(cn *conn) bool {
+		idle := now.Sub(cn.idleSince)
+		return idle <= r.maxIdle && !cn.idleLimitExceeded(idle) && (r.quietReuses <= 0 || t.trust.mayReuse(now, idle, r))
+	}
+	last := len(t.idle) - 1
+	if r.quietReuses > 0 && t.trust.quiet < r.quietReuses {
+		return slices.IndexFunc(t.idle, mayReuse)
+	}
+	if last >= 0 && mayReuse(t.idle[last]) {
+		return last
+	}
+	return -1
+}
+
 // recordReuse records how an idle connection was found when it was to be reused.
 func (t *target) recordReuse(now time.Time, idle time.Duration, usable, unsolicited bool) {
 	t.mu.Lock()
@@ -77,6 +94,8 @@
 	switch {
 	case unsolicited:
 		t.trust.distrust(now)
+	case !usable && idle <= DefaultNonIdempotentMaxIdle:
+		t.trust.recordClose(now)
 	case usable && idle >= quietPeriod:
 		t.trust.quiet++
 	}
--- a/upstream/trust.go
+++ b/upstream/trust.go
@@ -7,7 +7,8 @@
 	// unasked usually does so.
 	quietPeriod = 10 * time.Millisecond
 	// distrustPeriod is the time for which each connection of a target that sent
-	// unasked serves one request.
+	// unasked serves one request, and for which requests that are not idempotent
+	// get new connections to a target that closes them without notice.
 	distrustPeriod = time.Minute
 )
 
@@ -21,18 +22,24 @@
 	// quiet counts the connections that were silent for quietPeriod.
 	quiet           int
 	distrustedUntil time.Time
-}
-
-// atOnce reports whether connections may be reused whatever their idle time.
-func (t *trust) atOnce(now time.Time, quietReuses int) bool {
-	return t.quiet >= quietReuses && !now.Before(t.distrustedUntil)
+	// closesUntil is until when the target counts as one that closes connections
+	// shortly after a response without notice.
+	closesUntil time.Time
 }
 
 // mayReuse reports whether a connection may be reused after an idle time.
-func (t *trust) mayReuse(now time.Time, idle time.Duration, quietReuses int) bool {
-	return !now.Before(t.distrustedUntil) && (idle >= quietPeriod || t.quiet >= quietReuses)
+func (t *trust) mayReuse(now time.Time, idle time.Duration, r reuseRules) bool {
+	if now.Before(t.distrustedUntil) || !r.idempotent && now.Before(t.closesUntil) {
+		return false
+	}
+	return idle >= quietPeriod || t.quiet >= r.quietReuses
 }
 
+// recordClose records that the target closed an idle connection without notice: a
+// request that is written at that moment is lost, and one that is not idempotent is
+// not sent again.
+func (t *trust) recordClose(now time.Time) { t.quiet, t.closesUntil = 0, now.Add(distrustPeriod) }
+
 // distrust records that the target sent bytes that no request asked for.
 func (t *trust) distrust(now time.Time) {
 	t.quiet, t.distrustedUntil = 0, now.Add(distrustPeriod)
--- a/upstream/unsolicited_test.go
+++ b/upstream/unsolicited_test.go
@@ -58,8 +58,10 @@
 
 // ask sends the next request, checks that its response is its own, and reports
 // whether it was sent on a reused connection.
-func (s *repeatingTarget) ask(g *WithT, client *Client) (reused bool) {
-	x, err := client.Open(context.Background(), OpenOptions{Target: s.addr, Limit: 20, Deadline: time.Now().Add(longDeadline), Idempotent: true})
+func (s *repeatingTarget) ask(g *WithT, client *Client) (reused bool) { return s.send(g, client, true) }
+
+func (s *repeatingTarget) send(g *WithT, client *Client, idempotent bool) (reused bool) {
+	x, err := client.Open(context.Background(), OpenOptions{Target: s.addr, Limit: 20, Deadline: time.Now().Add(longDeadline), Idempotent: idempotent})
 	g.Expect(err).NotTo(HaveOccurred())
 	defer x.Close()
 	s.count++
@@ -112,3 +114,32 @@
 	}
 	g.Expect(target.conns).To(HaveLen(1))
 }
+
+// TestOrdersAvoidConnectionsThatTheTargetCloses guards against orders that are lost
+// because a target closes its connections shortly after a response, without notice.
+func TestOrdersAvoidConnectionsThatTheTargetCloses(t *testing.T) {
+	g := NewWithT(t)
+	clock, target := clockwork.NewFakeClock(), newRepeatingTarget(t)
+	client := New(Options{QuietReuses: DefaultQuietReuses, Clock: clock})
+	order := func() bool { return target.send(g, client, false) }
+	order()
+	g.Expect(order()).To(BeFalse(), "the close may be on its way")
+	clock.Advance(quietPeriod)
+	g.Expect(order()).To(BeTrue(), "it was open for long enough")
+	for range 2 {
+		g.Expect((<-target.conns).Close()).To(Succeed())
+	}
+	for _, idle := range client.target(target.addr).idle {
+		g.Eventually(idle.isUsable).WithTimeout(20*time.Second).Should(BeFalse(), "the close has arrived")
+	}
+	clock.Advance(quietPeriod)
+	for range 3 * DefaultQuietReuses {
+		g.Expect(order()).To(BeFalse(), "the target closes connections")
+		clock.Advance(quietPeriod)
+	}
+	g.Expect(target.ask(g, client)).To(BeTrue(), "an idempotent request may be sent again")
+	clock.Advance(distrustPeriod)
+	order()
+	clock.Advance(quietPeriod)
+	g.Expect(order()).To(BeTrue())
+}
