--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -61,6 +61,7 @@
 // namedLimit is a rate limit that an upstream named.
 type namedLimit struct {
 	upstream  string
+	startedAt time.Time
 	perSecond float64
 	from, to  time.Time
 }
--- a/lab/soak/events.go
+++ b/lab/soak/events.go
@@ -216,7 +216,7 @@
 // to be judged.
 func (d *Deployment) limitUpstream(e Event) {
 	u := d.pickUpstream(e.Selector)
-	limit := namedLimit{upstream: u.server.ID, perSecond: minRateLimit + float64(e.Selector%5), from: time.Now()}
+	limit := namedLimit{upstream: u.server.ID, startedAt: u.server.StartedAt, perSecond: minRateLimit + float64(e.Selector%5), from: time.Now()}
 	limited := false
 	u.server.UpdateBehavior(func(b *fakeupstream.Behavior) {
 		limited = b.RateLimit > 0
--- a/lab/soak/verify_backpressure.go
+++ b/lab/soak/verify_backpressure.go
@@ -27,7 +27,7 @@
 	for _, l := range v.limits {
 		var counted []time.Time
 		for _, a := range arrivals {
-			judged := a.Upstream == l.upstream && a.At.After(l.from.Add(bounds.settleTime)) && a.At.Before(l.to)
+			judged := a.Upstream == l.upstream && a.StartedAt.Equal(l.startedAt) && a.At.After(l.from.Add(bounds.settleTime)) && a.At.Before(l.to)
 			if judged && !v.interrupted(v.hostByRequest[a.Request], l.from, a.At) {
 				counted = append(counted, a.At)
 			}
@@ -47,8 +47,14 @@
 // leaves, after bounds.drainPropagation, and next to nothing to one that told it to
 // retry later.
 func (v *verifier) verifyPauses() {
-	type pair struct{ host, upstream string }
-	byPair := lo.GroupBy(v.record.Arrivals(), func(a fakeupstream.Arrival) pair { return pair{v.hostByRequest[a.Request], a.Upstream} })
+	// An upstream that restarts under its name has told nobody anything.
+	type pair struct {
+		host, upstream string
+		startedAt      time.Time
+	}
+	byPair := lo.GroupBy(v.record.Arrivals(), func(a fakeupstream.Arrival) pair {
+		return pair{v.hostByRequest[a.Request], a.Upstream, a.StartedAt}
+	})
 	endedAt := map[string]time.Time{}
 	for _, s := range v.results {
 		if s.Status != 0 {
