--- a/proxy/backpressure.go
+++ b/proxy/backpressure.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"time"
+
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
@@ -8,6 +10,10 @@
 	"github.com/chestnutfield/chestnutfield/upstream"
 )
 
+// malformedLogInterval is the time between two log lines about malformed headers
+// of targets.
+const malformedLogInterval = 10 * time.Second
+
 // observeSignal tells the balancer what a response says about the requests that
 // its target takes. Only a response to a request that ran shows that there is no
 // rate limit: what sits in front of a target may answer a refusal in its place.
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
+	"github.com/chestnutfield/chestnutfield/internal/logging"
 	"github.com/chestnutfield/chestnutfield/internal/token"
 	"github.com/chestnutfield/chestnutfield/outcome"
 	"github.com/chestnutfield/chestnutfield/router"
@@ -47,10 +48,6 @@
 	malformedLog rate.Sometimes
 }
 
-// malformedLogInterval is the time between two log lines about malformed headers
-// of targets.
-const malformedLogInterval = 10 * time.Second
-
 // New returns a Server that is ready to Serve.
 func New(opts Options) (*Server, error) {
 	opts, err := opts.withDefaults()
@@ -115,7 +112,8 @@
 		ReadTimeout:                  s.limits.HeaderTimeout,
 		IdleTimeout:                  s.limits.IdleTimeout,
 		MaxRequestBodySize:           prefetchBytes,
-		Logger:                       discardLogger{},
+		// The proxy counts the same events in its metrics.
+		Logger: logging.Discard{},
 	}
 }
 
@@ -124,13 +122,6 @@
 // deadline.
 const prefetchBytes = 1
 
-// discardLogger drops the HTTP server's log lines; the proxy counts the same
-// events in its metrics.
-type discardLogger struct{}
-
-// Printf drops a line.
-func (discardLogger) Printf(string, ...any) {}
-
 // fiberRoutes reports whether fiber passes the request to the handler. It
 // answers other requests itself, so they must bypass it.
 func fiberRoutes(ctx *fasthttp.RequestCtx) bool {
