coordinator: what is known of rate limits goes in a message of its own

Cause, found in review: the response to a placement had gained a field, and messages are arrays of fixed length, so that in a rolling upgrade each host would have rejected the responses of the other version's coordinators. Change: the response is as it was; a notice before it carries what the coordinator knows. A host that doesn't get the notice and knows a limit asks again, as with a coordinator that doesn't know it. Tests: coordinator and platform pass; formats of all earlier messages are unchanged (diff of coordinator/message.go adds only).

--- a/coordinator/backpressure.go
+++ b/coordinator/backpressure.go
@@ -25,7 +25,7 @@
 	// minPublishInterval is the time between two notices about one target, which
 	// may name another limit with each response.
 	minPublishInterval = 100 * time.Millisecond
-	// maxKnownLimits is the number of rate limits in a placeResponse.
+	// maxKnownLimits is the number of rate limits in a knownNotice.
 	maxKnownLimits = 4
 )
 
@@ -40,6 +40,9 @@
 	ballots      *ballots
 	leases       map[roster.Task]*lease
 	publications map[registry.Instance]publication
+	// known holds what coordinators told this host of rate limits before their
+	// responses, by the message ID of the request.
+	known map[uint64]knownNotice
 }
 
 // publication is when this host last passed on what a target asked for; pending is
@@ -54,10 +57,11 @@
 func newFleet(o Options) *fleet {
 	f := &fleet{
 		Options: o, ballots: newBallots(o.Clock.Now()),
-		leases: map[roster.Task]*lease{}, publications: map[registry.Instance]publication{},
+		leases: map[roster.Task]*lease{}, publications: map[registry.Instance]publication{}, known: map[uint64]knownNotice{},
 	}
 	o.Node.Handle(kindObservation, f.handleObservation)
 	o.Node.Handle(kindVote, f.handleVote)
+	o.Node.Handle(kindKnown, f.handleKnown)
 	return f
 }
 
@@ -121,6 +125,35 @@
 	f.Local.RecordObservation(n.instance(), n.observation(f.Clock.Now()), m.From.String())
 }
 
+func (f *fleet) handleKnown(m hostmsg.Message) {
+	var n knownNotice
+	if err := m.Decode(&n); err != nil {
+		f.Logger.Debug("malformed notice of known rate limits dropped", zap.Stringer("from", m.From), zap.Error(err))
+		return
+	}
+	now := f.Clock.Now()
+	for _, o := range n.Known {
+		f.Local.RecordObservation(o.instance(), o.observation(now), m.From.String())
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.known) >= maxRemembered {
+		// They belong to requests that ended before their response.
+		clear(f.known)
+	}
+	f.known[n.MessageID] = n
+}
+
+// takeKnown returns and forgets what a coordinator told before the response to a
+// request; without it, the notice is empty.
+func (f *fleet) takeKnown(messageID uint64) knownNotice {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := f.known[messageID]
+	delete(f.known, messageID)
+	return n
+}
+
 func (f *fleet) handleVote(m hostmsg.Message) {
 	var q voteRequest
 	if err := m.Decode(&q); err != nil {
@@ -233,7 +266,7 @@
 }
 
 // knownLimits returns what this host knows of the rate limits in a partition, as
-// a placeResponse carries it: that of the chosen target first, then some others.
+// a knownNotice carries it: that of the chosen target first, then some others.
 func knownLimits(now time.Time, local *placement.Balancer, pool string, partition int, chosen registry.Instance) []observationNotice {
 	var known []observationNotice
 	if o, ok := local.Observation(chosen); ok {
--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -150,7 +150,7 @@
 			// coordinator's refusal says nothing of the other targets.
 			return nil, refusal, ok && choice == 0
 		}
-		informed := c.coordinatorInformed(host, a.response)
+		informed := c.coordinatorInformed(host, a)
 		if informed && c.Local.TakesRequests(q.Pool, a.instance()) {
 			return a, nil, true
 		}
@@ -162,17 +162,12 @@
 	return nil, nil, false
 }
 
-// coordinatorInformed records what a coordinator knows of the targets' wishes and
-// reports whether it knew those of the target that it chose. One that did not is
-// told.
-func (c *Client) coordinatorInformed(host roster.Host, r placeResponse) bool {
-	now := c.Clock.Now()
-	chosen := registry.Instance{ID: r.Target, StartedMillis: r.StartedMillis}
-	knewLimit := false
-	for _, n := range r.Known {
-		c.Local.RecordObservation(n.instance(), n.observation(now), host.Addr.String())
-		knewLimit = knewLimit || n.Limited && n.instance() == chosen
-	}
+// coordinatorInformed reports whether a coordinator knew what the target that it
+// chose asked for. One that did not is told.
+func (c *Client) coordinatorInformed(host roster.Host, a *attempt) bool {
+	chosen := a.instance()
+	limit, knewLimit := c.fleet.takeKnown(a.messageID).rateLimit(chosen)
+	a.rateLimit = limit
 	o, _ := c.Local.Observation(chosen)
 	if !o.Leaving && (!o.Limited || knewLimit) {
 		return true
@@ -248,7 +243,10 @@
 	coordinator netip.AddrPort
 	messageID   uint64
 	response    placeResponse
-	ended       atomic.Bool
+	// rateLimit is the limit by which the target was chosen, in requests a second; 0
+	// when the coordinator knew of none.
+	rateLimit float64
+	ended     atomic.Bool
 }
 
 var (
@@ -268,16 +266,14 @@
 	a.client.Local.RecordSignal(a.instance(), s)
 }
 
-func (a *attempt) instance() registry.Instance {
-	return registry.Instance{ID: a.response.Target, StartedMillis: a.response.StartedMillis}
-}
+func (a *attempt) instance() registry.Instance { return a.response.instance() }
 
 // Basis returns the state that the coordinator's choice was based on.
 func (a *attempt) Basis() lb.SelectionBasis {
 	return lb.SelectionBasis{
 		Outstanding: a.response.Outstanding, Slots: a.response.Slots, Slowdown: a.response.Slowdown,
 		Cost: a.response.Cost, Age: hostmsg.Milliseconds(a.response.Age), PlacedBy: a.coordinator.String(),
-		RateLimit: a.response.rateLimit(),
+		RateLimit: a.rateLimit,
 	}
 }
 
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -21,6 +21,7 @@
 	kindCancel
 	kindObservation
 	kindVote
+	kindKnown
 )
 
 // placeRequest asks a coordinator for a target. Times are in milliseconds and
@@ -86,16 +87,11 @@
 	// Reason and RetryAfter (in milliseconds) describe a refusal.
 	Reason     outcome.Reason
 	RetryAfter int64
-	// Known is what the coordinator knows of rate limits in the partition, that of
-	// the chosen target among them.
-	Known []observationNotice
 }
 
-// rateLimit returns the rate limit by which the target of a placed request was
-// chosen, in requests a second; 0 when it names none.
-func (r placeResponse) rateLimit() float64 {
-	n, _ := lo.Find(r.Known, func(n observationNotice) bool { return n.Limited && n.ID == r.Target })
-	return n.PerSecond
+// instance returns the target of a placed request.
+func (r placeResponse) instance() registry.Instance {
+	return registry.Instance{ID: r.Target, StartedMillis: r.StartedMillis}
 }
 
 func newPlaceResponse(a lb.Attempt, r *lb.Refusal) placeResponse {
@@ -169,6 +165,22 @@
 	}
 }
 
+// knownNotice tells a host what its coordinator knows of rate limits in the
+// partition of a request, that of the chosen target among them. It is sent before
+// the placeResponse of that message ID, whose format hosts of other versions share.
+type knownNotice struct {
+	_         struct{} `cbor:",toarray"`
+	MessageID uint64
+	Known     []observationNotice
+}
+
+// rateLimit returns the rate limit by which a target was chosen, in requests a
+// second; ok is false when the coordinator knew of none.
+func (n knownNotice) rateLimit(chosen registry.Instance) (perSecond float64, ok bool) {
+	known, ok := lo.Find(n.Known, func(o observationNotice) bool { return o.Limited && o.instance() == chosen })
+	return known.PerSecond, ok
+}
+
 // voteRequest asks a witness to vote for a candidate as the holder of a task's
 // lease.
 type voteRequest struct {
--- a/coordinator/server.go
+++ b/coordinator/server.go
@@ -12,7 +12,6 @@
 	"github.com/chestnutfield/chestnutfield/hostmsg"
 	"github.com/chestnutfield/chestnutfield/lb"
 	"github.com/chestnutfield/chestnutfield/placement"
-	"github.com/chestnutfield/chestnutfield/registry"
 )
 
 const (
@@ -45,6 +44,7 @@
 // Server places the requests of other hosts for a host that is their
 // coordinator. It is safe for concurrent use.
 type Server struct {
+	node   *hostmsg.Node
 	placer *placement.Balancer
 	clock  clockwork.Clock
 	log    *zap.Logger
@@ -56,7 +56,7 @@
 // NewServer returns a server that handles the placement messages arriving at a
 // node.
 func NewServer(node *hostmsg.Node, placer *placement.Balancer, clock clockwork.Clock, log *zap.Logger) *Server {
-	s := &Server{placer: placer, clock: clock, log: log, pending: map[requestKey]*pendingRequest{}}
+	s := &Server{node: node, placer: placer, clock: clock, log: log, pending: map[requestKey]*pendingRequest{}}
 	node.Handle(kindPlace, s.place)
 	node.Handle(kindDone, s.done)
 	node.Handle(kindCancel, s.cancel)
@@ -94,8 +94,6 @@
 	a, refusal := s.placer.Place(ctx, q)
 	queuedTimer.Stop()
 	response := newPlaceResponse(a, refusal)
-	chosen := registry.Instance{ID: response.Target, StartedMillis: response.StartedMillis}
-	response.Known = knownLimits(s.clock.Now(), s.placer, q.Pool, q.Partition, chosen)
 	s.mu.Lock()
 	_, isPending := s.pending[key]
 	r.response, r.attempt = response, a
@@ -109,9 +107,22 @@
 		}
 		return
 	}
+	s.tellKnown(m, q, response)
 	m.Respond(response)
 }
 
+// tellKnown tells a host what this one knows of rate limits in the partition of a
+// request, before the response to it.
+func (s *Server) tellKnown(m hostmsg.Message, q lb.PlaceQuery, r placeResponse) {
+	known := knownLimits(s.clock.Now(), s.placer, q.Pool, q.Partition, r.instance())
+	if len(known) == 0 {
+		return
+	}
+	if err := s.node.Notify(m.From, kindKnown, knownNotice{MessageID: m.ID(), Known: known}); err != nil {
+		s.log.Debug("rate limits not told to the requesting host; it asks again for targets that it knows to have one", zap.Stringer("to", m.From), zap.Error(err))
+	}
+}
+
 func (s *Server) done(m hostmsg.Message) {
 	var d doneNotice
 	if s.decode(m, &d) {
