placement: fewer requests wait for permits that others will use

A request waited whenever its turn would come before its deadline, but newer ones overtake it, so that one in ten was refused only after 0.4 s of 1.2 s. Change: the next request may wait for three quarters of its time, those behind it for a quarter; the rest is refused at once with the time until its turn. The check is unchanged.

--- a/placement/backpressure.go
+++ b/placement/backpressure.go
@@ -20,6 +20,21 @@
 // less than arrives.
 const maxRateLimitRetryAfter = 30 * time.Second
 
+const (
+	// nextPermitWaitShare is the part of its remaining time that the next request
+	// may be expected to wait for a permit, queuedPermitWaitShare that of those
+	// behind it: others may overtake them, and a caller that is refused early has
+	// time to come back.
+	nextPermitWaitShare   = 0.75
+	queuedPermitWaitShare = 0.25
+)
+
+// maxPermitWait returns how long a request with that much time to spare, and that
+// many before it, may be expected to wait for a permit.
+func maxPermitWait(spare time.Duration, ahead int) time.Duration {
+	return time.Duration(lo.Ternary(ahead == 0, nextPermitWaitShare, queuedPermitWaitShare) * float64(spare))
+}
+
 // limitCheckInterval is the longest time that a target with a rate limit gets no
 // request while its limit allows one.
 const limitCheckInterval = 2 * time.Second
@@ -288,7 +303,7 @@
 	switch left := q.Deadline.Sub(now); {
 	case !limited:
 		return placeResult{refusal: b.refuse(q, outcome.NoTarget, noTargetRetryAfter)}, true
-	case !q.Hedge && wait+p.serviceTimeLocked() <= left:
+	case !q.Hedge && wait <= maxPermitWait(left-p.serviceTimeLocked(), ahead):
 		return placeResult{}, false
 	default:
 		retryAfter := min(max(wait, minRetryAfter), maxRateLimitRetryAfter)
--- a/placement/backpressure_test.go
+++ b/placement/backpressure_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -76,6 +77,8 @@
 		requests.Wait()
 		g.Expect(served).To(BeNumerically("<=", len(targets)*int(perSecond*length.Seconds())+len(targets)))
 		g.Expect(float64(served)).To(BeNumerically(">=", 0.8*float64(len(targets))*perSecond*length.Seconds()))
+		slices.Sort(refusedAfter)
+		t.Log(sent, served, len(refusedAfter), refusedAfter[len(refusedAfter)/2], refusedAfter[len(refusedAfter)*9/10], refusedAfter[len(refusedAfter)-1])
 		g.Expect(lo.CountBy(refusedAfter, func(d time.Duration) bool { return d <= timeout/3 })).To(BeNumerically(">=", len(refusedAfter)*9/10))
 		g.Expect(f.queries).To(BeZero(), "a load query is a request too")
 	})
