backpressure: permits without the lease go on after a limit falls

Cause, found in review: a used permit was remembered by the number of its period, and the numbers fall with the limit: after a minute at 100 a second and a fall to 10, a host had no permit for minutes. Change: the time of the last use is remembered. Tests: fails before; the fleet model holds with 2000 draws.

--- a/backpressure/limiter.go
+++ b/backpressure/limiter.go
@@ -42,17 +42,17 @@
 	// tokens is the content of the bucket as of filledAt.
 	tokens   float64
 	filledAt time.Time
-	// phase is the random start of this host's periods, as a fraction of one;
-	// usedPeriod is the period whose permit was used.
-	phase      float64
-	createdAt  time.Time
-	usedPeriod int64
+	// phase is the random start of this host's periods, as a fraction of one; usedAt
+	// is when the last permit was used, or the creation: a period that had begun
+	// then has no permit.
+	phase             float64
+	createdAt, usedAt time.Time
 }
 
 // NewLimiter returns a limiter without tokens; phase is a random number from 0
 // to 1.
 func NewLimiter(now time.Time, perSecond, phase float64) *Limiter {
-	return &Limiter{perSecond: max(perSecond, minPerSecond), filledAt: now, createdAt: now, phase: phase}
+	return &Limiter{perSecond: max(perSecond, minPerSecond), filledAt: now, createdAt: now, usedAt: now, phase: phase}
 }
 
 // SetRate changes the limit; tokens that were earned before remain, up to the
@@ -80,11 +80,11 @@
 		l.fill(now, role)
 		return max(seconds((1-l.tokens)/(l.perSecond*holderShare)), 0)
 	}
-	number, since, period := l.period(now, role)
-	if number > l.usedPeriod && since < min(permitLifetime, period) {
+	since, length := l.period(now, role)
+	if since < min(permitLifetime, length) && l.usedAt.Before(now.Add(-since)) {
 		return 0
 	}
-	return period - since
+	return length - since
 }
 
 // Take uses up one request; Wait must have returned 0 for the same moment.
@@ -93,16 +93,15 @@
 		l.tokens--
 		return
 	}
-	l.usedPeriod, _, _ = l.period(now, role)
+	l.usedAt = now
 }
 
-// period returns the number of the period that a host without the lease is in,
-// the time since its start, and its length.
-func (l *Limiter) period(now time.Time, role Role) (number int64, since, length time.Duration) {
+// period returns the time since the start of the period that a host without the
+// lease is in, and the period's length.
+func (l *Limiter) period(now time.Time, role Role) (since, length time.Duration) {
 	length = seconds(float64(max(role.Hosts, 1)) / (l.perSecond * (1 - holderShare)))
 	position := now.Sub(l.createdAt).Seconds()/length.Seconds() + l.phase
-	whole := math.Floor(position)
-	return int64(whole), seconds((position - whole) * length.Seconds()), length
+	return seconds((position - math.Floor(position)) * length.Seconds()), length
 }
 
 // PerSecond returns the limit of all hosts together, in requests a second.
