backpressure: one permit a period whatever the rounding

The start of a period, computed from floating-point numbers, moved by nanoseconds past the last use. Change: a permit needs its lifetime to have passed since the last use.

--- a/backpressure/limiter.go
+++ b/backpressure/limiter.go
@@ -43,8 +43,8 @@
 	tokens   float64
 	filledAt time.Time
 	// phase is the random start of this host's periods, as a fraction of one; usedAt
-	// is when the last permit was used, or the creation: a period that had begun
-	// then has no permit.
+	// is when the last permit was used, or the creation: there is none in the
+	// lifetime of one after that.
 	phase             float64
 	createdAt, usedAt time.Time
 }
@@ -81,7 +81,7 @@
 		return max(seconds((1-l.tokens)/(l.perSecond*holderShare)), 0)
 	}
 	since, length := l.period(now, role)
-	if since < min(permitLifetime, length) && l.usedAt.Before(now.Add(-since)) {
+	if lifetime := min(permitLifetime, length); since < lifetime && now.Sub(l.usedAt) > lifetime {
 		return 0
 	}
 	return length - since
