gateway: the request log tells which lost requests have the same content

A request of which an attempt got no complete response now has the field content, a hash of method, host, request target, caller and body. Nothing decides by it yet. go test ./proxy: ok.

--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"strconv"
+
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
@@ -20,6 +22,9 @@
 	if r.Reason != 0 {
 		fields = append(fields, zap.Stringer("reason", r.Reason), zap.Duration("retry_after", r.RetryAfter))
 	}
+	if r.Content != 0 {
+		fields = append(fields, zap.String("content", strconv.FormatUint(r.Content, 16)))
+	}
 	if len(r.Attempts) > 0 {
 		fields = append(fields, zap.Array("attempts", attempts(r.Attempts)))
 	}
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -242,6 +242,19 @@
 	return d.Sum64()
 }
 
+// contentHash identifies requests with the same content, whatever their IDs: a
+// hash of method, host, request target, caller and the buffered part of the body.
+func (c *call) contentHash() uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range []string{c.in.method, c.in.host, c.in.target, c.in.caller} {
+		_, _ = d.WriteString(part)
+		_, _ = d.WriteString("\n")
+	}
+	_, _ = d.Write(c.body.buffered)
+	return d.Sum64()
+}
+
 // admit waits for a permit from admission control. It returns the reply to a
 // request that is refused.
 func (c *call) admit() *localReply {
--- a/proxy/requestlog.go
+++ b/proxy/requestlog.go
@@ -38,7 +38,10 @@
 	Deadline time.Duration
 	// RetryAfter is how long a refusal asked the caller to wait.
 	RetryAfter time.Duration
-	Attempts   []AttemptRecord
+	// Content identifies requests with the same content, 0 unless an attempt got no
+	// complete response.
+	Content  uint64
+	Attempts []AttemptRecord
 }
 
 // AttemptRecord describes one attempt of a request.
@@ -71,10 +74,21 @@
 		ID: c.in.requestID, Route: c.match.Route.Name, Pool: c.match.Pool.Name, Class: string(c.match.Route.Class),
 		Version: c.version, Outcome: end.Outcome, Reason: end.Reason, Status: c.status(end),
 		Total: total, Deadline: c.deadline.Sub(c.received), RetryAfter: retryAfter,
+		Content:  c.lostContent(attempts),
 		Attempts: lo.Map(attempts, func(t *upstreamAttempt, _ int) AttemptRecord { return t.logRecord(c.received) }),
 	})
 }
 
+// lostContent returns the content hash of a call of which an attempt was sent and got
+// no complete response, otherwise 0.
+func (c *call) lostContent(attempts []*upstreamAttempt) uint64 {
+	lost := lo.ContainsBy(attempts, func(t *upstreamAttempt) bool { return t.err != nil && !t.started.IsZero() })
+	if !lost {
+		return 0
+	}
+	return c.contentHash()
+}
+
 // status returns the status code that the caller receives.
 func (c *call) status(end attempt.End) int {
 	if end.Reason != 0 {
