quarantine: a request that ends each target that runs it meets few, over all hosts

Cause: nothing related an attempt to earlier ones with the same content; each client attempt, at whatever host, met up to two more targets. Class: harm that only adds up over hosts, retries and restarts. Change: a host that loses a request checks whether its target has ended; if so, three witnesses, the same for all hosts, check it too, so that a host that is cut off condemns nothing. A request that was lost at two ended targets is told to all hosts and stored, one row a loss; at three it is refused, 503 not run, with the time as Retry-After. A response clears it; what a refused request explains does not count against those that ran beside it. Silence is checked after a second, or half of the time left.

--- a/cmd/chestnut-gateway/main.go
+++ b/cmd/chestnut-gateway/main.go
@@ -88,8 +88,9 @@
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
+	store := platform.NewStore(s.Store.Address)
 	g, err := gateway.New(s, gateway.Options{
-		Source: platform.NewStore(s.Store.Address), Dialect: platform.Dialect(), ReadyPath: platform.ReadyPath,
+		Source: store, Suspects: store, Dialect: platform.Dialect(), ReadyPath: platform.ReadyPath,
 		Logger: log.With(zap.String("host", s.Host.Name)),
 	})
 	if err != nil {
--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -268,6 +268,9 @@
 
 func (a *attempt) instance() registry.Instance { return a.response.instance() }
 
+// Instance returns the process of the target that was chosen.
+func (a *attempt) Instance() registry.Instance { return a.instance() }
+
 // Basis returns the state that the coordinator's choice was based on.
 func (a *attempt) Basis() lb.SelectionBasis {
 	return lb.SelectionBasis{
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/chestnutfield/chestnutfield/hostmsg"
 	"github.com/chestnutfield/chestnutfield/placement"
 	"github.com/chestnutfield/chestnutfield/proxy"
+	"github.com/chestnutfield/chestnutfield/quarantine"
 	"github.com/chestnutfield/chestnutfield/registry"
 	"github.com/chestnutfield/chestnutfield/retry"
 	"github.com/chestnutfield/chestnutfield/roster"
@@ -50,11 +51,13 @@
 	connectTimeout = 250 * time.Millisecond
 )
 
-// Options configures a Gateway besides the settings file. Source, Dialect and
-// ReadyPath are required.
+// Options configures a Gateway besides the settings file. Source, Suspects,
+// Dialect and ReadyPath are required.
 type Options struct {
-	Source  storesync.Source
-	Dialect dialect.Dialect
+	Source storesync.Source
+	// Suspects keeps what is known of requests that end targets.
+	Suspects quarantine.Store
+	Dialect  dialect.Dialect
 	// ReadyPath is the path of the readiness check.
 	ReadyPath string
 	// Logger logs changes of state and one line per request; nil logs nothing.
@@ -71,6 +74,7 @@
 	placer      *placement.Balancer
 	coordinator *coordinator.Client
 	budget      *retry.Budget
+	guard       *quarantine.Guard
 	log         *zap.Logger
 	follower    *storesync.Follower
 	node        *hostmsg.Node
@@ -88,8 +92,8 @@
 
 // New builds a gateway and binds its addresses. It sends nothing until Start.
 func New(s *settings.Settings, o Options) (*Gateway, error) {
-	if o.Source == nil || o.ReadyPath == "" {
-		return nil, errors.New("gateway options: Source and ReadyPath are required; at least one is missing")
+	if o.Source == nil || o.Suspects == nil || o.ReadyPath == "" {
+		return nil, errors.New("gateway options: Source, Suspects and ReadyPath are required; at least one is missing")
 	}
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
@@ -110,6 +114,7 @@
 	do.Provide(i, newCoordinatorClient)
 	do.Provide(i, newFollower)
 	do.Provide(i, newBudget)
+	do.Provide(i, newGuard)
 	do.Provide(i, newProxyServer)
 	server, err := do.Invoke[*proxy.Server](i)
 	if err != nil {
@@ -119,7 +124,7 @@
 	placer := do.MustInvoke[*placement.Balancer](i)
 	coordinator.NewServer(node, placer, o.Clock, o.Logger)
 	g := &Gateway{
-		settings: s, placer: placer, coordinator: do.MustInvoke[*coordinator.Client](i), budget: do.MustInvoke[*retry.Budget](i), log: o.Logger, follower: f, node: node, proxy: server, clock: o.Clock,
+		settings: s, placer: placer, coordinator: do.MustInvoke[*coordinator.Client](i), budget: do.MustInvoke[*retry.Budget](i), guard: do.MustInvoke[*quarantine.Guard](i), log: o.Logger, follower: f, node: node, proxy: server, clock: o.Clock,
 		ready: newReadyServer(o.ReadyPath, f.Configured, o.Registry),
 	}
 	if err := g.listen(); err != nil {
@@ -240,6 +245,15 @@
 	})
 }
 
+func newGuard(i do.Injector) (*quarantine.Guard, error) {
+	o, s := do.MustInvoke[Options](i), do.MustInvoke[*settings.Settings](i)
+	return quarantine.NewGuard(quarantine.Options{
+		Node: do.MustInvoke[*hostmsg.Node](i), Roster: do.MustInvoke[*roster.Roster](i),
+		Store: o.Suspects, Checker: do.MustInvoke[*placement.Balancer](i),
+		FirstStart: s.Host.FirstStart, Clock: o.Clock, Logger: o.Logger, Registerer: o.Registry,
+	})
+}
+
 func retryBounds(s *settings.Settings) retry.Bounds {
 	return retry.Bounds{Ratio: s.Bounds.RetryRatio, Burst: s.Bounds.RetrySlack * retrySlackShare}
 }
@@ -249,7 +263,7 @@
 	f := do.MustInvoke[*storesync.Follower](i)
 	return proxy.New(proxy.Options{
 		Tables: f, Configured: f.Configured,
-		Balancer: do.MustInvoke[*coordinator.Client](i), Retries: do.MustInvoke[*retry.Budget](i),
+		Balancer: do.MustInvoke[*coordinator.Client](i), Retries: do.MustInvoke[*retry.Budget](i), Guard: do.MustInvoke[*quarantine.Guard](i),
 		Client: do.MustInvoke[*upstream.Client](i), Dialect: &o.Dialect,
 		Clock: o.Clock, Registerer: o.Registry, Logger: o.Logger,
 		RequestLog: requestLog{o.Logger},
@@ -267,6 +281,7 @@
 	g.cancel = cancel
 	g.loops.Go(func() { g.follower.Run(ctx) })
 	g.loops.Go(func() { g.coordinator.Run(ctx) })
+	g.loops.Go(func() { g.guard.Run(ctx) })
 	g.serve("mesh", g.node.Run)
 	g.serve("news", func() error { return g.follower.Serve(g.peersLn) })
 	g.serve("ready", func() error { return g.ready.serve(g.readyLn) })
--- a/lb/lb.go
+++ b/lb/lb.go
@@ -225,6 +225,21 @@
 	Withdraw(pool string, now time.Time) bool
 }
 
+// RequestGuard refuses requests that end each target that runs them. Requests with
+// the same content are copies of one request.
+type RequestGuard interface {
+	// Active reports whether requests with any content may be refused or need
+	// Answered.
+	Active() bool
+	// Check reports whether a request is refused, and when it may be tried again.
+	Check(content uint64, requestID string) (retryAfter time.Duration, refused bool)
+	// Lost records that a request that was sent got no complete response, or none
+	// for long. It does not block.
+	Lost(content uint64, pool string, a Attempt)
+	// Answered records that a request got a complete response from a target.
+	Answered(content uint64)
+}
+
 // OrderKey identifies an order, a request with an idempotency key, across entry
 // hosts.
 type OrderKey struct {
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -73,6 +73,8 @@
 	// RateLimited: the targets take no more requests a second before the deadline
 	// (503).
 	RateLimited
+	// Quarantined: targets ended under requests with the same content (503).
+	Quarantined
 )
 
 var reasonNames = map[Reason]string{
@@ -82,7 +84,7 @@
 	KeyReused: "key-reused", UpstreamLost: "upstream-lost",
 	UpstreamTimeout: "upstream-timeout", BadRequest: "bad-request",
 	TooLarge: "too-large", Stopping: "stopping", NotConfigured: "not-configured", CallerGone: "caller-gone",
-	RateLimited: "rate-limited",
+	RateLimited: "rate-limited", Quarantined: "quarantined",
 }
 
 // String returns the reason as in metric labels and logs, "invalid" for an
--- a/proxy/attempts.go
+++ b/proxy/attempts.go
@@ -32,6 +32,8 @@
 	started  time.Time
 	// bufferedBody is the response body when it was buffered completely.
 	bufferedBody []byte
+	// bodyComplete is true when the complete response arrived before it was forwarded.
+	bodyComplete bool
 	status       int
 	notRun       bool
 	// requestSent is true when a streamed request was sent completely.
@@ -134,6 +136,9 @@
 func (c *call) pick(act attempt.Action) attempt.Action {
 	now, pool := c.now(), c.match.Pool.Name
 	none := attempt.Event{Kind: attempt.NoTarget, Attempt: act.Attempt, Reason: outcome.NoTarget}
+	if refused, ok := c.quarantined(act); ok {
+		return c.step(refused)
+	}
 	if !c.withinRetryBudget(act, pool, now) {
 		return c.step(none)
 	}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -41,9 +41,13 @@
 		return act
 	}
 	t.started = c.now()
-	if err := c.roundTrip(t, x); err != nil {
+	stopWatch := c.watchSilence(t)
+	err = c.roundTrip(t, x)
+	stopWatch()
+	if err != nil {
 		return c.connectionLost(t, err)
 	}
+	c.reportAnswered(t)
 	return c.headerReceived(t)
 }
 
@@ -124,6 +128,9 @@
 	reused := t.x.Reused()
 	t.err = err
 	t.x.Close()
+	if c.ctx.Err() == nil && t.ctx.Err() == nil {
+		c.reportLost(t)
+	}
 	if errors.Is(err, upstream.ErrTimeout) {
 		c.endAttempt(t, lb.TimedOut)
 		c.recordResult(t, reused)
@@ -288,6 +295,7 @@
 // one can still be reported as a lost connection or retried.
 func (c *call) bufferResponse(t *upstreamAttempt, x *upstream.Exchange) error {
 	if !x.HasBody() {
+		t.bodyComplete = true
 		return nil
 	}
 	limit := c.server.limits.BufferedResponseBytes
@@ -313,7 +321,7 @@
 		n, err := x.Read(buf[len(buf):min(cap(buf), limit+1)])
 		buf = buf[:len(buf)+n]
 		if errors.Is(err, io.EOF) {
-			t.bufferedBody = buf
+			t.bufferedBody, t.bodyComplete = buf, true
 			return nil
 		}
 		if err != nil {
--- a/proxy/finish.go
+++ b/proxy/finish.go
@@ -86,6 +86,7 @@
 	outcome.NoTarget:        "no target could take the request",
 	outcome.LimitReached:    "connection limit of the targets is reached",
 	outcome.RateLimited:     "targets take no more requests a second",
+	outcome.Quarantined:     "targets ended under requests with the same content",
 	outcome.DeadlinePassed:  "deadline passed before dispatch",
 	outcome.UpstreamLost:    "upstream connection was lost",
 	outcome.UpstreamTimeout: "upstream did not answer in time",
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -23,6 +23,8 @@
 	// Retries bounds retries; nil allows only retries of attempts that
 	// certainly did not run.
 	Retries lb.RetryBudget
+	// Guard refuses requests that end targets; nil refuses none.
+	Guard lb.RequestGuard
 	// Ledger ensures that keyed orders run at most once; nil refuses every
 	// keyed order.
 	Ledger lb.Ledger
