--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,6 +60,8 @@
 	Dialect  dialect.Dialect
 	// ReadyPath is the path of the readiness check.
 	ReadyPath string
+	// DialTarget opens connections to targets; nil selects a net.Dialer.
+	DialTarget func(ctx context.Context, network, address string) (net.Conn, error)
 	// Logger logs changes of state and one line per request; nil logs nothing.
 	Logger *zap.Logger
 	// Registry receives the metrics; nil selects a new one.
@@ -152,8 +154,9 @@
 }
 
 func newClient(i do.Injector) (*upstream.Client, error) {
+	o := do.MustInvoke[Options](i)
 	return upstream.New(upstream.Options{
-		Clock: do.MustInvoke[Options](i).Clock, ConnectTimeout: connectTimeout, IdleTimeout: targetIdleTimeout,
+		Clock: o.Clock, Dial: o.DialTarget, ConnectTimeout: connectTimeout, IdleTimeout: targetIdleTimeout,
 		// A new connection for each order: a target may close an idle connection
 		// just as an order is being written to it.
 		NonIdempotentMaxIdle: -1,
