reach, placement: a host that reaches no target reports no failures of targets

Cause: a failed connection of one host made the coordinator eject the target for all hosts, though the failure was the host's. Class: the view of one host decides for all. Change: reach.Monitor learns from the connections that the host opens; when one fails and none was opened for 0.3 s, three targets of the pool are probed over new connections. While none opens, the host counts as cut off from that pool, and attempts without a response are reported as abandoned. Two rounds that reach targets end it, more while the link flaps.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -35,13 +35,15 @@
 	maxCoordinatorsTried = 2
 )
 
-// Options configure a Client. All but Registerer are required.
+// Options configure a Client. All but Reach and Registerer are required.
 type Options struct {
 	Node   *hostmsg.Node
 	Roster *roster.Roster
 	// Local places the requests of pools that this host coordinates, and those
 	// that no coordinator answered.
-	Local         *placement.Balancer
+	Local *placement.Balancer
+	// Reach knows whether this host reaches a pool; nil stands for always.
+	Reach         placement.Reachability
 	FailureDomain string
 	Clock         clockwork.Clock
 	Logger        *zap.Logger
@@ -197,7 +199,7 @@
 				return nil, nil, false
 			}
 			c.isolation.recordRequest(true)
-			if attempt, refusal, done := c.unpackResponse(host, request.ID(), response); done {
+			if attempt, refusal, done := c.unpackResponse(host, q.Pool, request.ID(), response); done {
 				c.Roster.MarkHealthy(taskKind, host.Name)
 				return attempt, refusal, true
 			}
@@ -220,10 +222,10 @@
 
 // unpackResponse turns a response into a result; done is false while the request
 // waits.
-func (c *Client) unpackResponse(host roster.Host, messageID uint64, r placeResponse) (*attempt, *lb.Refusal, bool) {
+func (c *Client) unpackResponse(host roster.Host, pool string, messageID uint64, r placeResponse) (*attempt, *lb.Refusal, bool) {
 	switch r.State {
 	case placed:
-		return &attempt{client: c, coordinator: host.Addr, messageID: messageID, response: r}, nil, true
+		return &attempt{client: c, pool: pool, coordinator: host.Addr, messageID: messageID, response: r}, nil, true
 	case refused:
 		return nil, &lb.Refusal{Reason: r.Reason, RetryAfter: hostmsg.Milliseconds(r.RetryAfter)}, true
 	default:
@@ -240,6 +242,7 @@
 // attempt is a request that a coordinator placed.
 type attempt struct {
 	client      *Client
+	pool        string
 	coordinator netip.AddrPort
 	messageID   uint64
 	response    placeResponse
@@ -287,6 +290,10 @@
 	if !a.ended.CompareAndSwap(false, true) {
 		return
 	}
+	placement.CheckFailure(a.client.Reach, a.pool, f, func(f lb.Feedback) { a.report(now, f) })
+}
+
+func (a *attempt) report(now time.Time, f lb.Feedback) {
 	a.client.Local.RecordRemoteEnd(now, a.instance(), f)
 	err := a.client.Node.Notify(a.coordinator, kindDone, doneNotice{
 		MessageID: a.messageID, Verdict: f.Verdict, Latency: f.Latency.Microseconds(), LoadReport: f.LoadReport,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/chestnutfield/chestnutfield/placement"
 	"github.com/chestnutfield/chestnutfield/proxy"
 	"github.com/chestnutfield/chestnutfield/quarantine"
+	"github.com/chestnutfield/chestnutfield/reach"
 	"github.com/chestnutfield/chestnutfield/registry"
 	"github.com/chestnutfield/chestnutfield/retry"
 	"github.com/chestnutfield/chestnutfield/roster"
@@ -77,6 +78,7 @@
 	coordinator *coordinator.Client
 	budget      *retry.Budget
 	guard       *quarantine.Guard
+	monitor     *reach.Monitor
 	log         *zap.Logger
 	follower    *storesync.Follower
 	node        *hostmsg.Node
@@ -111,6 +113,7 @@
 	do.ProvideValue(i, o)
 	do.Provide(i, newClient)
 	do.Provide(i, newPlacement)
+	do.Provide(i, newMonitor)
 	do.Provide(i, newNode)
 	do.Provide(i, newRoster)
 	do.Provide(i, newCoordinatorClient)
@@ -126,7 +129,7 @@
 	placer := do.MustInvoke[*placement.Balancer](i)
 	coordinator.NewServer(node, placer, o.Clock, o.Logger)
 	g := &Gateway{
-		settings: s, placer: placer, coordinator: do.MustInvoke[*coordinator.Client](i), budget: do.MustInvoke[*retry.Budget](i), guard: do.MustInvoke[*quarantine.Guard](i), log: o.Logger, follower: f, node: node, proxy: server, clock: o.Clock,
+		settings: s, placer: placer, coordinator: do.MustInvoke[*coordinator.Client](i), budget: do.MustInvoke[*retry.Budget](i), guard: do.MustInvoke[*quarantine.Guard](i), monitor: do.MustInvoke[*reach.Monitor](i), log: o.Logger, follower: f, node: node, proxy: server, clock: o.Clock,
 		ready: newReadyServer(o.ReadyPath, f.Configured, o.Registry),
 	}
 	if err := g.listen(); err != nil {
@@ -153,6 +156,18 @@
 	return nil
 }
 
+// newMonitor returns the monitor that learns from the client's connections; newPlacement
+// completes it.
+func newMonitor(i do.Injector) (*reach.Monitor, error) {
+	o := do.MustInvoke[Options](i)
+	m, err := reach.New(reach.Options{Clock: o.Clock, Logger: o.Logger, Registerer: o.Registry})
+	if err != nil {
+		return nil, err
+	}
+	do.MustInvoke[*upstream.Client](i).SetDialObserver(m.Dialled)
+	return m, nil
+}
+
 func newClient(i do.Injector) (*upstream.Client, error) {
 	o := do.MustInvoke[Options](i)
 	return upstream.New(upstream.Options{
@@ -185,6 +200,7 @@
 func newPlacement(i do.Injector) (*placement.Balancer, error) {
 	o, s := do.MustInvoke[Options](i), do.MustInvoke[*settings.Settings](i)
 	hosts := do.MustInvoke[*roster.Roster](i)
+	monitor := do.MustInvoke[*reach.Monitor](i)
 	querier := &placement.HTTPLoadQuerier{Client: do.MustInvoke[*upstream.Client](i), Dialect: o.Dialect}
 	placer, err := placement.New(placement.Options{
 		LoadQuerier:         querier,
@@ -197,12 +213,13 @@
 			}
 			return otherHostsQueryShare / float64(hosts.Count())
 		},
+		Reach:      monitor,
 		Logger:     o.Logger,
 		Seed:       xxhash.Sum64String(s.Host.Name),
 		Clock:      o.Clock,
 		Registerer: o.Registry,
 	})
-	querier.Observer = placer
+	querier.Observer, monitor.Prober = placer, placer
 	return placer, err
 }
 
@@ -210,7 +227,7 @@
 	o, s := do.MustInvoke[Options](i), do.MustInvoke[*settings.Settings](i)
 	return coordinator.NewClient(coordinator.Options{
 		Node: do.MustInvoke[*hostmsg.Node](i), Roster: do.MustInvoke[*roster.Roster](i),
-		Local: do.MustInvoke[*placement.Balancer](i), FailureDomain: s.Host.FailureDomain,
+		Local: do.MustInvoke[*placement.Balancer](i), Reach: do.MustInvoke[*reach.Monitor](i), FailureDomain: s.Host.FailureDomain,
 		Clock: o.Clock, Logger: o.Logger, Registerer: o.Registry,
 	})
 }
@@ -285,6 +302,7 @@
 	g.loops.Go(func() { g.follower.Run(ctx) })
 	g.loops.Go(func() { g.coordinator.Run(ctx) })
 	g.loops.Go(func() { g.guard.Run(ctx) })
+	g.loops.Go(func() { g.monitor.Run(ctx) })
 	g.serve("mesh", g.node.Run)
 	g.serve("news", func() error { return g.follower.Serve(g.peersLn) })
 	g.serve("ready", func() error { return g.ready.serve(g.readyLn) })
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -59,6 +59,9 @@
 	// partition of a pool that this host may send; the partition's number
 	// counts from 1. nil stands for all of them.
 	QueryShare func(pool string, partition int) float64
+	// Reach knows whether this host reaches a pool; nil stands for always. A failure of
+	// a host that reaches no target says nothing about the target.
+	Reach Reachability
 	// Seed makes the random choices repeatable.
 	Seed uint64
 	// Logger logs refusals; nil logs none.
@@ -75,6 +78,8 @@
 	opts    Options
 	metrics *metrics
 	pools   atomic.Pointer[map[string]partitions]
+	// poolsByAddr holds the pool of each target's address.
+	poolsByAddr atomic.Pointer[map[netip.AddrPort]string]
 	// asked holds what targets asked all hosts for.
 	asked *backpressure.Book
 	fleet atomic.Pointer[Fleet]
@@ -110,6 +115,7 @@
 	}
 	b := &Balancer{opts: o, metrics: m, asked: backpressure.NewBook(), malformedLog: rate.Sometimes{Interval: malformedLogInterval}}
 	b.pools.Store(&map[string]partitions{})
+	b.poolsByAddr.Store(&map[netip.AddrPort]string{})
 	b.SetFleet(soleHost{since: o.Clock.Now()})
 	b.SetMaxQueriesPerSecond(o.MaxQueriesPerSecond)
 	return b, nil
@@ -135,6 +141,8 @@
 		next[name] = b.buildPartitions(name, old[name], spec)
 	}
 	b.pools.Store(&next)
+	byAddr := indexByAddr(specs)
+	b.poolsByAddr.Store(&byAddr)
 	for name, ps := range old {
 		for i, p := range ps {
 			if i >= len(next[name]) {
@@ -288,6 +296,10 @@
 	if !a.ended.CompareAndSwap(false, true) {
 		return
 	}
+	CheckFailure(a.balancer.opts.Reach, a.partition.pool, f, func(f lb.Feedback) { a.finish(now, f) })
+}
+
+func (a *attempt) finish(now time.Time, f lb.Feedback) {
 	a.partition.recordEnd(now, a.target, a.call, a.durationFactor, f, a.balancer.parseReport(f))
 }
 
--- a/placement/load_querier.go
+++ b/placement/load_querier.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
@@ -66,6 +67,20 @@
 // open.
 const maxQueryConnections = 32
 
+// Connect implements Connector.
+func (q HTTPLoadQuerier) Connect(ctx context.Context, t registry.Target) error {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(time.Second)
+	}
+	exchange, err := q.Client.Open(ctx, upstream.OpenOptions{Target: t.Addr, Limit: math.MaxInt, Deadline: deadline, New: true})
+	if err != nil {
+		return err
+	}
+	exchange.Close()
+	return nil
+}
+
 // QueryLoad implements LoadQuerier. Without a deadline in ctx it gives up after
 // one second.
 func (q HTTPLoadQuerier) QueryLoad(ctx context.Context, t registry.Target, path string) (load.Report, error) {
--- /dev/null
+++ b/reach/state.go
@@ -0,0 +1,68 @@
+package reach
+
+import "time"
+
+const (
+	// recentContact is how long an opened connection shows that the host reaches the
+	// pool.
+	recentContact = 300 * time.Millisecond
+	// minRounds is the number of rounds in a row that have to reach targets before a
+	// cut counts as over. It doubles with each cut that begins within flapTime after
+	// the one before, up to maxRounds.
+	minRounds = 2
+	maxRounds = 16
+	flapTime  = 10 * time.Second
+)
+
+// state is what is known of one pool. It does no I/O and reads no clock.
+type state struct {
+	// connectedAt is when a new connection to a target was last opened.
+	connectedAt time.Time
+	// cut is true while the host counts as cut off, endedAt when the last cut ended.
+	cut     bool
+	endedAt time.Time
+	// rounds counts the rounds in a row that reached targets in this cut, needed is
+	// how many end it.
+	rounds, needed int
+}
+
+// connected records that a new connection was opened.
+func (s *state) connected(now time.Time) { s.connectedAt = now }
+
+// inContact reports whether the host is known to reach the pool without a probe.
+func (s *state) inContact(now time.Time) bool {
+	return !s.cut && !s.connectedAt.IsZero() && now.Sub(s.connectedAt) < recentContact
+}
+
+// recordRound records a round of probes and returns true if the cut began or ended. A
+// round that probed nothing says nothing.
+func (s *state) recordRound(now time.Time, reached, probed int) (changed bool) {
+	switch {
+	case probed == 0:
+		return false
+	case reached == 0:
+		s.rounds = 0
+		if s.cut {
+			return false
+		}
+		s.begin(now)
+		return true
+	case !s.cut:
+		return false
+	}
+	s.rounds++
+	if s.rounds < s.needed {
+		return false
+	}
+	s.cut, s.endedAt = false, now
+	return true
+}
+
+func (s *state) begin(now time.Time) {
+	if s.needed == 0 || now.Sub(s.endedAt) >= flapTime {
+		s.needed = minRounds
+	} else {
+		s.needed = min(2*s.needed, maxRounds)
+	}
+	s.cut = true
+}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -83,6 +84,8 @@
 type Client struct {
 	opts   Options
 	shards [shardCount]shard
+
+	dialObserver atomic.Pointer[func(target netip.AddrPort, err error)]
 }
 
 type shard struct {
@@ -111,6 +114,8 @@
 	Idempotent bool
 	// Peer is true when the target is another host of the load balancer.
 	Peer bool
+	// New opens a new connection in any case.
+	New bool
 }
 
 // Open reuses an idle connection or opens a new one. The error matches
@@ -145,11 +150,31 @@
 	if o.Peer {
 		r.quietReuses = 0
 	}
+	if o.New {
+		r.maxIdle = -1
+	}
 	return r
 }
 
+// SetDialObserver sets a function that is told of each connection to a target, not to
+// a peer, that was opened or could not be opened. It must not block.
+func (c *Client) SetDialObserver(observe func(target netip.AddrPort, err error)) {
+	c.dialObserver.Store(&observe)
+}
+
+// observeDial tells the observer how opening a connection ended. One that the caller
+// of Open gave up says nothing.
+func (c *Client) observeDial(ctx context.Context, o OpenOptions, err error) {
+	observe := c.dialObserver.Load()
+	if observe == nil || o.Peer || errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	(*observe)(o.Target, err)
+}
+
 func (c *Client) dial(ctx context.Context, t *target, o OpenOptions) (*conn, error) {
 	nc, err := c.open(ctx, t.addr.String(), o.Deadline)
+	c.observeDial(ctx, o, err)
 	if err != nil {
 		return nil, errors.Wrap(ErrConnect, err.Error())
 	}
