coordinator: a host that is cut off from a pool's targets places no requests for others

Cause: the task goes by the host list alone; a cut-off coordinator still responded, by load reports that it could not renew. Class: the view of one host decides for all. Change: such a coordinator refuses with NoTarget and a RetryAfter of -1; the asking host skips it for a second and asks the next, up to eight. A host that is cut off no longer places by itself while others can. After the cut, the next request a second later finds it again. Hosts of the version before place such a request themselves, as for a coordinator without targets.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -30,9 +30,14 @@
 	// repeatInterval is the time between a response that says that the request
 	// waits and the message that checks whether the coordinator still holds it.
 	repeatInterval = 100 * time.Millisecond
-	// maxCoordinatorsTried is the number of coordinators that are asked for one
-	// request before its host places it itself.
+	// maxCoordinatorsTried is the number of coordinators that may fail to respond to
+	// one request before its host places it itself, maxUnable the number that may
+	// respond that they are cut off from the targets.
 	maxCoordinatorsTried = 2
+	maxUnable            = 8
+	// unableSkip is how long a coordinator is skipped that is cut off from the targets
+	// of a pool.
+	unableSkip = time.Second
 )
 
 // Options configure a Client. All but Reach and Registerer are required.
@@ -114,19 +119,31 @@
 	// The local balancer knows itself which targets are paused, and until when.
 	local := q
 	q.Exclude = slices.Concat(q.Exclude, paused)
-	for i, host := range c.Roster.Rank(now, Task(q.Pool, q.Partition)) {
-		if all || i == maxCoordinatorsTried || host.Name == c.Roster.Self().Name || c.isolation.isolated(now, c.Node.LastResponseAt()) {
+	failed, unable := 0, 0
+	for _, host := range c.Roster.Rank(now, Task(q.Pool, q.Partition)) {
+		self := host.Name == c.Roster.Self().Name
+		if self && c.cut(q.Pool) {
+			continue
+		}
+		if all || self || failed == maxCoordinatorsTried || unable == maxUnable || c.isolation.isolated(now, c.Node.LastResponseAt()) {
 			break
 		}
 		a, refusal, ok := c.requestUsableTarget(ctx, host, q)
 		if refusal != nil && refusal.Reason == outcome.NoTarget && c.Local.TargetCount(q.Pool) > 0 {
-			// The coordinator doesn't know the pool's targets yet.
-			break
+			if refusal.RetryAfter >= 0 {
+				// The coordinator doesn't know the pool's targets yet.
+				break
+			}
+			unable++
+			c.Roster.SkipUntil(c.Clock.Now().Add(unableSkip), taskKind, host.Name)
+			c.Logger.Info("coordinator is cut off from the targets of a pool; it is skipped for a while", zap.String("desk", host.Name), zap.String("pool", q.Pool), zap.String("request", q.RequestID))
+			continue
 		}
 		if ok {
 			c.requests.WithLabelValues("desk").Inc()
 			return a, refusal
 		}
+		failed++
 		c.Roster.MarkFailed(c.Clock.Now(), taskKind, host.Name)
 		c.Logger.Info("coordinator did not respond; it is skipped for a while and the request is placed elsewhere", zap.String("desk", host.Name), zap.String("pool", q.Pool), zap.String("request", q.RequestID))
 	}
@@ -135,6 +152,9 @@
 	return c.Local.Place(ctx, local)
 }
 
+// cut reports whether this host reaches no target of a pool.
+func (c *Client) cut(pool string) bool { return c.Reach != nil && c.Reach.Cut(pool) }
+
 // maxChoices is the number of times that a coordinator is asked for one request
 // when this host may not use the targets that it chooses.
 const maxChoices = 3
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -55,6 +56,13 @@
 	return s.queries
 }
 
+// linkStub says whether a host is cut off from all targets.
+type linkStub struct{ cut atomic.Bool }
+
+func (l *linkStub) Cut(string) bool                      { return l.cut.Load() }
+func (l *linkStub) Reaches(context.Context, string) bool { return !l.cut.Load() }
+func (l *linkStub) Suspect(string)                       {}
+
 // host is an entry host with everything that places requests.
 type host struct {
 	name   string
@@ -64,6 +72,7 @@
 	client *coordinator.Client
 	server *coordinator.Server
 	local  *placement.Balancer
+	reach  *linkStub
 	// stop ends the host without notice.
 	stop func()
 }
@@ -87,7 +96,7 @@
 		return nil, err
 	}
 	h := &host{
-		name: name, node: node, loads: &loadStub{reports: map[string]load.Report{}},
+		name: name, node: node, reach: &linkStub{}, loads: &loadStub{reports: map[string]load.Report{}},
 		roster: roster.New(roster.Host{Name: name, Addr: node.Addr(), Strength: 1}),
 	}
 	h.local, err = placement.New(placement.Options{LoadQuerier: h.loads, FailureDomain: "a", MaxQueriesPerSecond: 1000, Seed: 1})
@@ -97,9 +106,9 @@
 	h.setTargets("t1", "t2")
 	h.loads.set("t1", 0)
 	h.loads.set("t2", 0)
-	h.server = coordinator.NewServer(node, h.local, clockwork.NewRealClock(), zap.NewNop())
+	h.server = coordinator.NewServer(node, h.local, h.reach, clockwork.NewRealClock(), zap.NewNop())
 	h.client, err = coordinator.NewClient(coordinator.Options{
-		Node: node, Roster: h.roster, Local: h.local, FailureDomain: "a", Clock: clockwork.NewRealClock(), Logger: zap.NewNop(),
+		Node: node, Roster: h.roster, Local: h.local, Reach: h.reach, FailureDomain: "a", Clock: clockwork.NewRealClock(), Logger: zap.NewNop(),
 	})
 	go func() { _ = node.Run() }()
 	ctx, stop := context.WithCancel(context.Background())
@@ -189,6 +198,54 @@
 		Expect(hosts[1].roster.Rank(time.Now(), coordinator.Task("p", 1))[0].Name).To(Equal(hosts[1].name))
 	}, NodeTimeout(time.Minute))
 
+	It("that is cut off from the targets is replaced by a host that is not, and takes its part back", func(ctx SpecContext) {
+		hosts := newHosts(5)
+		for _, h := range hosts[:3] {
+			h.reach.cut.Store(true)
+		}
+		place := func(h *host) string {
+			a, refusal := h.client.Place(ctx, query(timeout))
+			Expect(refusal).To(BeNil())
+			a.Done(time.Now(), succeeded)
+			return a.(lb.ExplainedAttempt).Basis().PlacedBy
+		}
+		for _, h := range hosts {
+			for range 5 {
+				placedBy := place(h)
+				if h.reach.cut.Load() {
+					Expect(placedBy).NotTo(BeEmpty())
+				}
+				for _, cut := range hosts[:3] {
+					Expect(placedBy).NotTo(Equal(cut.node.Addr().String()))
+				}
+			}
+		}
+		for _, h := range hosts[:3] {
+			h.reach.cut.Store(false)
+		}
+		Eventually(func() string { return place(hosts[4]) }).WithTimeout(5 * time.Second).Should(Equal(hosts[0].node.Addr().String()))
+	}, NodeTimeout(time.Minute))
+
+	It("does not keep the others from targets that a host fails to reach which is cut off", func(ctx SpecContext) {
+		hosts := newHosts(3)
+		hosts[1].reach.cut.Store(true)
+		for range 12 {
+			a, refusal := hosts[1].client.Place(ctx, query(timeout))
+			Expect(refusal).To(BeNil())
+			a.Done(time.Now(), lb.Feedback{Result: lb.Result{Verdict: lb.Failed}, ConnectFailed: true})
+			Eventually(hosts[0].server.PendingCount).WithTimeout(timeout).Should(BeZero())
+		}
+		for i := range 6 {
+			hosts[0].loads.set("t1", i%2*9)
+			hosts[0].loads.set("t2", (i+1)%2*9)
+			time.Sleep(10 * time.Millisecond)
+			a, refusal := hosts[2].client.Place(ctx, query(timeout))
+			Expect(refusal).To(BeNil())
+			Expect(a.(lb.IdentifiedAttempt).Identity()).To(Equal([]string{"t1", "t2"}[i%2]))
+			a.Done(time.Now(), succeeded)
+		}
+	}, NodeTimeout(time.Minute))
+
 	It("is not asked by an isolated host, until another host responds to it", func(ctx SpecContext) {
 		hosts := newHosts(9)
 		self, others := hosts[1], append(hosts[:1:1], hosts[2:]...)
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -89,6 +89,11 @@
 	RetryAfter int64
 }
 
+// cutOff is the RetryAfter of a refusal by a coordinator that does not reach the
+// pool. Hosts of older versions place the request themselves, as for a coordinator
+// that knows no targets.
+const cutOff = -1
+
 // instance returns the target of a placed request.
 func (r placeResponse) instance() registry.Instance {
 	return registry.Instance{ID: r.Target, StartedMillis: r.StartedMillis}
--- a/coordinator/server.go
+++ b/coordinator/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/chestnutfield/chestnutfield/hostmsg"
 	"github.com/chestnutfield/chestnutfield/lb"
+	"github.com/chestnutfield/chestnutfield/outcome"
 	"github.com/chestnutfield/chestnutfield/placement"
 )
 
@@ -46,6 +47,7 @@
 type Server struct {
 	node   *hostmsg.Node
 	placer *placement.Balancer
+	reach  placement.Reachability
 	clock  clockwork.Clock
 	log    *zap.Logger
 
@@ -54,9 +56,10 @@
 }
 
 // NewServer returns a server that handles the placement messages arriving at a
-// node.
-func NewServer(node *hostmsg.Node, placer *placement.Balancer, clock clockwork.Clock, log *zap.Logger) *Server {
-	s := &Server{node: node, placer: placer, clock: clock, log: log, pending: map[requestKey]*pendingRequest{}}
+// node. It refuses those for pools that this host does not reach; a nil reach stands
+// for a host that reaches all.
+func NewServer(node *hostmsg.Node, placer *placement.Balancer, reach placement.Reachability, clock clockwork.Clock, log *zap.Logger) *Server {
+	s := &Server{node: node, placer: placer, reach: reach, clock: clock, log: log, pending: map[requestKey]*pendingRequest{}}
 	node.Handle(kindPlace, s.place)
 	node.Handle(kindDone, s.done)
 	node.Handle(kindCancel, s.cancel)
@@ -70,6 +73,10 @@
 	if !s.decode(m, &q) {
 		return
 	}
+	if s.reach != nil && s.reach.Cut(q.Pool) {
+		m.Respond(placeResponse{State: refused, Reason: outcome.NoTarget, RetryAfter: cutOff})
+		return
+	}
 	key := requestKey{m.From, m.ID()}
 	s.mu.Lock()
 	if r := s.pending[key]; r != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -127,7 +127,7 @@
 	}
 	f, node := do.MustInvoke[*storesync.Follower](i), do.MustInvoke[*hostmsg.Node](i)
 	placer := do.MustInvoke[*placement.Balancer](i)
-	coordinator.NewServer(node, placer, o.Clock, o.Logger)
+	coordinator.NewServer(node, placer, do.MustInvoke[*reach.Monitor](i), o.Clock, o.Logger)
 	g := &Gateway{
 		settings: s, placer: placer, coordinator: do.MustInvoke[*coordinator.Client](i), budget: do.MustInvoke[*retry.Budget](i), guard: do.MustInvoke[*quarantine.Guard](i), monitor: do.MustInvoke[*reach.Monitor](i), log: o.Logger, follower: f, node: node, proxy: server, clock: o.Clock,
 		ready: newReadyServer(o.ReadyPath, f.Configured, o.Registry),
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -147,6 +147,19 @@
 	s.failures++
 }
 
+// SkipUntil skips a host for a kind of tasks until a time. Unlike MarkFailed, it does
+// not count as a failure.
+func (r *Roster) SkipUntil(until time.Time, kind, host string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := taskHost{kind, host}
+	if s := r.skips[key]; s == nil {
+		r.skips[key] = &skipState{skippedUntil: until}
+	} else if until.After(s.skippedUntil) {
+		s.skippedUntil = until
+	}
+}
+
 // MarkLeaving skips a host in all tasks until a time, because it announced that
 // it is leaving. This host itself is ranked last instead of skipped; an unknown
 // host is ignored.
