proxy: an attempt that opened no connection costs no retry budget

Cause: the budget bounds the load of retries on targets, but was charged for attempts that no target received. Attempts handed to another host were exempt already. Class: a bound on load that counts what is no load. Change: the exemption holds for all attempts. Evidence: the new spec fails without the change (503) and passes with it; go test ./proxy: ok.

--- a/proxy/attempts.go
+++ b/proxy/attempts.go
@@ -198,7 +198,7 @@
 	switch {
 	case budget == nil:
 		return !act.NeedsBudget || c.end().Outcome == outcome.NotRun
-	case act.NeedsBudget && c.lastOwnerUnreached():
+	case act.NeedsBudget && c.lastUnsent():
 		// The budget bounds the load on targets, and the last attempt reached
 		// none.
 		return true
@@ -210,12 +210,11 @@
 	}
 }
 
-// lastOwnerUnreached reports whether no connection to the owner of the last
-// attempt could be opened.
-func (c *call) lastOwnerUnreached() bool {
+// lastUnsent reports whether no connection could be opened for the last attempt.
+func (c *call) lastUnsent() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.ownerUnreached
+	return c.unsent
 }
 
 // lastWasStale reports whether the last attempt was lost on a reused
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -67,9 +67,9 @@
 	// staleConnection is true when the last attempt was lost on a reused
 	// connection.
 	staleConnection bool
-	// ownerUnreached is true when no connection to the last attempt's owner
-	// could be opened, so that no target received any of it.
-	ownerUnreached bool
+	// unsent is true when no connection could be opened for the last attempt, so that
+	// no target received any of it.
+	unsent bool
 	// result is how the last attempt ended.
 	result    lb.Result
 	closeOnce sync.Once
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -110,9 +110,7 @@
 	if errors.Is(err, upstream.ErrConnectionLimit) {
 		reason, verdict = outcome.LimitReached, lb.Abandoned
 	}
-	if _, peer := groupOf(t.picked); peer {
-		c.recordOwnerUnreached()
-	}
+	c.recordUnsent()
 	act := c.step(attempt.Event{Kind: attempt.ConnectFailed, Attempt: t.number, Reason: reason})
 	if act.Kind == attempt.Abandon {
 		verdict = lb.Abandoned
@@ -152,15 +150,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.staleConnection, c.result = staleConnection, t.feedback.Result
-	c.ownerUnreached = false
+	c.unsent = false
 }
 
-// recordOwnerUnreached stores that the owner of the last attempt was not
-// reached.
-func (c *call) recordOwnerUnreached() {
+// recordUnsent stores that no connection could be opened for the last attempt.
+func (c *call) recordUnsent() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ownerUnreached = true
+	c.unsent = true
 }
 
 // roundTrip sends the request and reads the response header, with the body as
--- a/proxy/outcome_test.go
+++ b/proxy/outcome_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -123,6 +124,19 @@
 		Expect(resp.StatusCode).To(Equal(200))
 	})
 
+	It("tries the next target after one that can't be connected to, even without retry budget", func() {
+		gone, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		dead := netip.MustParseAddrPort(gone.Addr().String())
+		Expect(gone.Close()).To(Succeed())
+		up := newUpstream(respondAlways(okResponse))
+		b := newHarness(nil, func(o *Options, _ *table.Tables) {
+			o.Balancer, o.Retries = &orderedBalancer{targets: []netip.AddrPort{dead, up.addr()}}, &budgetFake{}
+		})
+		resp, _ := b.ask(postOrder)
+		Expect(resp.StatusCode).To(Equal(200))
+	})
+
 	DescribeTable("does not retry a lookup",
 		func(raw string, change func(b *harness)) {
 			second := newUpstream(respondAlways(okResponse))
