detour: a host that is cut off from a pool's targets serves its callers through hosts that are not

Cause: a host sent requests to targets itself or not at all. Class: whether a target can be reached depends on who asks. The relay places them like its own, does not hand them over again, and makes no second attempt after one that may have run: the host that received the request alone decides. A relay's refusal for lack of room goes to the caller; one that is cut off itself gives way to another. Relays listen on the new setting [listen] relay; a host that stops says that it takes no more.

--- a/attempt/event.go
+++ b/attempt/event.go
@@ -54,6 +54,9 @@
 	// NotRun is true when the header of HeaderReceived says that the upstream did
 	// not run the request.
 	NotRun bool
+	// Final is true when a response that says not-run holds for all targets, so that
+	// a retry is of no use.
+	Final bool
 	// Reason is set with Refused, NoTarget and ConnectFailed.
 	Reason outcome.Reason
 }
--- a/attempt/machine.go
+++ b/attempt/machine.go
@@ -202,6 +202,10 @@
 func (m *Machine) headerReceived(ev Event, st *attemptState) Action {
 	if ev.NotRun {
 		*st = answeredNotRun
+		if ev.Final && m.keptResponse == 0 {
+			m.keptResponse, m.keptNotRun = ev.Attempt, true
+			return m.giveUp()
+		}
 		return m.keepResponse(ev, true)
 	}
 	*st = answered
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/chestnutfield/chestnutfield/coordinator"
+	"github.com/chestnutfield/chestnutfield/detour"
 	"github.com/chestnutfield/chestnutfield/dialect"
 	"github.com/chestnutfield/chestnutfield/hostmsg"
 	"github.com/chestnutfield/chestnutfield/placement"
@@ -79,6 +80,8 @@
 	budget      *retry.Budget
 	guard       *quarantine.Guard
 	monitor     *reach.Monitor
+	relays      *detour.Relays
+	relayServer relayServer
 	log         *zap.Logger
 	follower    *storesync.Follower
 	node        *hostmsg.Node
@@ -86,6 +89,7 @@
 	ready       *readyServer
 	clock       clockwork.Clock
 	callersLn   net.Listener
+	relayLn     net.Listener
 	readyLn     net.Listener
 	peersLn     net.Listener
 
@@ -120,6 +124,8 @@
 	do.Provide(i, newFollower)
 	do.Provide(i, newBudget)
 	do.Provide(i, newGuard)
+	do.Provide(i, newRelays)
+	do.Provide(i, newRelayServer)
 	do.Provide(i, newProxyServer)
 	server, err := do.Invoke[*proxy.Server](i)
 	if err != nil {
@@ -130,6 +136,7 @@
 	coordinator.NewServer(node, placer, do.MustInvoke[*reach.Monitor](i), o.Clock, o.Logger)
 	g := &Gateway{
 		settings: s, placer: placer, coordinator: do.MustInvoke[*coordinator.Client](i), budget: do.MustInvoke[*retry.Budget](i), guard: do.MustInvoke[*quarantine.Guard](i), monitor: do.MustInvoke[*reach.Monitor](i), log: o.Logger, follower: f, node: node, proxy: server, clock: o.Clock,
+		relays: do.MustInvoke[*detour.Relays](i), relayServer: do.MustInvoke[relayServer](i),
 		ready: newReadyServer(o.ReadyPath, f.Configured, o.Registry),
 	}
 	if err := g.listen(); err != nil {
@@ -153,6 +160,15 @@
 		g.readyLn.Close()
 		return errors.Wrap(err, "bind the peers address")
 	}
+	if !g.settings.Listen.Relay.IsValid() {
+		return nil
+	}
+	if g.relayLn, err = net.Listen("tcp", g.settings.Listen.Relay.String()); err != nil {
+		g.callersLn.Close()
+		g.readyLn.Close()
+		g.peersLn.Close()
+		return errors.Wrap(err, "bind the relay address")
+	}
 	return nil
 }
 
@@ -283,18 +299,52 @@
 	f := do.MustInvoke[*storesync.Follower](i)
 	return proxy.New(proxy.Options{
 		Tables: f, Configured: f.Configured,
-		Balancer: do.MustInvoke[*coordinator.Client](i), Retries: do.MustInvoke[*retry.Budget](i), Guard: do.MustInvoke[*quarantine.Guard](i),
+		Balancer: &detour.Balancer{QueueingBalancer: do.MustInvoke[*coordinator.Client](i), Relays: do.MustInvoke[*detour.Relays](i)}, Retries: do.MustInvoke[*retry.Budget](i), Guard: do.MustInvoke[*quarantine.Guard](i),
 		Client: do.MustInvoke[*upstream.Client](i), Dialect: &o.Dialect,
 		Clock: o.Clock, Registerer: o.Registry, Logger: o.Logger,
 		RequestLog: requestLog{o.Logger},
-		Limits: proxy.Limits{
-			HeaderBytes: s.Limits.MaxHeaderBytes, HeaderTimeout: s.Limits.HeaderTimeout,
-			Connections: s.Limits.MaxCallerConnections, BufferUnknownLength: true,
-			HedgeObjectiveFraction: hedgeShare,
-		},
+		Limits:     proxyLimits(s),
 	})
 }
 
+func newRelays(i do.Injector) (*detour.Relays, error) {
+	o, s := do.MustInvoke[Options](i), do.MustInvoke[*settings.Settings](i)
+	return detour.NewRelays(detour.Options{
+		Node: do.MustInvoke[*hostmsg.Node](i), Roster: do.MustInvoke[*roster.Roster](i), Reach: do.MustInvoke[*reach.Monitor](i),
+		Port: s.Listen.Relay.Port(), Clock: o.Clock, Logger: o.Logger, Registerer: o.Registry,
+	})
+}
+
+// relayServer takes requests from hosts that don't reach the targets.
+type relayServer struct{ *proxy.Server }
+
+func newRelayServer(i do.Injector) (relayServer, error) {
+	o, s := do.MustInvoke[Options](i), do.MustInvoke[*settings.Settings](i)
+	server, err := proxy.New(proxy.Options{
+		Tables:     do.MustInvoke[*storesync.Follower](i),
+		Balancer:   &detour.RelayBalancer{QueueingBalancer: do.MustInvoke[*coordinator.Client](i), Relays: do.MustInvoke[*detour.Relays](i)},
+		Retries:    detour.RetriesOnly{RetryBudget: do.MustInvoke[*retry.Budget](i)},
+		Guard:      do.MustInvoke[*quarantine.Guard](i),
+		Client:     do.MustInvoke[*upstream.Client](i),
+		Dialect:    &o.Dialect,
+		Clock:      o.Clock,
+		Logger:     o.Logger,
+		RequestLog: requestLog{o.Logger.With(zap.Bool("relayed", true))},
+		Limits:     proxyLimits(s),
+		PeerServer: &proxy.PeerServerOptions{Relay: true},
+	})
+	return relayServer{server}, err
+}
+
+// proxyLimits returns the limits of the servers for callers and for other hosts.
+func proxyLimits(s *settings.Settings) proxy.Limits {
+	return proxy.Limits{
+		HeaderBytes: s.Limits.MaxHeaderBytes, HeaderTimeout: s.Limits.HeaderTimeout,
+		Connections: s.Limits.MaxCallerConnections, BufferUnknownLength: true,
+		HedgeObjectiveFraction: hedgeShare,
+	}
+}
+
 // Start starts the gateway's loops and servers and returns.
 func (g *Gateway) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -307,6 +357,9 @@
 	g.serve("news", func() error { return g.follower.Serve(g.peersLn) })
 	g.serve("ready", func() error { return g.ready.serve(g.readyLn) })
 	g.serve("callers", func() error { return g.proxy.Serve(g.callersLn) })
+	if g.relayLn != nil {
+		g.serve("relay", func() error { return g.relayServer.Serve(g.relayLn) })
+	}
 	g.log.Info("started", zap.Stringer("callers", g.callersLn.Addr()), zap.Stringer("ready", g.readyLn.Addr()))
 }
 
@@ -342,12 +395,19 @@
 	g.log.Info("graceful stop started")
 	g.ready.stopping.Store(true)
 	g.proxy.DisableKeepAlives()
+	g.relays.Stop()
+	g.relayServer.DisableKeepAlives()
 	g.follower.AnnounceShutdown(g.settings.Bounds.StopGrace)
 	select {
 	case <-ctx.Done():
 	case <-g.clock.After(deregistrationDelay):
 	}
+	relayed := make(chan error, 1)
+	go func() { relayed <- g.relayServer.Shutdown(ctx) }()
 	err := g.proxy.Shutdown(ctx)
+	if relayErr := <-relayed; err == nil {
+		err = relayErr
+	}
 	g.cancel()
 	// Listeners are closed first: Shutdown has no effect on a server that has not
 	// begun to serve.
--- a/proxy/attempts.go
+++ b/proxy/attempts.go
@@ -36,6 +36,8 @@
 	bodyComplete bool
 	status       int
 	notRun       bool
+	// refused is true when notRun holds for all targets of the pool.
+	refused bool
 	// requestSent is true when a streamed request was sent completely.
 	requestSent bool
 	// err is why the attempt failed, nil when it did not.
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -338,7 +338,7 @@
 func (c *call) headerReceived(t *upstreamAttempt) attempt.Action {
 	ev := attempt.Event{
 		Kind: attempt.HeaderReceived, Attempt: t.number, At: c.now(),
-		Status: t.status, NotRun: t.notRun,
+		Status: t.status, NotRun: t.notRun, Final: t.refused,
 	}
 	c.mu.Lock()
 	act := c.machine.Step(ev)
--- a/proxy/finish.go
+++ b/proxy/finish.go
@@ -64,7 +64,7 @@
 		c.conn.lingerOnClose.Store(true)
 	}
 	writeLocalReply(c.rc, p, c.server.names)
-	c.setPeerHeaders(p.outcome.String())
+	c.setPeerHeaders(c.handoverOf(p))
 }
 
 // finish answers a call that the state machine ended.
--- a/proxy/peerserver.go
+++ b/proxy/peerserver.go
@@ -1,7 +1,9 @@
 package proxy
 
 import (
+	"strconv"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -26,7 +28,14 @@
 	// owner's own reply.
 	headerHandover   = "Chestnut-Handover"
 	handoverAnswered = "answered"
-	idempotentValue  = "1"
+	// handoverRefused is what a relay says of a request that another relay would
+	// refuse as well.
+	handoverRefused = "refused"
+	idempotentValue = "1"
+	// headerRank and headerObjective are the rank and the latency objective, in
+	// milliseconds, of the request's route. Without them both are 0.
+	headerRank      = "Chestnut-Rank"
+	headerObjective = "Chestnut-Objective-Ms"
 )
 
 // errPeerLost: the request may have run, but no upstream's response arrived.
@@ -42,6 +51,9 @@
 type PeerServerOptions struct {
 	// Token is the token that peers must send; "" requires none.
 	Token string
+	// Relay is true when peers hand over requests because they don't reach the
+	// targets: any host could take them.
+	Relay bool
 	// Load returns the load of a group as text for peers; ok is false when it
 	// is unknown.
 	Load func(group string) (text string, ok bool)
@@ -72,11 +84,39 @@
 		Route: &table.Route{
 			Name: group, Pool: group, Class: class,
 			Idempotent: string(h.Peek(headerIdempotent)) == idempotentValue,
+			Rank:       parsePeerNumber(h.Peek(headerRank)),
+			Objective:  time.Duration(parsePeerNumber(h.Peek(headerObjective))) * time.Millisecond,
 		},
 		Pool: &pool,
 	}, nil
 }
 
+// maxPeerNumber bounds the numbers in headers of peers.
+const maxPeerNumber = 1 << 30
+
+// parsePeerNumber parses a number in a peer's header; 0 if it is missing or invalid.
+func parsePeerNumber(text []byte) int {
+	n, err := strconv.Atoi(string(text))
+	if err != nil || n < 0 || n > maxPeerNumber {
+		return 0
+	}
+	return n
+}
+
+// handoverOf returns what the host says to a peer of a request that it answers
+// itself.
+func (c *call) handoverOf(p *localReply) string {
+	opts := c.server.opts.PeerServer
+	if opts == nil || !opts.Relay || p.outcome != outcome.NotRun {
+		return p.outcome.String()
+	}
+	switch p.reason {
+	case outcome.QueueFull, outcome.RateLimited, outcome.DeadlinePassed, outcome.Quarantined:
+		return handoverRefused
+	}
+	return p.outcome.String()
+}
+
 // setPeerHeaders sets the header lines that tell a peer where the response
 // comes from and the load of the group. It does nothing for callers.
 func (c *call) setPeerHeaders(handover string) {
@@ -86,6 +126,9 @@
 	}
 	h := &c.rc.Response.Header
 	h.Set(headerHandover, handover)
+	if name := c.server.names.RequestID; name != "" && c.in.requestID != "" {
+		h.Set(name, c.in.requestID)
+	}
 	if opts.Load == nil {
 		return
 	}
@@ -106,6 +149,12 @@
 	if c.match.Route.Idempotent {
 		b = appendLine(b, headerIdempotent, idempotentValue)
 	}
+	if rank := c.match.Route.Rank; rank > 0 {
+		b = appendLine(b, headerRank, strconv.Itoa(rank))
+	}
+	if objective := c.match.Route.Objective; objective > 0 {
+		b = appendLine(b, headerObjective, strconv.FormatInt(objective.Milliseconds(), 10))
+	}
 	if token := c.server.opts.PeerToken; token != "" {
 		b = appendLine(b, headerPeerToken, token)
 	}
@@ -140,6 +189,9 @@
 	case outcome.NotRun.String():
 		t.notRun = true
 		return nil
+	case handoverRefused:
+		t.notRun, t.refused = true, true
+		return nil
 	}
 	if t.status == fasthttp.StatusGatewayTimeout {
 		return errors.WithStack(upstream.ErrTimeout)
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -361,6 +361,10 @@
 // checkLimits refuses a request that exceeds the limits of the current
 // tables. A body of unannounced length is bounded while it is read.
 func (s *Server) checkLimits(h *fasthttp.RequestHeader, in *inbound) *localReply {
+	if s.opts.PeerServer != nil {
+		// The host that received the request has checked them.
+		return nil
+	}
 	limits := s.opts.Tables.Current().Limits
 	line := len(in.method) + len(in.target) + len(" ") + len(" HTTP/1.1\r\n")
 	if limits.HeaderBytes > 0 && line+len(h.RawHeaders()) > limits.HeaderBytes {
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -53,6 +53,7 @@
 	{"limits", "memory_bytes", optional, "a number from 0 to 1099511627776", integer(0, 1<<40, func(s *Settings) *int { return &s.Limits.MaxMemoryBytes })},
 	{"listen", "admin", requiredWithoutStore, "IP:PORT", addr(func(s *Settings) *netip.AddrPort { return &s.Listen.Admin })},
 	{"listen", "peers", alwaysRequired, "IP:PORT", addr(func(s *Settings) *netip.AddrPort { return &s.Listen.Peers })},
+	{"listen", "relay", optional, "IP:PORT", addr(func(s *Settings) *netip.AddrPort { return &s.Listen.Relay })},
 	{"platform", "table", requiredWithoutStore, "http://IP:PORT or https://IP:PORT", baseURL(func(s *Settings) *string { return &s.Platform.Table })},
 	{"platform", "objects", requiredWithoutStore, "http://IP:PORT or https://IP:PORT", baseURL(func(s *Settings) *string { return &s.Platform.Objects })},
 	{"platform", "hosts", optional, "http://IP:PORT or https://IP:PORT", baseURL(func(s *Settings) *string { return &s.Platform.Hosts })},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -77,6 +77,9 @@
 	Ready netip.AddrPort
 	Admin netip.AddrPort
 	Peers netip.AddrPort
+	// Relay takes the requests of hosts that don't reach the targets; the zero value
+	// takes none. Its IP is that of Peers.
+	Relay netip.AddrPort
 }
 
 // Platform holds the base URLs of the platform's services.
