reach, coordinator: links to some of a pool's targets fail for one host alone

Cause: a host that reached one target of thirteen did not count as cut off, and its failed connections to the others made the coordinator eject them for all hosts. The spec that a target which failed for another host is avoided was wrong: it held for a target that responds to the coordinator. In its place two specs: one that fails for the coordinator too is avoided as before, one that only a single host can't connect to stays in use for the others and is left out by that host. The unit test of a pool of which one of five targets is reached now has two: one counts as cut off.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"github.com/chestnutfield/chestnutfield/backpressure"
@@ -61,7 +62,9 @@
 	Options
 	requests  *prometheus.CounterVec
 	isolation isolationDetector
-	fleet     *fleet
+	// unreachable holds the targets that this host could not connect to.
+	unreachable unreachableTargets
+	fleet       *fleet
 }
 
 var _ lb.QueueingBalancer = (*Client)(nil)
@@ -118,7 +121,11 @@
 	paused, all := c.Local.PausedTargets(now, q.Pool, q.Partition)
 	// The local balancer knows itself which targets are paused, and until when.
 	local := q
-	q.Exclude = slices.Concat(q.Exclude, paused)
+	unreachable := lo.Filter(c.unreachable.list(now), func(addr netip.AddrPort, _ int) bool { return c.Local.PoolOf(addr) == q.Pool })
+	q.Exclude = slices.Concat(q.Exclude, paused, unreachable)
+	if len(unreachable) < c.Local.TargetCount(q.Pool) {
+		local.Exclude = slices.Concat(local.Exclude, unreachable)
+	}
 	failed, unable := 0, 0
 	for _, host := range c.Roster.Rank(now, Task(q.Pool, q.Partition)) {
 		self := host.Name == c.Roster.Self().Name
@@ -314,6 +321,9 @@
 }
 
 func (a *attempt) report(now time.Time, f lb.Feedback) {
+	if f.ConnectFailed || f.Verdict == lb.Succeeded {
+		a.client.unreachable.record(now, a.Target(), !f.ConnectFailed)
+	}
 	a.client.Local.RecordRemoteEnd(now, a.instance(), f)
 	err := a.client.Node.Notify(a.coordinator, kindDone, doneNotice{
 		MessageID: a.messageID, Verdict: f.Verdict, Latency: f.Latency.Microseconds(), LoadReport: f.LoadReport,
--- a/coordinator/server.go
+++ b/coordinator/server.go
@@ -13,6 +13,7 @@
 	"github.com/chestnutfield/chestnutfield/lb"
 	"github.com/chestnutfield/chestnutfield/outcome"
 	"github.com/chestnutfield/chestnutfield/placement"
+	"github.com/chestnutfield/chestnutfield/registry"
 )
 
 const (
@@ -167,11 +168,37 @@
 	}
 	r.expire.Stop()
 	r.cancel()
-	if r.attempt != nil {
+	switch {
+	case r.attempt == nil:
+	case f.ConnectFailed:
+		go s.verifyFailure(r.attempt, f)
+	default:
 		r.attempt.Done(s.clock.Now(), f)
 	}
 }
 
+// verifyTimeout bounds the check of a target that another host could not connect to.
+const verifyTimeout = 700 * time.Millisecond
+
+// verifyFailure ends an attempt of another host that could not connect to its target.
+// If the target responds to this host, the link of the other one has failed, which
+// that host knows itself.
+func (s *Server) verifyFailure(a lb.Attempt, f lb.Feedback) {
+	target, ok := a.(interface {
+		Pool() string
+		Instance() registry.Instance
+	})
+	if ok {
+		ctx, cancel := context.WithTimeout(context.Background(), verifyTimeout)
+		defer cancel()
+		if s.placer.Responds(ctx, target.Pool(), target.Instance(), a.Target()) {
+			s.log.Info("target that another host could not connect to responds to this one; it stays in use", zap.String("target", target.Instance().ID))
+			f = abandoned
+		}
+	}
+	a.Done(s.clock.Now(), f)
+}
+
 // PendingCount returns the number of requests that the server counts as waiting
 // or placed.
 func (s *Server) PendingCount() int {
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -288,6 +288,9 @@
 // Instance returns the process of the target that was chosen.
 func (a *attempt) Instance() registry.Instance { return a.target.Instance }
 
+// Pool returns the pool of the target.
+func (a *attempt) Pool() string { return a.partition.pool }
+
 // Basis returns the state that the choice was based on.
 func (a *attempt) Basis() lb.SelectionBasis { return a.basis }
 
--- a/reach/monitor.go
+++ b/reach/monitor.go
@@ -15,7 +15,7 @@
 
 const (
 	// probesPerRound is the number of targets that a round tries to reach.
-	probesPerRound = 3
+	probesPerRound = 5
 	// roundTimeout bounds a round: several round trips between failure domains.
 	roundTimeout = 250 * time.Millisecond
 	// roundInterval is the time between two rounds during a cut.
@@ -71,13 +71,13 @@
 		Options: o, wake: make(chan struct{}, 1), pools: map[string]*pool{},
 		cutPools: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "chestnut_pool_cut_off",
-			Help: "1 while this host reaches no target of the pool.",
+			Help: "1 while this host reaches no target of the pool, or few.",
 		}, []string{"pool"}),
 	}
 	return m, metric.Register(o.Registerer, "reach", m.cutPools)
 }
 
-// Cut reports whether this host reaches no target of a pool.
+// Cut reports whether this host reaches no target of a pool, or few.
 func (m *Monitor) Cut(name string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -165,7 +165,7 @@
 		return
 	}
 	m.cutPools.WithLabelValues(name).Set(1)
-	m.Logger.Warn("host reaches no target of a pool; its requests go through hosts that do", zap.String("pool", name), zap.Int("probed", probed), zap.Duration("last_connected", now.Sub(p.connectedAt)))
+	m.Logger.Warn("host reaches no target of a pool, or few; its requests go through hosts that reach more", zap.String("pool", name), zap.Int("reached", reached), zap.Int("probed", probed), zap.Duration("last_connected", now.Sub(p.connectedAt)))
 	select {
 	case m.wake <- struct{}{}:
 	default:
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -45,12 +45,28 @@
 func TestFailedConnectionsOfOneTargetAreNoCut(t *testing.T) {
 	g := NewWithT(t)
 	m, n, _ := newMonitor(t, 5)
-	n.reachable.Store(1)
+	n.reachable.Store(2)
 	m.Dialled(addr, errRefused)
 	g.Expect(m.Reaches(t.Context(), "p")).To(BeTrue())
 	g.Expect(m.Cut("p")).To(BeFalse())
 }
 
+func TestHostThatReachesOneTargetOfManyIsCutOff(t *testing.T) {
+	g := NewWithT(t)
+	m, n, _ := newMonitor(t, 13)
+	n.reachable.Store(1)
+	m.Dialled(addr, errRefused)
+	g.Expect(m.Reaches(t.Context(), "p")).To(BeFalse())
+}
+
+func TestOneTargetOfTwoIsNoCut(t *testing.T) {
+	g := NewWithT(t)
+	m, n, _ := newMonitor(t, 2)
+	n.reachable.Store(1)
+	m.Dialled(addr, errRefused)
+	g.Expect(m.Reaches(t.Context(), "p")).To(BeTrue())
+}
+
 func TestNoProbesWhileConnectionsOpen(t *testing.T) {
 	g := NewWithT(t)
 	m, n, clock := newMonitor(t, 5)
--- a/reach/state.go
+++ b/reach/state.go
@@ -6,6 +6,9 @@
 	// recentContact is how long an opened connection shows that the host reaches the
 	// pool.
 	recentContact = 300 * time.Millisecond
+	// minReached is the part of the probed targets that a host has to reach: with only a
+	// few targets of many, it would send all its requests there.
+	minReached = 0.3
 	// minRounds is the number of rounds in a row that have to reach targets before a
 	// cut counts as over. It doubles with each cut that begins within flapTime after
 	// the one before, up to maxRounds.
@@ -40,7 +43,7 @@
 	switch {
 	case probed == 0:
 		return false
-	case reached == 0:
+	case float64(reached) < minReached*float64(probed):
 		s.rounds = 0
 		if s.cut {
 			return false
