lab/soak: requests that end upstreams, hosts cut off from all upstreams

A cut is made by the relays in front of the upstreams: the connections of a host's process are found by their sockets (vishvananda/netlink) and reset, or live on; new ones hang or are reset. Checked: the callers of cut hosts are served at least two thirds as often as the others, with 10 and one in 50 tolerated; a request under which three upstreams ended ends at most three later than 3 s after that. Now some plans draw from few kinds.

--- a/lab/soak/bounds.go
+++ b/lab/soak/bounds.go
@@ -25,10 +25,13 @@
 	// minServedShare is the minimum share of requests that are served once all
 	// faults have ended.
 	minServedShare float64
+	// minCutShare is how often the callers of hosts that are cut off from all
+	// upstreams are served at least, as a part of how often the others are.
+	minCutShare float64
 }{
 	settleTime: 3 * time.Second, drainPropagation: 2 * time.Second, configPropagation: 2 * time.Second,
 	stopGrace: 6 * time.Second, earlyCloseSlack: 200 * time.Millisecond, timeoutSlack: 500 * time.Millisecond,
-	healthChecksPerSecond: 60, retryRatio: 0.2, retrySlack: 62, minServedShare: 0.25,
+	healthChecksPerSecond: 60, retryRatio: 0.2, retrySlack: 62, minServedShare: 0.25, minCutShare: 2.0 / 3,
 }
 
 const (
@@ -42,6 +45,9 @@
 	// cause: requests lost although their upstream was healthy, and requests that
 	// ran on more than maxAttempts upstreams.
 	maxUnexplained = 3
+	// maxCutFailures is the number of requests that may fail at hosts that are cut off,
+	// beside one in fifty of all.
+	maxCutFailures = 10
 	// minRateLimit is the least rate limit that an upstream names, in requests a
 	// second. In any limitWindow, it gets at most limitFactor times its limit and
 	// limitSlack requests more.
--- a/lab/soak/caller.go
+++ b/lab/soak/caller.go
@@ -166,10 +166,18 @@
 	return sendTo(client, h, method, prefix, id, body)
 }
 
+// sendTo sends one request with its ID in the path.
 func sendTo(client *http.Client, h *host, method, prefix, id, body string) RequestResult {
-	s := RequestResult{RequestID: id, Order: method == http.MethodPost, Prefix: prefix, Host: h.name, Incarnation: h.incarnation(), Sent: time.Now()}
+	s := sendPath(client, h, method, prefix+id, id, body)
+	s.Prefix = prefix
+	return s
+}
+
+// sendPath sends one request.
+func sendPath(client *http.Client, h *host, method, path, id, body string) RequestResult {
+	s := RequestResult{RequestID: id, Order: method == http.MethodPost, Host: h.name, Incarnation: h.incarnation(), Sent: time.Now()}
 	headers := platform.Dialect()
-	req, err := http.NewRequest(method, "http://"+h.callersAddr+prefix+id, strings.NewReader(body))
+	req, err := http.NewRequest(method, "http://"+h.callersAddr+path, strings.NewReader(body))
 	if err != nil {
 		s.Err = err
 		return s
--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -107,6 +107,11 @@
 	results       []RequestResult
 	routeChecks   []RequestResult
 	violations    []string
+	// cuts are the cuts of hosts from all upstreams, ends the ends of upstreams under
+	// crashing requests, and crashResults the results of those requests.
+	cuts         []*hostCut
+	ends         []upstreamEnd
+	crashResults []RequestResult
 }
 
 // NewDeployment starts the fake store, the fake upstreams and the host processes.
@@ -195,7 +200,8 @@
 	if err != nil {
 		return err
 	}
-	relay, err := NewRelay(server.Addr())
+	server.EndUnder(d.endUnder)
+	relay, err := newRelay(server.Addr(), d.admitAtUpstream)
 	if err != nil {
 		return err
 	}
--- a/lab/soak/events.go
+++ b/lab/soak/events.go
@@ -54,6 +54,10 @@
 		d.store.Put("servers", fmt.Sprint("garbage-", e.Selector), []byte("{\"service\": 3"))
 	case Configuration:
 		d.writeConfiguration()
+	case HostCut:
+		d.cutHosts(e)
+	case CrashingRequest:
+		d.sendCrashing(e)
 	default:
 		if !d.applyStore(e, h, addImpact) {
 			d.applyUpstream(e, addImpact)
--- a/lab/soak/host.go
+++ b/lab/soak/host.go
@@ -181,6 +181,13 @@
 	_ = h.process.Signal(s)
 }
 
+// pid returns the ID of the current process.
+func (h *host) pid() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.process.Pid
+}
+
 // incarnation returns the number of the current process, from 1.
 func (h *host) incarnation() int {
 	h.mu.Lock()
@@ -197,7 +204,7 @@
 	_ = process.Signal(syscall.SIGCONT)
 	_ = process.Kill()
 	<-h.done
-	for _, addr := range []string{h.callersAddr, h.readyAddr, h.peersAddr} {
+	for _, addr := range []string{h.callersAddr, h.readyAddr, h.peersAddr, h.relayAddr} {
 		reserved.Delete(addr)
 	}
 }
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -18,7 +18,8 @@
 // UpstreamLimits makes an upstream name a rate limit, UpstreamSaysLeaving makes it
 // say that it leaves before it does, without an entry, and UpstreamRetryAfter makes
 // it refuse requests with a Retry-After. StoreRestore replaces the store with an
-// older copy. Configuration writes the next configuration, GarbageEntry an invalid
+// older copy. HostCut cuts hosts from all upstreams, CrashingRequest is a request that
+// comes again and ends each upstream that runs it. Configuration writes the next configuration, GarbageEntry an invalid
 // registry entry.
 const (
 	HostStop             Kind = "host-stop"
@@ -54,6 +55,8 @@
 	PathReset            Kind = "path-reset"
 	Configuration        Kind = "configuration"
 	GarbageEntry         Kind = "garbage-entry"
+	HostCut              Kind = "host-cut"
+	CrashingRequest      Kind = "crashing-request"
 
 	// machineStall is never planned: the machine itself was stalled, so that all
 	// processes stood still.
@@ -80,8 +83,21 @@
 	addedPlannedKinds = []Kind{UpstreamLimits, UpstreamLimits, UpstreamSaysLeaving}
 )
 
-// addedSince is the first seed that draws from the added kinds.
-const addedSince = 1000
+// From cutAndCrashSince on, one odd seed in four draws from cutKinds, one from
+// crashKinds, and the others from cutAndCrashKinds beside all others: too much else
+// goes wrong in their plans to judge a cut or a crashing request by itself.
+var (
+	cutAndCrashKinds = []Kind{HostCut, HostCut, HostCut, HostCut, CrashingRequest, CrashingRequest}
+	cutKinds         = []Kind{HostCut, HostCut, HostCut, HostStop, HostReload, Configuration}
+	crashKinds       = []Kind{CrashingRequest, CrashingRequest, HostKill, HostStop, AllKill, StoreRefuse, Configuration}
+)
+
+// addedSince is the first seed that draws from the added kinds, cutAndCrashSince the
+// first that draws from cutAndCrashKinds.
+const (
+	addedSince       = 1000
+	cutAndCrashSince = 2000
+)
 
 // plannedKinds are planned operations and registry changes. They must not lose
 // requests, and every bound holds while they happen.
@@ -99,6 +115,15 @@
 	if seed < addedSince {
 		return kinds
 	}
+	switch {
+	case seed < cutAndCrashSince || seed%2 == 0:
+	case seed%8 == 1:
+		return cutKinds
+	case seed%8 == 5:
+		return crashKinds
+	default:
+		added = slices.Concat(added, cutAndCrashKinds)
+	}
 	return slices.Concat(kinds, added)
 }
 
--- a/lab/soak/relay.go
+++ b/lab/soak/relay.go
@@ -3,10 +3,12 @@
 import (
 	"io"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/samber/lo"
 )
 
 // Mode is how a relay treats the bytes that it forwards.
@@ -46,17 +48,25 @@
 	mu      sync.Mutex
 	mode    Mode
 	changed chan struct{}
-	conns   map[*net.TCPConn]bool
-	closed  bool
+	// conns holds the open connections, with true for those of clients.
+	conns  map[*net.TCPConn]bool
+	closed bool
+	// admitClient, if set, decides about new connections by the addresses of both ends.
+	// It may block; false resets the connection.
+	admitClient func(client, relay netip.AddrPort) bool
 }
 
 // NewRelay starts a relay that listens on a loopback port and forwards to target.
-func NewRelay(target string) (*Relay, error) {
+func NewRelay(target string) (*Relay, error) { return newRelay(target, nil) }
+
+// newRelay is NewRelay with the decision about new connections, see
+// Relay.admitClient.
+func newRelay(target string, admitClient func(client, relay netip.AddrPort) bool) (*Relay, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "relay")
 	}
-	r := &Relay{ln: ln, target: target, changed: make(chan struct{}), conns: map[*net.TCPConn]bool{}}
+	r := &Relay{ln: ln, target: target, admitClient: admitClient, changed: make(chan struct{}), conns: map[*net.TCPConn]bool{}}
 	go r.accept()
 	return r, nil
 }
@@ -124,14 +134,14 @@
 
 // track adds an open connection. If the relay is closed, it closes the connection
 // and returns false.
-func (r *Relay) track(c *net.TCPConn) bool {
+func (r *Relay) track(c *net.TCPConn, client bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.closed {
 		_ = c.Close()
 		return false
 	}
-	r.conns[c] = true
+	r.conns[c] = client
 	return true
 }
 
@@ -143,11 +153,11 @@
 }
 
 func (r *Relay) serve(client *net.TCPConn) {
-	if !r.track(client) {
+	if !r.track(client, true) {
 		return
 	}
 	defer r.untrack(client)
-	if !r.admit() {
+	if r.admitClient != nil && !r.admitClient(addrPort(client.RemoteAddr()), addrPort(client.LocalAddr())) || !r.admit() {
 		_ = client.SetLinger(0)
 		return
 	}
@@ -160,7 +170,7 @@
 		return
 	}
 	server := c.(*net.TCPConn)
-	if !r.track(server) {
+	if !r.track(server, false) {
 		return
 	}
 	defer r.untrack(server)
@@ -170,6 +180,21 @@
 	directions.Wait()
 }
 
+// resetClients resets the open connections of some clients.
+func (r *Relay) resetClients(match func(client, relay netip.AddrPort) bool) {
+	r.mu.Lock()
+	clients := lo.Keys(lo.PickBy(r.conns, func(_ *net.TCPConn, client bool) bool { return client }))
+	r.mu.Unlock()
+	for _, c := range clients {
+		if match(addrPort(c.RemoteAddr()), addrPort(c.LocalAddr())) {
+			_ = c.SetLinger(0)
+			_ = c.Close()
+		}
+	}
+}
+
+func addrPort(a net.Addr) netip.AddrPort { return a.(*net.TCPAddr).AddrPort() }
+
 // admit waits until a new connection may be forwarded. It returns false if the
 // connection is to be reset.
 func (r *Relay) admit() bool {
--- a/lab/soak/verify.go
+++ b/lab/soak/verify.go
@@ -37,7 +37,7 @@
 		runsByRequest: lo.GroupBy(lo.Filter(d.record.Arrivals(), func(a fakeupstream.Arrival, _ int) bool { return a.Ran }),
 			func(a fakeupstream.Arrival) string { return a.Request }),
 	}
-	for _, s := range slices.Concat(d.results, d.routeChecks) {
+	for _, s := range slices.Concat(d.results, d.routeChecks, d.crashResults) {
 		v.hostByRequest[s.RequestID] = s.Host
 	}
 	v.verifyResponses()
@@ -50,6 +50,8 @@
 	v.verifyConfigurations()
 	v.verifyHealthCheckRate(length)
 	v.verifyRecovery()
+	v.verifyCuts()
+	v.verifyCrashing()
 	return v.violations
 }
 
--- a/lab/soak/verify_backpressure.go
+++ b/lab/soak/verify_backpressure.go
@@ -64,7 +64,9 @@
 	for p, arrivals := range byPair {
 		for i, told := range arrivals {
 			ended, answered := endedAt[told.Request]
-			if !answered {
+			// A request that was held on its way reaches the upstream after its host has
+			// given it up, which then hears nothing.
+			if !answered || told.At.After(ended) {
 				continue
 			}
 			if told.Leaving {
@@ -74,7 +76,7 @@
 			late := lo.Filter(arrivals[i+1:], func(a fakeupstream.Arrival, _ int) bool {
 				return a.At.After(ended.Add(retryAfterGrace)) && a.At.Before(until)
 			})
-			if len(late) > maxWhilePaused && !v.interrupted(p.host, told.At, until) {
+			if len(late) > maxWhilePaused && !v.interrupted(p.host, told.At, until) && !v.wasCut(p.host, told.At, until) {
 				v.addViolation("retry-after", "%s told %s at %s to retry after %v and got %d requests meanwhile", p.upstream, p.host, v.secondsSinceStart(told.At), told.RetryAfter, len(late))
 			}
 		}
@@ -85,7 +87,7 @@
 // time.
 func (v *verifier) verifyNothingAfter(host string, told fakeupstream.Arrival, arrivals []fakeupstream.Arrival, due time.Time) {
 	for _, a := range arrivals {
-		if a.At.After(due) && !v.interrupted(host, told.At, a.At) {
+		if a.At.After(due) && !v.interrupted(host, told.At, a.At) && !v.wasCut(host, told.At, a.At) {
 			v.addViolation("leaving", "%s told %s at %s that it leaves and got %s at %s", a.Upstream, host, v.secondsSinceStart(told.At), a.Request, v.secondsSinceStart(a.At))
 			return
 		}
