reach: a connection counts as contact once a response arrives on it

Cause: a connection that opened counted as contact, but the link stayed silent after that; the probes opened connections only, too. Requests that waited without a response had nothing checked.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -180,7 +180,7 @@
 	if err != nil {
 		return nil, err
 	}
-	do.MustInvoke[*upstream.Client](i).SetDialObserver(m.Dialled)
+	do.MustInvoke[*upstream.Client](i).SetContactObserver(m.Contacted)
 	return m, nil
 }
 
@@ -285,7 +285,7 @@
 	o, s := do.MustInvoke[Options](i), do.MustInvoke[*settings.Settings](i)
 	return quarantine.NewGuard(quarantine.Options{
 		Node: do.MustInvoke[*hostmsg.Node](i), Roster: do.MustInvoke[*roster.Roster](i),
-		Store: o.Suspects, Checker: do.MustInvoke[*placement.Balancer](i),
+		Store: o.Suspects, Checker: do.MustInvoke[*placement.Balancer](i), Reach: do.MustInvoke[*reach.Monitor](i),
 		FirstStart: s.Host.FirstStart, Clock: o.Clock, Logger: o.Logger, Registerer: o.Registry,
 	})
 }
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -20,6 +20,8 @@
 	{35, 8, "host processes crashed: after all hosts had been killed, a host without any data was asked for a snapshot and wrote to a nil map"},
 	{36, 3, "none: the plan has planned operations only"},
 	{1008, 5, "none: targets name rate limits and leave while hosts are stopped"},
+	{2001, 5, "hosts cut off from upstreams served too few: connections that opened and stayed silent counted as contact"},
+	{2005, 5, "none: requests that end upstreams, while hosts are killed and stopped"},
 }
 
 // buildGateway builds the gateway program and returns its path.
--- a/placement/load_querier.go
+++ b/placement/load_querier.go
@@ -67,40 +67,50 @@
 // open.
 const maxQueryConnections = 32
 
-// Connect implements Connector.
-func (q HTTPLoadQuerier) Connect(ctx context.Context, t registry.Target) error {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = time.Now().Add(time.Second)
-	}
-	exchange, err := q.Client.Open(ctx, upstream.OpenOptions{Target: t.Addr, Limit: math.MaxInt, Deadline: deadline, New: true})
+// Probe implements Prober. Without a path it only opens a connection.
+func (q HTTPLoadQuerier) Probe(ctx context.Context, t registry.Target, path string) error {
+	exchange, err := q.open(ctx, t, upstream.OpenOptions{Limit: math.MaxInt, New: true})
 	if err != nil {
 		return err
 	}
-	exchange.Close()
-	return nil
+	defer exchange.Close()
+	if path == "" {
+		return nil
+	}
+	return get(exchange, t, path)
 }
 
-// QueryLoad implements LoadQuerier. Without a deadline in ctx it gives up after
-// one second.
-func (q HTTPLoadQuerier) QueryLoad(ctx context.Context, t registry.Target, path string) (load.Report, error) {
+// open opens an exchange that ends with the context or after one second.
+func (q HTTPLoadQuerier) open(ctx context.Context, t registry.Target, o upstream.OpenOptions) (*upstream.Exchange, error) {
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		deadline = time.Now().Add(time.Second)
 	}
-	exchange, err := q.Client.Open(ctx, upstream.OpenOptions{Target: t.Addr, Limit: maxQueryConnections, Deadline: deadline, Idempotent: true})
-	if err != nil {
-		return load.Report{}, err
-	}
-	defer exchange.Close()
+	o.Target, o.Deadline = t.Addr, deadline
+	return q.Client.Open(ctx, o)
+}
+
+// get sends a request for a path and reads the response.
+func get(exchange *upstream.Exchange, t registry.Target, path string) error {
 	header := "GET " + path + " HTTP/1.1\r\nHost: " + t.Addr.String() + "\r\n\r\n"
 	if err := exchange.Send([]byte(header), nil); err != nil {
-		return load.Report{}, err
+		return err
 	}
 	if err := exchange.ReadHeader(false); err != nil {
+		return err
+	}
+	return exchange.DiscardBody()
+}
+
+// QueryLoad implements LoadQuerier. Without a deadline in ctx it gives up after
+// one second.
+func (q HTTPLoadQuerier) QueryLoad(ctx context.Context, t registry.Target, path string) (load.Report, error) {
+	exchange, err := q.open(ctx, t, upstream.OpenOptions{Limit: maxQueryConnections, Idempotent: true})
+	if err != nil {
 		return load.Report{}, err
 	}
-	if err := exchange.DiscardBody(); err != nil {
+	defer exchange.Close()
+	if err := get(exchange, t, path); err != nil {
 		return load.Report{}, err
 	}
 	if id := exchange.HeaderValue(q.Dialect.Identity); id != "" && id != t.ID {
--- a/placement/reach.go
+++ b/placement/reach.go
@@ -13,24 +13,26 @@
 	"github.com/chestnutfield/chestnutfield/registry"
 )
 
-// Connector opens connections to targets.
-type Connector interface {
-	// Connect opens a new connection to a target and closes it.
-	Connect(ctx context.Context, t registry.Target) error
+// Prober probes targets over new connections.
+type Prober interface {
+	// Probe gets a path from a target over a new connection; any response will do.
+	Probe(ctx context.Context, t registry.Target, path string) error
 }
 
 // ProbeTargets implements reach.Prober.
 func (b *Balancer) ProbeTargets(ctx context.Context, pool string, n int) (reached, probed int) {
-	connector, ok := b.opts.LoadQuerier.(Connector)
-	if !ok {
+	prober, ok := b.opts.LoadQuerier.(Prober)
+	ps := (*b.pools.Load())[pool]
+	if !ok || len(ps) == 0 {
 		return 0, 0
 	}
-	targets := lo.Samples((*b.pools.Load())[pool].targets(), n)
+	path, _ := ps[0].queryPath()
+	targets := lo.Samples(ps.targets(), n)
 	var count atomic.Int32
 	var probes sync.WaitGroup
 	for _, t := range targets {
 		probes.Go(func() {
-			if connector.Connect(ctx, t) == nil {
+			if prober.Probe(ctx, t, path) == nil {
 				count.Add(1)
 			}
 		})
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -63,6 +63,8 @@
 	Roster  *roster.Roster
 	Store   Store
 	Checker TargetChecker
+	// Reach has a pool checked of which a target does not respond to this host.
+	Reach interface{ Suspect(pool string) }
 	// FirstStart means that the deployment starts for the first time, so that the
 	// store holds no records.
 	FirstStart bool
@@ -148,6 +150,7 @@
 	if !ok {
 		return
 	}
+	g.Reach.Suspect(pool)
 	instance := identified.Instance()
 	g.startCheck(lossNotice{Content: content, Pool: pool, ID: instance.ID, StartedMillis: instance.StartedMillis, Addr: a.Target()}, true)
 }
--- a/reach/monitor.go
+++ b/reach/monitor.go
@@ -26,8 +26,8 @@
 
 // Prober opens connections to targets.
 type Prober interface {
-	// ProbeTargets tries to open a new connection to each of up to n random targets
-	// of a pool, and returns to how many that succeeded.
+	// ProbeTargets tries to get a response from each of up to n random targets of a
+	// pool over a new connection, and returns from how many that succeeded.
 	ProbeTargets(ctx context.Context, pool string, n int) (reached, probed int)
 	// PoolOf returns the pool of the target at an address, "" if there is none.
 	PoolOf(addr netip.AddrPort) string
@@ -85,8 +85,9 @@
 	return p != nil && p.cut
 }
 
-// Dialled records that a connection to a target was opened or could not be opened.
-func (m *Monitor) Dialled(addr netip.AddrPort, err error) {
+// Contacted records that the first response on a new connection to a target arrived
+// or, with an error, that no connection could be opened.
+func (m *Monitor) Contacted(addr netip.AddrPort, err error) {
 	name := m.Prober.PoolOf(addr)
 	if name == "" {
 		return
@@ -97,7 +98,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.pool(name).connected(m.Clock.Now())
+	m.pool(name).contacted(m.Clock.Now())
 }
 
 // Suspect has the pool checked, unless the host is known to reach it. It does not
@@ -165,7 +166,7 @@
 		return
 	}
 	m.cutPools.WithLabelValues(name).Set(1)
-	m.Logger.Warn("host reaches no target of a pool, or few; its requests go through hosts that reach more", zap.String("pool", name), zap.Int("reached", reached), zap.Int("probed", probed), zap.Duration("last_connected", now.Sub(p.connectedAt)))
+	m.Logger.Warn("host reaches no target of a pool, or few; its requests go through hosts that reach more", zap.String("pool", name), zap.Int("reached", reached), zap.Int("probed", probed), zap.Duration("last_contact", now.Sub(p.contactAt)))
 	select {
 	case m.wake <- struct{}{}:
 	default:
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -46,7 +46,7 @@
 	g := NewWithT(t)
 	m, n, _ := newMonitor(t, 5)
 	n.reachable.Store(2)
-	m.Dialled(addr, errRefused)
+	m.Contacted(addr, errRefused)
 	g.Expect(m.Reaches(t.Context(), "p")).To(BeTrue())
 	g.Expect(m.Cut("p")).To(BeFalse())
 }
@@ -55,7 +55,7 @@
 	g := NewWithT(t)
 	m, n, _ := newMonitor(t, 13)
 	n.reachable.Store(1)
-	m.Dialled(addr, errRefused)
+	m.Contacted(addr, errRefused)
 	g.Expect(m.Reaches(t.Context(), "p")).To(BeFalse())
 }
 
@@ -63,7 +63,7 @@
 	g := NewWithT(t)
 	m, n, _ := newMonitor(t, 2)
 	n.reachable.Store(1)
-	m.Dialled(addr, errRefused)
+	m.Contacted(addr, errRefused)
 	g.Expect(m.Reaches(t.Context(), "p")).To(BeTrue())
 }
 
@@ -71,8 +71,8 @@
 	g := NewWithT(t)
 	m, n, clock := newMonitor(t, 5)
 	for range 20 {
-		m.Dialled(addr, nil)
-		m.Dialled(addr, errRefused)
+		m.Contacted(addr, nil)
+		m.Contacted(addr, errRefused)
 		g.Expect(m.Reaches(t.Context(), "p")).To(BeTrue())
 		clock.Advance(100 * time.Millisecond)
 	}
@@ -82,14 +82,14 @@
 func TestCutBeginsWithOneRoundAndEndsAfterSeveral(t *testing.T) {
 	g := NewWithT(t)
 	m, n, clock := newMonitor(t, 5)
-	m.Dialled(addr, nil)
+	m.Contacted(addr, nil)
 	n.reachable.Store(0)
 	clock.Advance(time.Second)
-	m.Dialled(addr, errRefused)
+	m.Contacted(addr, errRefused)
 	g.Expect(m.Reaches(t.Context(), "p")).To(BeFalse())
 	g.Expect(m.Cut("p")).To(BeTrue())
 	g.Expect(m.Cut("q")).To(BeFalse())
-	m.Dialled(addr, nil)
+	m.Contacted(addr, nil)
 	g.Expect(m.Cut("p")).To(BeTrue(), "one connection is not enough")
 	n.reachable.Store(5)
 	advanceUntil(t, g, clock, func() bool { return !m.Cut("p") })
--- a/reach/state.go
+++ b/reach/state.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// recentContact is how long an opened connection shows that the host reaches the
-	// pool.
+	// recentContact is how long a response on a new connection shows that the host
+	// reaches the pool.
 	recentContact = 300 * time.Millisecond
 	// minReached is the part of the probed targets that a host has to reach: with only a
 	// few targets of many, it would send all its requests there.
@@ -19,8 +19,8 @@
 
 // state is what is known of one pool. It does no I/O and reads no clock.
 type state struct {
-	// connectedAt is when a new connection to a target was last opened.
-	connectedAt time.Time
+	// contactAt is when the last response on a new connection arrived.
+	contactAt time.Time
 	// cut is true while the host counts as cut off, endedAt when the last cut ended.
 	cut     bool
 	endedAt time.Time
@@ -29,12 +29,12 @@
 	rounds, needed int
 }
 
-// connected records that a new connection was opened.
-func (s *state) connected(now time.Time) { s.connectedAt = now }
+// contacted records a response on a new connection.
+func (s *state) contacted(now time.Time) { s.contactAt = now }
 
 // inContact reports whether the host is known to reach the pool without a probe.
 func (s *state) inContact(now time.Time) bool {
-	return !s.cut && !s.connectedAt.IsZero() && now.Sub(s.connectedAt) < recentContact
+	return !s.cut && !s.contactAt.IsZero() && now.Sub(s.contactAt) < recentContact
 }
 
 // recordRound records a round of probes and returns true if the cut began or ended. A
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -85,7 +85,7 @@
 	opts   Options
 	shards [shardCount]shard
 
-	dialObserver atomic.Pointer[func(target netip.AddrPort, err error)]
+	contactObserver atomic.Pointer[func(target netip.AddrPort, err error)]
 }
 
 type shard struct {
@@ -156,29 +156,36 @@
 	return r
 }
 
-// SetDialObserver sets a function that is told of each connection to a target, not to
-// a peer, that was opened or could not be opened. It must not block.
-func (c *Client) SetDialObserver(observe func(target netip.AddrPort, err error)) {
-	c.dialObserver.Store(&observe)
+// SetContactObserver sets a function that is told whether new connections to targets,
+// not to peers, work: with nil when the first response on one arrives, with an error
+// when one can't be opened. It must not block.
+func (c *Client) SetContactObserver(observe func(target netip.AddrPort, err error)) {
+	c.contactObserver.Store(&observe)
 }
 
-// observeDial tells the observer how opening a connection ended. One that the caller
-// of Open gave up says nothing.
-func (c *Client) observeDial(ctx context.Context, o OpenOptions, err error) {
-	observe := c.dialObserver.Load()
-	if observe == nil || o.Peer || errors.Is(ctx.Err(), context.Canceled) {
-		return
+// observeFailedDial tells the observer that a connection could not be opened, unless
+// the caller of Open gave it up.
+func (c *Client) observeFailedDial(ctx context.Context, o OpenOptions, err error) {
+	if observe := c.contactObserver.Load(); observe != nil && !o.Peer && !errors.Is(ctx.Err(), context.Canceled) {
+		(*observe)(o.Target, err)
+	}
+}
+
+// observeResponse tells the observer of a response on a new connection.
+func (c *Client) observeResponse(cn *conn) {
+	if observe := c.contactObserver.Load(); observe != nil && !cn.peer && !cn.reused {
+		(*observe)(cn.target.addr, nil)
 	}
-	(*observe)(o.Target, err)
 }
 
 func (c *Client) dial(ctx context.Context, t *target, o OpenOptions) (*conn, error) {
 	nc, err := c.open(ctx, t.addr.String(), o.Deadline)
-	c.observeDial(ctx, o, err)
 	if err != nil {
+		c.observeFailedDial(ctx, o, err)
 		return nil, errors.Wrap(ErrConnect, err.Error())
 	}
 	cn := newConn(nc, t, c.opts.HeaderBytes)
+	cn.peer = o.Peer
 	if o.Peer && c.opts.PeerTLS != nil {
 		if err := cn.startTLS(ctx, c.opts.PeerTLS, c.opts.ConnectTimeout); err != nil {
 			nc.Close()
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -23,6 +23,8 @@
 	target    *target
 	idleSince time.Time
 	reused    bool
+	// peer is true when the target is another host.
+	peer bool
 	// idleLimit is how long the target keeps the connection open while idle,
 	// less keepAliveMargin; 0 when it did not say.
 	idleLimit time.Duration
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -169,6 +169,7 @@
 func (x *Exchange) RawHeader() []byte { return x.conn.rawHeader }
 
 func (x *Exchange) startBody(head bool, status int) error {
+	x.client.observeResponse(x.conn)
 	noBody := head || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
 	if noBody || x.resp.Header.ContentLength() == 0 {
 		x.bodyDone = true
