--- a/lab/soak/cut.go
+++ b/lab/soak/cut.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/samber/lo"
@@ -43,7 +44,9 @@
 	d.mu.Unlock()
 	if e.Selector%2 == 0 {
 		for _, r := range relays {
-			r.resetClients(func(client, relay netip.AddrPort) bool { return ownedByAny(cut.hosts, client, relay) })
+			r.resetClients(func(client, relay netip.AddrPort) bool {
+				return lo.Contains(cut.hosts, d.owners.find(d.hosts, client, relay))
+			})
 		}
 	}
 	time.Sleep(bounds.settleTime + e.Duration)
@@ -61,7 +64,11 @@
 		d.mu.Lock()
 		active := lo.Filter(d.cuts, func(c *hostCut, _ int) bool { return c.to.IsZero() })
 		d.mu.Unlock()
-		cut, found := lo.Find(active, func(c *hostCut) bool { return ownedByAny(c.hosts, client, relay) })
+		if len(active) == 0 {
+			return true
+		}
+		owner := d.owners.find(d.hosts, client, relay)
+		cut, found := lo.Find(active, func(c *hostCut) bool { return lo.Contains(c.hosts, owner) })
 		if !found {
 			return true
 		}
@@ -72,21 +79,46 @@
 	}
 }
 
-// ownedByAny reports whether the process of one of the hosts has the client's end of a
-// connection.
-func ownedByAny(hosts []*host, client, relay netip.AddrPort) bool {
+// socketOwners finds the host whose process has a socket. Its lock makes connections
+// that arrive together share one look at the processes.
+type socketOwners struct {
+	mu     sync.Mutex
+	lookAt time.Time
+	owners map[string]*host
+}
+
+// find returns the host that has the client's end of a connection, nil if none has.
+func (o *socketOwners) find(hosts []*host, client, relay netip.AddrPort) *host {
+	arrived := time.Now()
 	socket, err := netlink.SocketGet(net.TCPAddrFromAddrPort(client), net.TCPAddrFromAddrPort(relay))
 	if err != nil {
 		// The connection has ended.
-		return false
+		return nil
 	}
-	link := fmt.Sprintf("socket:[%d]", socket.INode)
-	return lo.SomeBy(hosts, func(h *host) bool {
-		files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", h.pid()))
-		return err == nil && lo.SomeBy(files, func(file os.DirEntry) bool {
-			to, err := os.Readlink(fmt.Sprintf("/proc/%d/fd/%s", h.pid(), file.Name()))
-			return err == nil && to == link
-		})
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.lookAt.Before(arrived) {
+		o.lookAt, o.owners = time.Now(), map[string]*host{}
+		for _, h := range hosts {
+			for _, link := range openFiles(h.pid()) {
+				o.owners[link] = h
+			}
+		}
+	}
+	return o.owners[fmt.Sprintf("socket:[%d]", socket.INode)]
+}
+
+// openFiles returns what the file descriptors of a process refer to.
+func openFiles(pid int) []string {
+	dir := fmt.Sprintf("/proc/%d/fd/", pid)
+	files, err := os.ReadDir(dir)
+	if err != nil {
+		// The process has ended.
+		return nil
+	}
+	return lo.FilterMap(files, func(file os.DirEntry, _ int) (string, bool) {
+		to, err := os.Readlink(dir + file.Name())
+		return to, err == nil
 	})
 }
 
--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -89,6 +89,8 @@
 	hosts     []*host
 	startedAt time.Time
 	seed      uint64
+	// owners finds the host of a connection to an upstream.
+	owners socketOwners
 
 	mu               sync.Mutex
 	upstreams        []*relayedUpstream
