placement, reach: checks of targets keep their limits and the budget of load queries

Found on reading the change: a target that reports no load counted as responding whatever it did, so a request could end such targets without end; checks queried targets that name a rate limit, for which a query counts, or a Retry-After; and probes of a pool were outside the budget of load queries. Change: where a query would count or wait like a request, a new connection is the check; probes leave out such targets and count in the budget, two at least; a pool is probed at most every 0.5 s outside a cut.

--- a/placement/liveness.go
+++ b/placement/liveness.go
@@ -19,36 +19,39 @@
 	livenessTimeout = 300 * time.Millisecond
 )
 
-// Responds reports whether the process of a pool's target responds to this host. A
-// pool whose targets can't be queried counts as responding.
+// Responds reports whether the process of a pool's target responds to this host: to a
+// load query or, where a query would count as a request or wait like one, to a new
+// connection. A target of an unknown pool counts as responding.
 func (b *Balancer) Responds(ctx context.Context, pool string, instance registry.Instance, addr netip.AddrPort) bool {
 	p := (*b.pools.Load())[pool].ofTarget(instance.ID)
 	if p == nil {
 		return true
 	}
-	path, skip := p.queryPath()
-	if skip {
-		return true
-	}
 	t := registry.Target{Entry: registry.Entry{Instance: instance, Addr: addr}}
-	if known, ok := p.find(instance); ok {
-		t = known
-	}
 	return lo.SomeBy(lo.Range(livenessTries), func(int) bool {
 		tryCtx, cancel := context.WithTimeout(ctx, livenessTimeout)
 		defer cancel()
-		_, err := b.opts.LoadQuerier.QueryLoad(tryCtx, t, path)
-		return err == nil || errors.Is(err, ErrNoLoadReport)
+		return b.respondsOnce(tryCtx, p, t)
 	})
 }
 
-// find returns the target with an instance.
-func (p *partition) find(instance registry.Instance) (registry.Target, bool) {
+func (b *Balancer) respondsOnce(ctx context.Context, p *partition, t registry.Target) bool {
+	path, skip := p.queryPath()
+	if prober, ok := b.opts.LoadQuerier.(Prober); ok && (skip || p.takesNoQueries(b.opts.Clock.Now(), t.Instance)) {
+		return prober.Probe(ctx, t, "") == nil
+	}
+	_, err := b.opts.LoadQuerier.QueryLoad(ctx, t, path)
+	return err == nil || errors.Is(err, ErrNoLoadReport)
+}
+
+// takesNoQueries reports whether a target names a rate limit, for which a query
+// counts, or wants no request from this host for a while.
+func (p *partition) takesNoQueries(now time.Time, instance registry.Instance) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t, ok := lo.Find(p.targets, func(t *target) bool { return t.Instance == instance })
-	if !ok {
-		return registry.Target{}, false
-	}
-	return t.Target, true
+	return ok && !t.queryable(now)
 }
+
+// queryable reports whether the target may be queried.
+func (t *target) queryable(now time.Time) bool { return t.limiter == nil && !now.Before(t.pausedUntil) }
--- a/placement/reach.go
+++ b/placement/reach.go
@@ -19,15 +19,21 @@
 	Probe(ctx context.Context, t registry.Target, path string) error
 }
 
-// ProbeTargets implements reach.Prober.
+// minProbes is the number of targets that are probed although the budget of load
+// queries is used up, as that of a coordinator may be.
+const minProbes = 2
+
+// ProbeTargets implements reach.Prober. Probes count in the budget of load queries.
 func (b *Balancer) ProbeTargets(ctx context.Context, pool string, n int) (reached, probed int) {
 	prober, ok := b.opts.LoadQuerier.(Prober)
 	ps := (*b.pools.Load())[pool]
 	if !ok || len(ps) == 0 {
 		return 0, 0
 	}
-	path, _ := ps[0].queryPath()
-	targets := lo.Samples(ps.targets(), n)
+	now := b.opts.Clock.Now()
+	p := ps.pickRandom()
+	path, _ := p.queryPath()
+	targets := lo.Samples(ps.queryable(now), max(b.takeQueries(now, p, n), min(n, minProbes)))
 	var count atomic.Int32
 	var probes sync.WaitGroup
 	for _, t := range targets {
@@ -55,12 +61,12 @@
 	return index
 }
 
-// targets returns all targets of a pool.
-func (ps partitions) targets() []registry.Target {
+// queryable returns the targets of a pool that may be queried.
+func (ps partitions) queryable(now time.Time) []registry.Target {
 	return lo.FlatMap(ps, func(p *partition, _ int) []registry.Target {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		return lo.Map(p.targets, func(t *target, _ int) registry.Target { return t.Target })
+		return lo.FilterMap(p.targets, func(t *target, _ int) (registry.Target, bool) { return t.Target, t.queryable(now) })
 	})
 }
 
--- a/reach/monitor.go
+++ b/reach/monitor.go
@@ -21,7 +21,7 @@
 	// roundInterval is the time between two rounds during a cut.
 	roundInterval = 250 * time.Millisecond
 	// minCheckInterval is the time between two rounds outside a cut.
-	minCheckInterval = 200 * time.Millisecond
+	minCheckInterval = 500 * time.Millisecond
 )
 
 // Prober opens connections to targets.
