quarantine: times of notices are forgotten

Found on reading: the time of the last notice of each suspect request was kept for ever; memory has to stay bounded. Now those older than the interval go once 512 are kept. go test ./quarantine: ok.

--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -273,6 +273,9 @@
 func (g *Guard) spread(now time.Time, r Record) {
 	g.mu.Lock()
 	due := now.Sub(g.toldAt[r.Content]) >= tellInterval || len(r.Losses) <= refusedLosses
+	if len(g.toldAt) >= maxContents {
+		g.toldAt = lo.OmitBy(g.toldAt, func(_ Content, at time.Time) bool { return now.Sub(at) >= tellInterval })
+	}
 	if due {
 		g.toldAt[r.Content] = now
 	}
