--- a/gateway/providers.go
+++ b/gateway/providers.go
@@ -212,4 +212,3 @@
 		HedgeObjectiveFraction: hedgeShare,
 	}
 }
-
