--- a/lab/soak/crash.go
+++ b/lab/soak/crash.go
@@ -34,7 +34,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), crashLength)
 	defer cancel()
 	client := &http.Client{Timeout: callerTimeout, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
-	path := fmt.Sprint(crashPrefix, e.Selector)
+	// All events of a run send the same request: a later one meets what the hosts have
+	// learned since the first.
+	path := fmt.Sprint(crashPrefix, d.seed)
 	for i := 0; ctx.Err() == nil; i++ {
 		id := fmt.Sprintf("x%d-%d-%d", d.seed, e.Selector, i)
 		go func() {
