--- a/gateway/providers.go
+++ b/gateway/providers.go
@@ -11,6 +11,7 @@
 	"github.com/chestnutfield/chestnutfield/detour"
 	"github.com/chestnutfield/chestnutfield/hedge"
 	"github.com/chestnutfield/chestnutfield/hostmsg"
+	"github.com/chestnutfield/chestnutfield/patience"
 	"github.com/chestnutfield/chestnutfield/placement"
 	"github.com/chestnutfield/chestnutfield/proxy"
 	"github.com/chestnutfield/chestnutfield/quarantine"
@@ -211,7 +212,7 @@
 		Client:        do.MustInvoke[*upstream.Client](i), Dialect: &o.Dialect,
 		Clock: o.Clock, Registerer: o.Registry, Logger: o.Logger,
 		RequestLog: requestLog{o.Logger},
-		Limits:     proxyLimits(s),
+		Limits:     proxyLimits(s), Patience: patience.New(),
 	})
 }
 
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -19,6 +19,9 @@
 		zap.Uint64("tables", r.Version), zap.Stringer("outcome", r.Outcome), zap.Int("status", r.Status),
 		zap.Duration("total", r.Total), zap.Duration("allowed", r.Deadline),
 	}
+	if r.Waited > 0 {
+		fields = append(fields, zap.Duration("caller_waited", r.Waited))
+	}
 	if r.Workspace != "" {
 		fields = append(fields, zap.String("workspace", r.Workspace))
 	}
--- a/host/forwarding.go
+++ b/host/forwarding.go
@@ -16,6 +16,7 @@
 	"github.com/chestnutfield/chestnutfield/limit"
 	"github.com/chestnutfield/chestnutfield/membership"
 	"github.com/chestnutfield/chestnutfield/owner"
+	"github.com/chestnutfield/chestnutfield/patience"
 	"github.com/chestnutfield/chestnutfield/probe"
 	"github.com/chestnutfield/chestnutfield/proxy"
 	"github.com/chestnutfield/chestnutfield/retry"
@@ -204,6 +205,7 @@
 		Admission:     handover.Admission(do.MustInvoke[directAdmission](i)),
 		Retries:       do.MustInvoke[lb.RetryBudget](i),
 		Ledger:        do.MustInvoke[lb.Ledger](i),
+		Patience:      patience.New(),
 		Membership:    do.MustInvoke[lb.Membership](i),
 		Clock:         do.MustInvoke[clockwork.Clock](i),
 		Registerer:    withSideLabel(do.MustInvoke[*prometheus.Registry](i), "callers"),
--- a/lb/lb.go
+++ b/lb/lb.go
@@ -134,6 +134,9 @@
 	// been answered.
 	Received time.Time
 	Deadline time.Time
+	// Waited is how long the caller had waited before this request arrived, after
+	// earlier ones that were refused; 0 for its first request and when that is unknown.
+	Waited time.Duration
 	// Exclude lists targets that this request has already been sent to.
 	Exclude []netip.AddrPort
 	// Subsequent is true for every attempt but the first, Hedge for a hedged
--- a/placement/simulation_test.go
+++ b/placement/simulation_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/chestnutfield/chestnutfield/lb"
 	"github.com/chestnutfield/chestnutfield/load"
+	"github.com/chestnutfield/chestnutfield/outcome"
 	"github.com/chestnutfield/chestnutfield/placement"
 	"github.com/chestnutfield/chestnutfield/registry"
 	"github.com/chestnutfield/chestnutfield/table"
@@ -173,6 +174,13 @@
 	// comeBack makes refused callers ask again, twice at most, after the time
 	// that they were told. Objective and deadline count from the first time.
 	comeBack bool
+	// waitsUnknown is true when a host does not know how long a caller that comes back
+	// has waited before.
+	waitsUnknown bool
+	// allKnowing places the requests by an allKnowingQueue.
+	allKnowing bool
+	// slots is the number of requests that a target serves at once, 0 for 2.
+	slots int
 	// extended is that of the pool: requests don't join the targets' own queues.
 	extended bool
 	// longShare is the fraction of requests that take seven times as long as usual.
@@ -205,9 +213,11 @@
 	var targets []registry.Target
 	for i := range sc.targets {
 		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80)
-		s := &server{slots: 2, queue: 4, slowdown: 1}
+		s := &server{slots: cmp.Or(sc.slots, 2), queue: 4, slowdown: 1}
 		f.servers[addr] = s
-		targets = append(targets, registered(fmt.Sprint("t", i), addr))
+		target := registered(fmt.Sprint("t", i), addr)
+		target.Slots = s.slots
+		targets = append(targets, target)
 		if i < sc.slow {
 			s.slowdown = 5
 			continue
@@ -219,6 +229,10 @@
 		t.Fatal(err)
 	}
 	b.Update(map[string]placement.PoolSpec{"catalogue": {HealthPath: "/health", Targets: targets, Extended: sc.extended}})
+	var oracle *allKnowingQueue
+	if sc.allKnowing {
+		oracle = newAllKnowingQueue(ctx, f)
+	}
 	high := &table.Route{Objective: objective, Timeout: timeout, Idempotent: true}
 	low := &table.Route{Objective: objective, Timeout: timeout, Idempotent: true, Rank: 2}
 	got.low = &results{}
@@ -240,7 +254,16 @@
 			start := time.Now()
 			callCtx, done := context.WithTimeout(ctx, timeout)
 			defer done()
-			a, refusal := b.Place(callCtx, lb.PlaceQuery{Pool: "catalogue", Route: route, Received: start, Deadline: start.Add(timeout)})
+			place := func(q lb.PlaceQuery) (lb.Attempt, *lb.Refusal) {
+				if !sc.allKnowing {
+					return b.Place(callCtx, q)
+				}
+				if target, ok := oracle.place(start.Add(objective), serviceTime); ok {
+					return allKnowingAttempt{queue: oracle, target: target}, nil
+				}
+				return nil, &lb.Refusal{Reason: outcome.QueueFull}
+			}
+			a, refusal := place(lb.PlaceQuery{Pool: "catalogue", Route: route, Received: start, Deadline: start.Add(timeout)})
 			for tries := 1; refusal != nil; tries++ {
 				// Callers wait for a third of their remaining time at most.
 				wait := min(refusal.RetryAfter, (timeout-time.Since(start))/3)
@@ -252,7 +275,11 @@
 					return
 				}
 				time.Sleep(wait)
-				a, refusal = b.Place(callCtx, lb.PlaceQuery{Pool: "catalogue", Route: route, Received: time.Now(), Deadline: start.Add(timeout)})
+				q := lb.PlaceQuery{Pool: "catalogue", Route: route, Received: time.Now(), Deadline: start.Add(timeout)}
+				if !sc.waitsUnknown {
+					q.Waited = q.Received.Sub(start)
+				}
+				a, refusal = place(q)
 			}
 			sent := time.Now()
 			ok := f.servers[a.Target()].run(callCtx, serviceTime)
--- a/proxy/attempts.go
+++ b/proxy/attempts.go
@@ -212,7 +212,7 @@
 		began := c.now()
 		defer c.addWait(began)
 		return placer.Place(c.ctx, lb.PlaceQuery{
-			Pool: pool, Route: c.match.Route, Received: c.received, Deadline: c.deadline,
+			Pool: pool, Route: c.match.Route, Received: c.received, Waited: c.waited, Deadline: c.deadline,
 			Exclude: c.triedTargets(), Subsequent: act.NeedsBudget, Hedge: c.attemptInFlight(), RequestID: c.in.requestID,
 			Workspace: c.in.access.workspaceName(), Weight: c.in.access.weight(),
 			Regions: c.in.access.regions, BodyBytes: c.uploadBytes(),
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -29,6 +29,9 @@
 	version uint64
 
 	received time.Time
+	// waited is how long the caller had waited before this attempt, 0 when it is its
+	// first one or that is unknown.
+	waited   time.Duration
 	deadline time.Time
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -104,6 +107,7 @@
 	if in.deadline > 0 {
 		timeout = min(timeout, in.deadline)
 	}
+	c.recordWait()
 	c.attempts = c.attemptsBuf[:0]
 	c.deadline = c.received.Add(timeout)
 	c.ctx, c.cancel = context.WithDeadline(context.Background(), time.Now().Add(timeout))
--- a/proxy/finish.go
+++ b/proxy/finish.go
@@ -36,6 +36,7 @@
 func (c *call) recordEnd(end attempt.End) {
 	total := c.now().Sub(c.received)
 	c.server.metrics.countRequest(c, end.Outcome, end.Reason, total)
+	c.recordCallerResult(end, total)
 	c.logEnd(end, total)
 }
 
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -24,6 +24,8 @@
 	attempts     *prometheus.CounterVec
 	latency      *prometheus.HistogramVec
 	addedLatency *prometheus.HistogramVec
+	// callerResults counts the requests by what their callers got.
+	callerResults *prometheus.CounterVec
 	// malformedSignals counts the responses of which a header was ignored.
 	malformedSignals prometheus.Counter
 	// uploadsStreamed counts the uploads whose body found no memory.
@@ -72,10 +74,11 @@
 			Name: "chestnut_malformed_backpressure_headers_total",
 			Help: "Responses of targets with a malformed rate limit or Retry-After, which was ignored.",
 		}),
+		callerResults:   newCallerResults(),
 		callerLabels:    newBoundedLabels(l.MaxCallerLabels),
 		workspaceLabels: newBoundedLabels(l.MaxWorkspaceLabels),
 	}
-	if err := metric.Register(reg, "proxy", m.requests, m.refusals, m.workspaces, m.attempts, m.latency, m.addedLatency, m.malformedSignals, m.uploadsStreamed); err != nil {
+	if err := metric.Register(reg, "proxy", m.requests, m.refusals, m.workspaces, m.attempts, m.latency, m.addedLatency, m.malformedSignals, m.uploadsStreamed, m.callerResults); err != nil {
 		return nil, err
 	}
 	return m, nil
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -11,6 +11,7 @@
 	"github.com/chestnutfield/chestnutfield/dialect"
 	"github.com/chestnutfield/chestnutfield/hedge"
 	"github.com/chestnutfield/chestnutfield/lb"
+	"github.com/chestnutfield/chestnutfield/patience"
 	"github.com/chestnutfield/chestnutfield/upstream"
 )
 
@@ -62,6 +63,9 @@
 	// time ago, so that a key that they don't contain is not a new one. nil means
 	// always.
 	TablesConfirmed func() bool
+	// Patience estimates how long callers had waited before an attempt; nil takes each
+	// attempt for a first one.
+	Patience *patience.Estimator
 	// RequestLog receives a record of each request when it ends; nil disables
 	// the log.
 	RequestLog RequestLog
--- a/proxy/requestlog.go
+++ b/proxy/requestlog.go
@@ -42,6 +42,9 @@
 	// the time that the request was allowed.
 	Total    time.Duration
 	Deadline time.Duration
+	// Waited is how long the caller had waited before this request, 0 when it is its
+	// first one or that is unknown.
+	Waited time.Duration
 	// RetryAfter is how long a refusal asked the caller to wait.
 	RetryAfter time.Duration
 	// Content identifies requests with the same content, 0 unless an attempt got no
@@ -81,6 +84,7 @@
 		Workspace: c.in.access.workspaceName(),
 		Version:   c.version, Outcome: end.Outcome, Reason: end.Reason, Status: c.status(end),
 		Total: total, Deadline: c.deadline.Sub(c.received), RetryAfter: retryAfter,
+		Waited:   c.waited,
 		Detail:   refusedKeyDetail(end.Reason),
 		Content:  c.lostContent(attempts),
 		Attempts: lo.Map(attempts, func(t *upstreamAttempt, _ int) AttemptRecord { return t.logRecord(c.received) }),
