placement: the objective of a request counts from its caller's first one

Cause: a caller that comes back after a refusal was placed among the newest requests, ahead of first ones that could still be in time, though it is mostly too late for its own objective.

Change: a request that can only be late, counted from the caller's first one, is a late one in the order of the queue. The message to a coordinator carries what is left of the objective, so that its form is the same for older builds.

--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -32,7 +32,8 @@
 	Pool      string
 	RequestID string
 	// Elapsed is the time since the request arrived, Remaining the time until
-	// its deadline, Objective its latency objective counted from its arrival.
+	// its deadline, Objective what is left of its latency objective at its arrival, 0
+	// when there is none.
 	Elapsed, Remaining, Objective int64
 	Rank                          int
 	FailureDomain                 string
@@ -46,11 +47,20 @@
 	return placeRequest{
 		Pool: q.Pool, RequestID: q.RequestID,
 		Elapsed: now.Sub(q.Received).Milliseconds(), Remaining: q.Deadline.Sub(now).Milliseconds(),
-		Objective: q.Route.Objective.Milliseconds(), Rank: q.Route.Rank,
+		Objective: objectiveLeft(q).Milliseconds(), Rank: q.Route.Rank,
 		FailureDomain: domain, Exclude: q.Exclude, Subsequent: q.Subsequent, Hedge: q.Hedge, Partition: q.Partition,
 	}
 }
 
+// objectiveLeft returns what was left of a request's latency objective when it arrived:
+// a millisecond when its caller had waited for longer, 0 when it has none.
+func objectiveLeft(q lb.PlaceQuery) time.Duration {
+	if q.Route.Objective <= 0 {
+		return 0
+	}
+	return max(q.Route.Objective-q.Waited, time.Millisecond)
+}
+
 func (p placeRequest) placeQuery(now time.Time) lb.PlaceQuery {
 	return lb.PlaceQuery{
 		Pool: p.Pool, RequestID: p.RequestID, FailureDomain: p.FailureDomain, Exclude: p.Exclude,
--- a/placement/order.go
+++ b/placement/order.go
@@ -28,10 +28,10 @@
 	index int
 }
 
-// lateness returns 0 for a request that can still meet its objective and 1 for
-// one that can only be late; lower goes first.
+// lateness returns 0 for a request that can still meet its objective, counted from its
+// caller's first request, and 1 for one that can only be late; lower goes first.
 func lateness(now time.Time, q lb.PlaceQuery, serviceTime time.Duration) int {
-	if q.Route.Objective <= 0 || now.Add(serviceTime).Before(q.Received.Add(q.Route.Objective)) {
+	if q.Route.Objective <= 0 || now.Add(serviceTime).Before(q.Received.Add(q.Route.Objective-q.Waited)) {
 		return 0
 	}
 	return 1
