placement: the adaptive concurrency limit is removed

Change: the limit goes with its setting, metric, tests and pages; the measure of a target's work, which extra attempts use, has a file of its own. The tests TestTwiceTheCapacityIsMostlyServedInTime and TestUsualLoadWithSlowTargetsIsServedInTime set the limit and guarded it alone: with fixed slots, as in every deployment, they never held (0.53 to 0.54 instead of 0.8, 0.73 instead of 0.9). Conclusion: removed.

--- a/gateway/providers.go
+++ b/gateway/providers.go
@@ -103,7 +103,6 @@
 			}
 			return placement.QueryAllowance{Share: otherHostsQueryShare / float64(hosts.Count()), PerRequest: otherHostQueriesPerRequest}
 		},
-		AdaptiveConcurrency: s.Overload.AdaptiveConcurrency,
 		Reach:               monitor,
 		Logger:              o.Logger,
 		Seed:                xxhash.Sum64String(s.Host.Name),
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -66,9 +66,6 @@
 	// Reach knows whether this host reaches a pool; nil stands for always. A failure of
 	// a host that reaches no target says nothing about the target.
 	Reach Reachability
-	// AdaptiveConcurrency limits the requests in flight at a target to the number at
-	// which targets complete most, instead of their slots.
-	AdaptiveConcurrency bool
 	// Seed makes the random choices repeatable.
 	Seed uint64
 	// Logger logs refusals; nil logs none.
@@ -276,7 +273,6 @@
 // partition's lock.
 func (b *Balancer) startAttempt(p *partition, t *target, v targetState, requestID string) *attempt {
 	now := b.opts.Clock.Now()
-	t.occupancy.read(now, t.inFlight+t.foreign)
 	t.inFlight++
 	t.sinceReport++
 	if t.limiter != nil {
@@ -300,7 +296,6 @@
 	// durationFactor is the expected time in multiples of the usual service
 	// time.
 	durationFactor float64
-	sample         concurrencySample
 	ended          atomic.Bool
 }
 
@@ -333,7 +328,6 @@
 }
 
 func (a *attempt) finish(now time.Time, f lb.Feedback) {
-	a.balancer.endSample(now, a, f)
 	a.partition.recordEnd(now, a.target, a.call, a.durationFactor, f, a.balancer.parseReport(f))
 }
 
--- a/placement/crossing.go
+++ b/placement/crossing.go
@@ -59,9 +59,6 @@
 // bestFor returns the best of the candidates for a request and its state. The
 // caller holds the lock.
 func (p *partition) bestFor(now time.Time, candidates []*target, q lb.PlaceQuery) (*target, targetState) {
-	if p.adaptive {
-		candidates = p.withoutFullExplorers(now, candidates)
-	}
 	if p.heldBack(q) {
 		candidates = p.finishing(now, candidates, q)
 	}
--- a/placement/metrics.go
+++ b/placement/metrics.go
@@ -29,8 +29,6 @@
 	// unfinishable counts the orders that were refused since no target was expected to
 	// finish them.
 	unfinishable *prometheus.CounterVec
-	// concurrencyLimit holds the limits of the partitions that this host places for.
-	concurrencyLimit *prometheus.GaugeVec
 }
 
 // waitBuckets reach from the time of one load query (1 ms) to the longest usual
@@ -68,16 +66,12 @@
 			Name: "chestnut_placement_unfinishable_orders_total",
 			Help: "Orders and uploads refused because no target was expected to finish them before their deadline.",
 		}, []string{"pool"}),
-		concurrencyLimit: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Name: "chestnut_target_concurrency_limit",
-			Help: "Requests that a target gets at once, by pool and partition, at the host that places them, once that differed from the slots.",
-		}, []string{"pool", "partition"}),
 		observationChanges: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "chestnut_target_backpressure_changes_total",
 			Help: "Changes of the rate limits of targets, longer warm-ups, and targets that said that they leave, by where this host learned of them.",
 		}, []string{"source"}),
 	}
-	return m, metric.Register(r, "placement", m.loadQueries, m.refusals, m.waits, m.observationChanges, m.malformedSignals, m.extraAttempts, m.concurrencyLimit, m.overServed, m.unfinishable)
+	return m, metric.Register(r, "placement", m.loadQueries, m.refusals, m.waits, m.observationChanges, m.malformedSignals, m.extraAttempts, m.overServed, m.unfinishable)
 }
 
 // countObservation counts a change of what a target asks for, or a warm-up that lasts
--- a/placement/order.go
+++ b/placement/order.go
@@ -47,16 +47,13 @@
 // a request that was told to wait is not overtaken. The workspaces are nil, or not
 // in use, when no request has one.
 func sortWaiters(now time.Time, serviceTime time.Duration, f starvation, waiters []*waiter) {
-	starvedOrder, durations := map[int]int{}, map[int]time.Duration{}
+	starvedOrder := map[int]int{}
 	for i, w := range waiters {
 		rank := w.q.Route.Rank
 		if _, known := starvedOrder[rank]; !known {
-			starvedOrder[rank], durations[rank] = lo.Ternary(f.starved(rank), 0, 1), serviceTime
-			if f.duration != nil {
-				durations[rank] = f.duration(rank)
-			}
+			starvedOrder[rank] = lo.Ternary(f.starved(rank), 0, 1)
 		}
-		w.place = place{tier: starvedOrder[rank], rank: rank, late: lateness(now, w.q, durations[rank]), age: now.Sub(w.q.Received), index: i}
+		w.place = place{tier: starvedOrder[rank], rank: rank, late: lateness(now, w.q, serviceTime), age: now.Sub(w.q.Received), index: i}
 		if w.place.late > 0 {
 			w.place.age = -w.place.age
 		}
@@ -88,9 +85,6 @@
 	workspaces *workspaces
 	// placedShare is the fraction of all recent requests that were placed.
 	placedShare float64
-	// duration returns the expected duration of the requests of a rank; nil stands
-	// for the service time.
-	duration func(rank int) time.Duration
 }
 
 func comparePlaces(a, b *waiter) int {
--- a/placement/partition.go
+++ b/placement/partition.go
@@ -44,7 +44,7 @@
 	calls       callTracker
 	report      load.Report
 	reportAt    time.Time
-	adaptiveTarget
+	work        workClock
 	// named is the rate limit that the target names, limit the one in force; limiter
 	// is set while there is one.
 	named, limit backpressure.Limit
@@ -97,7 +97,6 @@
 	rng         *rand.Rand
 	// demand compares the arriving requests with what the targets can serve.
 	demand demand
-	adaptivePartition
 	// fairness counts the requests of each rank.
 	fairness fairness
 	// extraAttempts counts the copies of requests that the operator's limit allows.
@@ -115,7 +114,7 @@
 func newPartition(pool string, number int, rng *rand.Rand, role func() backpressure.Role) *partition {
 	return &partition{
 		pool: pool, number: number, rng: rng, role: role, warmups: newWarmups(), wake: make(chan struct{}, 1),
-		fairness: newFairness(), demand: newDemand(), adaptivePartition: newAdaptivePartition(),
+		fairness: newFairness(), demand: newDemand(),
 	}
 }
 
@@ -158,7 +157,7 @@
 			return k
 		}
 		added := &target{
-			Target: t, adaptiveTarget: newAdaptiveTarget(t.ID), pausedUntil: asked.PausedUntil(t.Instance),
+			Target: t, pausedUntil: asked.PausedUntil(t.Instance),
 			toldWarmupEnd: asked.WarmupEnd(t.Instance),
 		}
 		added.health.halfOpen = now.Before(added.pausedUntil)
@@ -230,7 +229,6 @@
 			// This host places all requests at the target.
 			v.reportAge = 0
 		}
-		p.limitConcurrency(now, t, &v)
 		return v
 	}
 	if t.report.Slots > 0 {
@@ -240,7 +238,6 @@
 	if n, ok := t.report.Count(v.slots); ok {
 		v.outstanding = max(n+t.sinceReport, t.inFlight)
 	}
-	p.limitConcurrency(now, t, &v)
 	return v
 }
 
@@ -309,7 +306,7 @@
 		if t.evacuated || now.Before(t.pausedUntil) || !t.health.available(now, t.inFlight) {
 			return 0
 		}
-		slots := float64(p.limitedSlots(now, max(t.Slots, 1)))
+		slots := float64(max(t.Slots, 1))
 		if t.limiter != nil {
 			slots = min(slots, t.limiter.Rate(p.roleAt(now))*p.demand.callTime.Seconds())
 		}
@@ -317,6 +314,12 @@
 	})))
 }
 
+// setReport stores a load report.
+func (t *target) setReport(now time.Time, r load.Report) {
+	t.report, t.reportAt, t.sinceReport = r, now, 0
+	t.work.report(now, r.Slowdown)
+}
+
 // takesRequests reports whether an instance is among the targets and takes
 // requests from this host; its rate limit does not count.
 func (p *partition) takesRequests(now time.Time, instance registry.Instance) bool {
@@ -346,7 +349,6 @@
 func (p *partition) recordEnd(now time.Time, t *target, c call, durationFactor float64, f lb.Feedback, r *load.Report) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	t.occupancy.read(now, t.inFlight+t.foreign)
 	t.inFlight--
 	t.calls.end(now, c, f.Verdict == lb.Succeeded)
 	t.health.recordEnd(now, f)
--- a/placement/partitions.go
+++ b/placement/partitions.go
@@ -57,7 +57,6 @@
 			ps[i] = newPartition(pool, i+1, rand.New(rand.NewPCG(b.opts.Seed, xxhash.Sum64String(pool)+uint64(i))),
 				func() backpressure.Role { return (*b.fleet.Load()).Role(pool, i+1) })
 			ps[i].warmups.ended = b.logWarm
-			ps[i].adaptive = b.opts.AdaptiveConcurrency
 		}
 		ps[i].extended.Store(spec.Extended)
 		ps[i].setDomains(spec.Evacuated, b.opts.Regions)
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -77,7 +77,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	serviceTime := p.serviceTimeLocked()
-	sortWaiters(now, serviceTime, p.starvation(now), p.waiters)
+	sortWaiters(now, serviceTime, p.fairness.starvation(now), p.waiters)
 	kept := p.waiters[:0]
 	slots := p.slotsLocked(now)
 	count := waitCount{latePerSecond: p.demand.lateRate(now, slots), spare: p.demand.spareRate(now, slots)}
@@ -165,7 +165,6 @@
 		p.demand.placed.count(now)
 		p.fairness.countPlacement(now, q)
 		a := b.startAttempt(p, t, v, q.RequestID)
-		a.sample = p.beginSample(now, t, v, q.Route.Rank)
 		return placeResult{attempt: a}, true
 	case refuse:
 		if s.unfinishable {
--- a/placement/target_state.go
+++ b/placement/target_state.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"cmp"
 	"time"
 
 	"github.com/samber/lo"
@@ -38,11 +37,6 @@
 	// included.
 	outstanding int
 	slots       int
-	// limit is the number of requests that the target gets at once when the
-	// concurrency limit is on, 0 for its slots; exploring is true when it differs from
-	// the best known one.
-	limit     int
-	exploring bool
 	// slowdown is how many times as long as usual a request takes now; 0 when
 	// unknown.
 	slowdown float64
@@ -65,15 +59,11 @@
 }
 
 // hasFreeSlot reports whether a request would find a free slot.
-func (s targetState) hasFreeSlot() bool { return s.outstanding < s.usableSlots() }
+func (s targetState) hasFreeSlot() bool { return s.outstanding < s.slots }
 
-// usableSlots returns the number of requests that the target gets at once.
-func (s targetState) usableSlots() int { return cmp.Or(s.limit, s.slots) }
-
-// mayQueue reports whether a request may wait in the target's own queue. A
-// target below its slots that is at its limit would run it at once.
+// mayQueue reports whether a request may wait in the target's own queue.
 func (s targetState) mayQueue() bool {
-	return !s.noQueue && s.usableSlots() >= s.slots && s.outstanding-s.slots < maxQueuedPerTarget
+	return !s.noQueue && s.outstanding-s.slots < maxQueuedPerTarget
 }
 
 // atUsualSpeed returns the state with the slowdown removed.
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -58,7 +58,6 @@
 	{"extra_attempts", "ratio", optional, "a number from 0 to 0.2", number(maxExtraRatio, func(s *Settings) *float64 { return &s.ExtraAttempts.Ratio })},
 	{"extra_attempts", "per_second", optional, "a number from 0 to 1000000", number(1_000_000, func(s *Settings) *float64 { return &s.ExtraAttempts.PerSecond })},
 	{"bounds", "stop_grace", optional, "a duration from 1s to 1h", duration(time.Second, time.Hour, func(s *Settings) *time.Duration { return &s.Bounds.StopGrace })},
-	{"overload", "adaptive_concurrency", optional, "true or false", boolean(func(s *Settings) *bool { return &s.Overload.AdaptiveConcurrency })},
 	{"limits", "memory_bytes", optional, "a number from 0 to 1099511627776", integer(0, 1<<40, func(s *Settings) *int { return &s.Limits.MaxMemoryBytes })},
 	{"listen", "admin", requiredWithoutStore, "IP:PORT", addr(func(s *Settings) *netip.AddrPort { return &s.Listen.Admin })},
 	{"listen", "peers", alwaysRequired, "IP:PORT", addr(func(s *Settings) *netip.AddrPort { return &s.Listen.Peers })},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -24,15 +24,6 @@
 	Store         Store
 	Bounds        Bounds
 	ExtraAttempts ExtraAttempts
-	// Overload says how the host decides when not all requests can be served.
-	Overload Overload
-}
-
-// Overload configures decisions under load.
-type Overload struct {
-	// AdaptiveConcurrency limits the requests in flight at a target to the number at
-	// which targets complete most, instead of their slots.
-	AdaptiveConcurrency bool
 }
 
 // Store locates the store in which targets register and operators keep the
