placement: a request joins the queue of a full target without a wait

Cause: a request had to wait for a tenth of its objective before it could join the queue of a full target. In saturation each slot goes to a request in such a queue, so that the most urgent requests, first in the order, waited while less urgent ones took the places.

Change: no such wait.

--- a/placement/decision.go
+++ b/placement/decision.go
@@ -9,9 +9,6 @@
 	// without room; it is short against a request's service time and long against the
 	// network round trip.
 	recheckInterval = 8 * time.Millisecond
-	// queueAfterShare is the part of the objective after which a request may
-	// join the queue of a target; before that it waits for a free slot.
-	queueAfterShare = 0.1
 	// maxQueuedPerTarget is the number of requests that may wait in a target's
 	// queue. Targets queue a few and drop the rest, and several hosts may send
 	// at the same moment.
@@ -28,9 +25,6 @@
 // decisionInput is what the decision about one request depends on.
 type decisionInput struct {
 	now, received, deadline time.Time
-	// objective is the time within which a response is worth most; 0 when
-	// unknown.
-	objective time.Duration
 	// serviceTime is the usual time of a request of the pool on an idle target.
 	serviceTime time.Duration
 	// hedge is true for a copy of a request that is already in flight.
@@ -70,10 +64,7 @@
 	if s.unfinishable {
 		return s.decideUnfinishable()
 	}
-	if s.best.hasFreeSlot() {
-		return send
-	}
-	if s.best.mayQueue() && s.mayQueue() {
+	if s.best.hasFreeSlot() || s.best.mayQueue() {
 		return send
 	}
 	if s.expectedDuration() > left {
@@ -82,16 +73,6 @@
 	return wait
 }
 
-// mayQueue reports whether the request has waited long enough to join the queue
-// of a target.
-func (s decisionInput) mayQueue() bool {
-	objective := s.objective
-	if objective <= 0 {
-		objective = s.deadline.Sub(s.received)
-	}
-	return float64(s.now.Sub(s.received)) >= queueAfterShare*float64(objective)
-}
-
 // retryAfter is when a refused caller may find room: after the work that is
 // ahead of its request has ended.
 func (s decisionInput) retryAfter() time.Duration {
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -155,7 +155,7 @@
 		return placeResult{refusal: refusal}, true
 	}
 	s := decisionInput{
-		now: now, received: q.Received, deadline: q.Deadline, objective: q.Route.Objective,
+		now: now, received: q.Received, deadline: q.Deadline,
 		serviceTime: p.serviceTimeLocked(), hedge: q.Hedge, best: v,
 		unfinishable: p.unfinishable(now, q, v),
 	}
