placement: a request stays in its failure domain while a target there has room

Change: .45 more in the cost of a target in another domain and of one without a free slot, so that a request crosses domains rather than waits.

--- a/placement/decide_internal_test.go
+++ b/placement/decide_internal_test.go
@@ -39,6 +39,22 @@
 		Expect(targetState{slots: 2, slowdown: 1, outstanding: 1}.cost()).To(BeNumerically("<", targetState{slots: 2, slowdown: 5}.cost()))
 	})
 
+	// Guards against traffic between domains that saves callers little time.
+	It("prefers a busy target of the own domain to an idle one of another", func() {
+		local, remote := targetState{slots: 6, slowdown: 1, outstanding: 5}, targetState{slots: 6, slowdown: 1, crossDomain: true}
+		Expect(local.cost()).To(BeNumerically("<", remote.cost()))
+		local.slowdown = 5
+		Expect(local.cost()).To(BeNumerically(">", remote.cost()))
+	})
+
+	// Guards against requests that wait in their own domain while another has room.
+	It("prefers a target with two free slots to a full one of the own domain", func() {
+		full := targetState{slots: 6, slowdown: 1, outstanding: 6}
+		for outstanding := range 5 {
+			Expect(targetState{slots: 6, slowdown: 1, outstanding: outstanding, crossDomain: true}.cost()).To(BeNumerically("<", full.cost()))
+		}
+	})
+
 	It("adds failures to the cost, not to the expected duration", func() {
 		failing := targetState{slots: 2, slowdown: 1, failureRate: 0.5}
 		Expect(failing.durationFactor()).To(Equal(idle.durationFactor()))
--- a/placement/target_state.go
+++ b/placement/target_state.go
@@ -25,6 +25,11 @@
 	// crossDomainPenalty is added for a target in another failure domain: the
 	// round trip, and the bytes sent across.
 	crossDomainPenalty = 0.35
+	// localRoomPreference is added for a target in another failure domain and for one
+	// without a free slot. A request stays in its domain while a target there has room,
+	// unless that is much slower, and crosses domains rather than waits for a slot,
+	// unless it would get the last one there.
+	localRoomPreference = 0.45
 	// agePenalty is added for a report that is fullAgePenaltyAt old or older,
 	// in proportion below: other hosts may have sent requests meanwhile.
 	agePenalty       = 0.5
@@ -101,11 +106,14 @@
 }
 
 // cost is what targets are compared by, lowest first: the durationFactor with
-// the penalties for failures, another failure domain and an old report.
+// the penalties for failures, another failure domain, no room and an old report.
 func (s targetState) cost() float64 {
 	cost := s.durationFactor() * (1 + failurePenalty*s.failureRate)
 	if s.crossDomain {
 		cost += domainPenalty(s.bodyBytes)
 	}
+	if s.crossDomain || !s.hasFreeSlot() {
+		cost += localRoomPreference
+	}
 	return cost + agePenalty*min(float64(s.reportAge)/float64(fullAgePenaltyAt), 1)
 }
