patience: routes without requests are forgotten

The package speaks of requests, as the code around it does; attempts are those at targets. The estimate is as before.

--- a/patience/patience_test.go
+++ b/patience/patience_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -12,7 +13,7 @@
 
 const interval = 20 * time.Millisecond
 
-// arrivals records n attempts whose callers wait for at most longest, scattered by a
+// arrivals records n requests whose callers wait for at most longest, scattered by a
 // sixth, and returns the time of the last one.
 func arrivals(e *patience.Estimator, from time.Time, n int, longest time.Duration) time.Time {
 	rng := rand.New(rand.NewPCG(1, 1))
@@ -24,7 +25,7 @@
 }
 
 // Guards against returning callers that count as new: of two seconds one is left.
-func TestRepeatedAttemptHasWaited(t *testing.T) {
+func TestCallerOfARepeatedRequestHasWaited(t *testing.T) {
 	g := NewWithT(t)
 	e := patience.New()
 	now := arrivals(e, time.Unix(0, 0), 20, 2*time.Second)
@@ -32,9 +33,9 @@
 	g.Expect(e.Arrived(now, "other", time.Second)).To(BeZero(), "routes are apart")
 }
 
-// Guards against first attempts that count as repeated, because callers scatter or a
+// Guards against first requests that count as repeated, because callers scatter or a
 // few of them are far more patient than most.
-func TestFirstAttemptsHaveNotWaited(t *testing.T) {
+func TestCallersOfFirstRequestsHaveNotWaited(t *testing.T) {
 	g := NewWithT(t)
 	e := patience.New()
 	now := arrivals(e, time.Unix(0, 0), 20, 2*time.Second)
@@ -48,7 +49,7 @@
 	}
 }
 
-// Guards against an estimate from too few attempts.
+// Guards against an estimate from too few requests.
 func TestNothingIsKnownAtFirst(t *testing.T) {
 	g := NewWithT(t)
 	e := patience.New()
@@ -56,9 +57,9 @@
 	g.Expect(e.Arrived(now, "r", time.Second)).To(BeZero())
 }
 
-// Guards against lasting overload, in which two of three attempts are repeated ones:
+// Guards against lasting overload, in which two of three requests are repeated ones:
 // these must not become what is usual.
-func TestMostAttemptsMayBeRepeated(t *testing.T) {
+func TestMostRequestsMayBeRepeated(t *testing.T) {
 	g := NewWithT(t)
 	e := patience.New()
 	now := time.Unix(0, 0)
@@ -85,3 +86,16 @@
 	}
 	g.Expect(e.Arrived(now, "r", time.Second)).To(BeZero())
 }
+
+// Guards against memory that grows with each route that the tables ever had.
+func TestRoutesWithoutRequestsAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	e := patience.New()
+	now := arrivals(e, time.Unix(0, 0), 20, 2*time.Second)
+	g.Expect(e.Arrived(now, "r", time.Second)).NotTo(BeZero())
+	now = now.Add(time.Hour)
+	for i := range 1000 {
+		e.Arrived(now, strconv.Itoa(i), time.Second)
+	}
+	g.Expect(e.Arrived(now, "r", time.Second)).To(BeZero(), "nothing is known of the route any more")
+}
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -29,7 +29,7 @@
 	version uint64
 
 	received time.Time
-	// waited is how long the caller had waited before this attempt, 0 when it is its
+	// waited is how long the caller had waited before this request, 0 when it is its
 	// first one or that is unknown.
 	waited   time.Duration
 	deadline time.Time
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -63,8 +63,8 @@
 	// time ago, so that a key that they don't contain is not a new one. nil means
 	// always.
 	TablesConfirmed func() bool
-	// Patience estimates how long callers had waited before an attempt; nil takes each
-	// attempt for a first one.
+	// Patience estimates how long callers had waited before a request; nil takes each
+	// request for a first one.
 	Patience *patience.Estimator
 	// RequestLog receives a record of each request when it ends; nil disables
 	// the log.
