--- a/gateway/providers.go
+++ b/gateway/providers.go
@@ -103,11 +103,11 @@
 			}
 			return placement.QueryAllowance{Share: otherHostsQueryShare / float64(hosts.Count()), PerRequest: otherHostQueriesPerRequest}
 		},
-		Reach:               monitor,
-		Logger:              o.Logger,
-		Seed:                xxhash.Sum64String(s.Host.Name),
-		Clock:               o.Clock,
-		Registerer:          o.Registry,
+		Reach:      monitor,
+		Logger:     o.Logger,
+		Seed:       xxhash.Sum64String(s.Host.Name),
+		Clock:      o.Clock,
+		Registerer: o.Registry,
 	})
 	if err != nil {
 		return nil, err
