placement: a request waits for a slot elsewhere unless many wait

Cause: without the wait before a target's queue, a request queued at a full target of the few that it looked at, though others had room.

Change: a request joins the queue of a full target after a tenth of its objective, and at once while more requests wait than slots get free in that time.

--- a/placement/decide_internal_test.go
+++ b/placement/decide_internal_test.go
@@ -64,7 +64,7 @@
 var _ = Describe("the decision about a request", func() {
 	base := decisionInput{
 		now: start, received: start, deadline: start.Add(time.Second),
-		serviceTime: 60 * time.Millisecond,
+		objective: 200 * time.Millisecond, serviceTime: 60 * time.Millisecond,
 	}
 	with := func(change func(s *decisionInput)) decisionInput {
 		s := base
@@ -75,7 +75,16 @@
 	DescribeTable("depends on the best target and the time left",
 		func(s decisionInput, want decision) { Expect(s.decide()).To(Equal(want)) },
 		Entry("a free target", with(func(s *decisionInput) { s.best = free }), send),
-		Entry("a full target, request just arrived", with(func(s *decisionInput) { s.best = full }), send),
+		Entry("a full target, request just arrived", with(func(s *decisionInput) { s.best = full }), wait),
+		Entry("a full target, after a tenth of the objective", with(func(s *decisionInput) {
+			s.best, s.now = full, start.Add(20*time.Millisecond)
+		}), send),
+		Entry("a full target, few requests waiting", with(func(s *decisionInput) {
+			s.best, s.waiting, s.servable = full, 2, 100
+		}), wait),
+		Entry("a full target, more requests waiting than slots get free in a tenth of the objective", with(func(s *decisionInput) {
+			s.best, s.waiting, s.servable = full, 3, 100
+		}), send),
 		Entry("a target where another request is queued", with(func(s *decisionInput) {
 			s.best, s.now = targetState{slots: 2, outstanding: 3, slowdown: 1}, start.Add(100*time.Millisecond)
 		}), wait),
--- a/placement/decision.go
+++ b/placement/decision.go
@@ -9,6 +9,9 @@
 	// without room; it is short against a request's service time and long against the
 	// network round trip.
 	recheckInterval = 8 * time.Millisecond
+	// queueAfterShare is the part of the objective after which a request may join the
+	// queue of a target; before that it waits for a free slot.
+	queueAfterShare = 0.1
 	// maxQueuedPerTarget is the number of requests that may wait in a target's
 	// queue. Targets queue a few and drop the rest, and several hosts may send
 	// at the same moment.
@@ -27,6 +30,13 @@
 	now, received, deadline time.Time
 	// serviceTime is the usual time of a request of the pool on an idle target.
 	serviceTime time.Duration
+	// objective is the time within which a response is worth most, counted from its
+	// arrival; 0 when unknown.
+	objective time.Duration
+	// waiting is the number of requests that wait, servable how many a second the
+	// targets serve.
+	waiting  int
+	servable float64
 	// hedge is true for a copy of a request that is already in flight.
 	hedge bool
 	// unfinishable is true for a request that may only be sent to a target that is
@@ -64,7 +74,7 @@
 	if s.unfinishable {
 		return s.decideUnfinishable()
 	}
-	if s.best.hasFreeSlot() || s.best.mayQueue() {
+	if s.best.hasFreeSlot() || s.best.mayQueue() && s.mayQueue() {
 		return send
 	}
 	if s.expectedDuration() > left {
@@ -73,6 +83,19 @@
 	return wait
 }
 
+// mayQueue reports whether a request may join the queue of a target: once it has waited
+// for a slot that gets free elsewhere, and at once while more requests wait than slots
+// get free in that time. Less urgent requests, which have waited longer, would otherwise
+// take all places in these queues.
+func (s decisionInput) mayQueue() bool {
+	objective := s.objective
+	if objective <= 0 {
+		objective = s.deadline.Sub(s.received)
+	}
+	wait := time.Duration(queueAfterShare * float64(objective))
+	return s.now.Sub(s.received) >= wait || float64(s.waiting) > wait.Seconds()*s.servable
+}
+
 // retryAfter is when a refused caller may find room: after the work that is
 // ahead of its request has ended.
 func (s decisionInput) retryAfter() time.Duration {
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -155,8 +155,9 @@
 		return placeResult{refusal: refusal}, true
 	}
 	s := decisionInput{
-		now: now, received: q.Received, deadline: q.Deadline,
+		now: now, received: q.Received, deadline: q.Deadline, objective: q.Route.Objective,
 		serviceTime: p.serviceTimeLocked(), hedge: q.Hedge, best: v,
+		waiting: len(p.waiters), servable: p.demand.servableRate(now, p.slotsLocked(now)),
 		unfinishable: p.unfinishable(now, q, v),
 	}
 	switch s.decide() {
