storesync: metrics of the tables in force and of tables that were refused

A host that refused a new version of the tables said so in a log line alone: no alert could be set on it, and whether a host was behind could be told from log lines of several hosts only. chestnut_tables_refused_total counts refusals, chestnut_tables_version and chestnut_tables_unconfirmed_seconds show what is in force and for how long nobody confirmed that it is the newest.

--- a/storesync/follower.go
+++ b/storesync/follower.go
@@ -93,6 +93,7 @@
 	Options
 	reads             *prometheus.CounterVec
 	evacuationMetrics evacuationMetrics
+	tablesMetrics     tablesMetrics
 
 	tables atomic.Pointer[table.Tables]
 	// tablesWake is signalled when the tables should be read at once.
@@ -170,7 +171,7 @@
 		Options: o, tablesWake: make(chan struct{}, 1), hostsWake: make(chan struct{}, 1), registryWake: make(chan struct{}, 1), dataAgeDelay: rand.N(maxDataAgeSpread), hostsKnown: make(chan struct{}), started: o.Clock.Now(),
 		hostsListed: make(chan struct{}), bootstrapped: make(chan struct{}), client: newSnapshotClient(),
 		firstAnnouncement: announceDelay(0, rand.Float64()),
-		registry:          newRegistryState(), tracker: registry.NewTargetTracker(), evacuationMetrics: newEvacuationMetrics(),
+		registry:          newRegistryState(), tracker: registry.NewTargetTracker(), evacuationMetrics: newEvacuationMetrics(), tablesMetrics: newTablesMetrics(),
 		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "chestnut_store_readings_total",
 			Help: "Readings of the store and questions to its reader, by what was read and the result.",
@@ -181,7 +182,8 @@
 	o.Node.Handle(kindSync, f.handleSync)
 	o.Node.Handle(kindShutdownNotice, f.handleShutdownNotice)
 	o.Node.Handle(kindEvacuations, f.handleEvacuations)
-	return f, metric.Register(o.Registerer, "storesync", f.reads, f.evacuationMetrics.inForce, f.evacuationMetrics.sets, f.evacuationAge())
+	collectors := append(f.tablesMetrics.collectors(f), f.reads, f.evacuationMetrics.inForce, f.evacuationMetrics.sets, f.evacuationAge())
+	return f, metric.Register(o.Registerer, "storesync", collectors...)
 }
 
 // Current implements lb.Tables.
--- a/storesync/tables.go
+++ b/storesync/tables.go
@@ -91,6 +91,7 @@
 	defer f.mu.Unlock()
 	f.applyEvacuations(r)
 	if r.Problem != nil {
+		f.tablesMetrics.refused.Inc()
 		f.Logger.Error("new tables in the store are invalid; the tables in force stay", zap.Uint64("in_force", f.Current().Version), zap.Error(r.Problem))
 		return
 	}
