Failing tests: tables that the store accepted are refused as a whole

What callers saw: every request on a new route got 404 from every host, since the hosts refused a version of more than 2,000 routes and stayed on the one before.

--- a/storesync/confirmed_internal_test.go
+++ b/storesync/confirmed_internal_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"github.com/chestnutfield/chestnutfield/roster"
 	"github.com/chestnutfield/chestnutfield/table"
@@ -25,3 +27,18 @@
 	clock.Advance(maxTablesDelay + time.Millisecond)
 	g.Expect(f.TablesConfirmed()).To(BeFalse())
 }
+
+// Guards against tables that count as the newest although the store holds newer ones
+// which this host can't use.
+func TestTablesAreUnconfirmedWhileNewerOnesCanNotBeUsed(t *testing.T) {
+	g := NewWithT(t)
+	clock := clockwork.NewFakeClock()
+	f := &Follower{Options: Options{Clock: clock, Logger: zap.NewNop()}, tablesMetrics: newTablesMetrics(), evacuationMetrics: newEvacuationMetrics()}
+	f.tables.Store(&table.Tables{Version: 4})
+	f.confirmTables(clock.Now())
+	f.applyTables(TablesReading{Problem: errors.New("not readable")})
+	f.applyTables(TablesReading{})
+	g.Expect(f.TablesConfirmed()).To(BeFalse())
+	f.applyTables(TablesReading{Tables: &table.Tables{Version: 6}})
+	g.Expect(f.TablesConfirmed()).To(BeTrue())
+}
