platform: tables that the store has accepted come into force as far as they can be used

What callers saw: 404 from every host on each new route. Cause: the bounds and checks for what an operator applies through a host were also applied to what the store had already accepted. One of them refused the version as a whole, nobody but the log heard of it, and all hosts stayed on the version before for good. The class: a check of input at a place where the input can no longer be refused.

Accepted tables are now bounded by no number. An entry that can't be used is logged and spoils no other: a route is marked as unusable and keeps its requests, which are refused as not run, from routes with shorter prefixes; what can't even be attributed makes the tables incomplete. Tables count as unconfirmed while the newest ones can't be used.

--- a/proxy/match.go
+++ b/proxy/match.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"time"
+
 	"github.com/valyala/fasthttp"
 
 	"github.com/chestnutfield/chestnutfield/outcome"
@@ -40,7 +42,7 @@
 	r := s.router.Router()
 	m, p := s.route(r, in)
 	if p == nil {
-		p = s.authorize(r.Keys(), in, &m)
+		p = s.authorize(r, in, &m)
 	}
 	return m, p
 }
@@ -56,8 +58,32 @@
 			return router.Match{}, malformed("path is ambiguous")
 		}
 	}
-	if !ok {
+	switch {
+	case !ok && r.Incomplete():
+		return router.Match{}, mayBeOutdated("no route matches and the configuration may be outdated")
+	case !ok:
 		return router.Match{}, newLocalReply(outcome.NoRoute, outcome.NotRun, "no route matches")
+	case m.Route.Unusable:
+		return router.Match{}, mayBeOutdated("entry of the route can't be used")
 	}
 	return m, nil
 }
+
+// tablesOutdated reports whether a newer version, or an entry that was left out of
+// this one, may have what a request needs.
+func (s *Server) tablesOutdated(r *router.Router) bool {
+	return r.Incomplete() || s.opts.TablesConfirmed != nil && !s.opts.TablesConfirmed()
+}
+
+// outdatedRetryAfter is the Retry-After of a request that the tables in force can't
+// serve and others may: a host that has lost the way to the store finds another
+// within about a second.
+const outdatedRetryAfter = time.Second
+
+// mayBeOutdated returns the reply to a request that the tables in force can't serve and
+// others may. The caller is asked to try again, since 404 and 401 are final.
+func mayBeOutdated(detail string) *localReply {
+	p := newLocalReply(outcome.NotConfigured, outcome.NotRun, detail)
+	p.retryAfter = outdatedRetryAfter
+	return p
+}
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -60,8 +60,8 @@
 	// every request is refused as not run. nil means always.
 	Configured func() bool
 	// TablesConfirmed reports whether the tables in force were the newest a short
-	// time ago, so that a key that they don't contain is not a new one. nil means
-	// always.
+	// time ago, so that a route or key that they don't contain is not a new one. nil
+	// means always.
 	TablesConfirmed func() bool
 	// Patience estimates how long callers had waited before a request; nil takes each
 	// request for a first one.
--- a/proxy/outdated_tables_test.go
+++ b/proxy/outdated_tables_test.go
@@ -5,6 +5,9 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/chestnutfield/chestnutfield/outcome"
+	"github.com/chestnutfield/chestnutfield/table"
 )
 
 // Guards against a final 404 for a route that is so new that this host has not read it.
@@ -29,3 +32,25 @@
 		g.Expect(p.retryAfter).To(BeNumerically(">", 0))
 	}
 }
+
+// Guards against a request that a route with a shorter prefix takes, or that gets a final
+// 404, as the entry of its own route can't be used.
+func TestUnusableEntriesOfTablesRefuseTheirRequestsAsNotRun(t *testing.T) {
+	g := NewWithT(t)
+	accepted := testTables()
+	accepted.Routes["bad"] = table.Route{Name: "bad", PathPrefix: "/specs/bad/", Pool: "gone", Unusable: true}
+	accepted.Incomplete = true
+	tables := &tablesFake{}
+	tables.Store(accepted)
+	s, err := New(Options{Tables: tables, Balancer: &orderedBalancer{}, Retries: &budgetFake{}})
+	g.Expect(err).NotTo(HaveOccurred())
+	for path, status := range map[string]int{"/specs/a": 0, "/specs/bad/a": http.StatusServiceUnavailable, "/unknown/a": http.StatusServiceUnavailable} {
+		_, p := s.route(s.router.Router(), &inbound{method: http.MethodGet, path: path, target: path})
+		if status == 0 {
+			g.Expect(p).To(BeNil(), path)
+			continue
+		}
+		g.Expect(p.status).To(Equal(status), path)
+		g.Expect(p.outcome).To(Equal(outcome.NotRun), path)
+	}
+}
--- a/proxy/workspace.go
+++ b/proxy/workspace.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/samber/lo"
 	"github.com/valyala/fasthttp"
@@ -16,11 +15,6 @@
 	"github.com/chestnutfield/chestnutfield/table"
 )
 
-// unconfirmedRetryAfter is the Retry-After for a key that is unknown while the
-// tables may be outdated: the time in which a host without the store usually finds
-// another host that has the newest tables.
-const unconfirmedRetryAfter = time.Second
-
 // access is what a request may use: the workspace that its key belongs to and the
 // regions that may serve it.
 type access struct {
@@ -60,8 +54,8 @@
 // authorize finds the workspace of a caller's request and applies what the
 // workspace says about rank and regions to the match. It removes the key and the
 // caller's own workspace headers from the lines that are forwarded.
-func (s *Server) authorize(keys *table.KeyIndex, in *inbound, m *router.Match) *localReply {
-	if keys.Required() {
+func (s *Server) authorize(r *router.Router, in *inbound, m *router.Match) *localReply {
+	if keys := r.Keys(); keys.Required() {
 		key, ok := in.takeCredentials(s.names)
 		in.access.keyRequired = true
 		if ok {
@@ -69,7 +63,7 @@
 			in.access.workspace = keys.Lookup(in.access.digest)
 		}
 		if in.access.workspace == nil && !m.Route.Public {
-			return s.refuseKey(ok)
+			return s.refuseKey(r, ok)
 		}
 	}
 	w := in.access.workspace
@@ -87,11 +81,9 @@
 // refuseKey returns the reply to a request without a valid key. While the tables
 // may be outdated, a well-formed key that is unknown may be a new one: the caller
 // is asked to try again, since a 401 would tell it that its key is wrong.
-func (s *Server) refuseKey(wellFormed bool) *localReply {
-	if confirmed := s.opts.TablesConfirmed; wellFormed && confirmed != nil && !confirmed() {
-		p := newLocalReply(outcome.NotConfigured, outcome.NotRun, "API key is unknown and the configuration may be outdated")
-		p.retryAfter = unconfirmedRetryAfter
-		return p
+func (s *Server) refuseKey(r *router.Router, wellFormed bool) *localReply {
+	if wellFormed && s.tablesOutdated(r) {
+		return mayBeOutdated("API key is unknown and the configuration may be outdated")
 	}
 	detail := "API key is unknown"
 	if !wellFormed {
--- a/router/router.go
+++ b/router/router.go
@@ -35,7 +35,8 @@
 // Match is the route of a request and the pool selected for it.
 type Match struct {
 	Route *table.Route
-	Pool  *table.Pool
+	// Pool is nil if the route is unusable.
+	Pool *table.Pool
 }
 
 // weightedPool is a pool of a route and the sum of the weights up to and
@@ -57,7 +58,8 @@
 // Router matches requests against one version of the tables. It is safe for
 // concurrent use.
 type Router struct {
-	version uint64
+	version    uint64
+	incomplete bool
 	// byPrefix holds the routes by path prefix, most specific first.
 	byPrefix map[string][]compiledRoute
 	// prefixLengths holds the distinct prefix lengths, longest first.
@@ -66,15 +68,20 @@
 }
 
 // Compile returns the Router of one version of the tables. It skips pools that
-// the version doesn't contain, and routes without any other pool; validation
-// rejects such routes earlier.
+// the version doesn't contain, and routes without any other pool unless they are
+// marked as unusable.
 func Compile(t *table.Tables) *Router {
-	r := &Router{version: t.Version, byPrefix: make(map[string][]compiledRoute, len(t.Routes)), keys: table.NewKeyIndex(t)}
+	r := &Router{version: t.Version, incomplete: t.Incomplete, byPrefix: make(map[string][]compiledRoute, len(t.Routes)), keys: table.NewKeyIndex(t)}
 	for _, name := range slices.Sorted(maps.Keys(t.Routes)) {
 		route := t.Routes[name]
-		if pools := weightedPools(t, route); len(pools) > 0 {
-			r.byPrefix[route.PathPrefix] = append(r.byPrefix[route.PathPrefix], newCompiledRoute(route, pools))
+		pools := weightedPools(t, route)
+		if route.Unusable {
+			// It keeps its requests from a route with a shorter prefix.
+			pools = nil
+		} else if len(pools) == 0 {
+			continue
 		}
+		r.byPrefix[route.PathPrefix] = append(r.byPrefix[route.PathPrefix], newCompiledRoute(route, pools))
 	}
 	for prefix, routes := range r.byPrefix {
 		slices.SortStableFunc(routes, func(a, b compiledRoute) int { return b.specificity - a.specificity })
@@ -132,6 +139,9 @@
 // Version returns the version of the tables that the Router was compiled from.
 func (r *Router) Version() uint64 { return r.version }
 
+// Incomplete reports whether an unusable entry was left out of the tables.
+func (r *Router) Incomplete() bool { return r.incomplete }
+
 // Keys returns the index of the API keys of the same version.
 func (r *Router) Keys() *table.KeyIndex { return r.keys }
 
@@ -152,8 +162,11 @@
 	return Match{}, false
 }
 
-// pool selects a pool by weight.
+// pool selects a pool by weight; nil for an unusable route.
 func (c *compiledRoute) pool(splitHash uint64) *table.Pool {
+	if len(c.pools) == 0 {
+		return nil
+	}
 	last := c.pools[len(c.pools)-1]
 	point := splitHash % last.cumulative
 	for _, s := range c.pools {
--- a/storesync/confirmed.go
+++ b/storesync/confirmed.go
@@ -8,9 +8,10 @@
 const maxTablesDelay = 2 * time.Second
 
 // TablesConfirmed reports whether the tables in force were the store's newest at most
-// maxTablesDelay ago. Without the store and its readers it turns false.
+// maxTablesDelay ago. Without the store and its readers it turns false, as it does while
+// the newest tables can't be used.
 func (f *Follower) TablesConfirmed() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.Clock.Now().Sub(f.lastConfirmedAt) <= maxTablesDelay
+	return !f.newestUnusable && f.Clock.Now().Sub(f.lastConfirmedAt) <= maxTablesDelay
 }
--- a/storesync/source.go
+++ b/storesync/source.go
@@ -36,7 +36,8 @@
 type TablesReading struct {
 	// Tables is nil when they have not changed since the cursor.
 	Tables *table.Tables
-	// Problem says why changed tables are invalid; nil otherwise.
+	// Problem says why changed tables can't be used or, when Tables is not nil, which of
+	// their entries can't.
 	Problem error
 	// Evacuations is what the reading says about evacuated failure domains.
 	Evacuations EvacuationChange
--- a/storesync/tables.go
+++ b/storesync/tables.go
@@ -90,9 +90,19 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.applyEvacuations(r)
-	if r.Problem != nil {
+	if r.Tables == nil && r.Problem != nil {
 		f.tablesMetrics.refused.Inc()
-		f.Logger.Error("new tables in the store are invalid; the tables in force stay", zap.Uint64("in_force", f.Current().Version), zap.Error(r.Problem))
+		f.newestUnusable = true
+		f.Logger.Error("new tables in the store can't be used; the tables in force stay, and requests that they have no route for are refused as not run",
+			zap.Uint64("in_force", f.Current().Version), zap.Error(r.Problem))
+		return
+	}
+	if r.Tables != nil {
+		f.newestUnusable = false
+		f.noteUnusableEntries(r)
+	}
+	if f.newestUnusable {
+		// The store still holds the tables that can't be used.
 		return
 	}
 	f.confirmTables(f.Clock.Now())
@@ -101,6 +111,26 @@
 	}
 }
 
+// noteUnusableEntries logs which entries of new tables can't be used.
+func (f *Follower) noteUnusableEntries(r TablesReading) {
+	if r.Problem == nil {
+		return
+	}
+	f.Logger.Error("entries of new tables can't be used; their requests are refused as not run, the other entries come into force",
+		zap.Uint64("version", r.Tables.Version), zap.String("entries", truncated(r.Problem.Error())))
+}
+
+// maxLoggedBytes bounds a list of entries in a log line.
+const maxLoggedBytes = 1000
+
+// truncated returns the beginning of a text that is too long for a log line.
+func truncated(text string) string {
+	if len(text) <= maxLoggedBytes {
+		return text
+	}
+	return text[:maxLoggedBytes] + "…"
+}
+
 // confirmTables records that the tables in force were the store's newest at a time. The
 // caller holds f.mu.
 func (f *Follower) confirmTables(at time.Time) { f.tablesConfirmedAt, f.lastConfirmedAt = at, at }
@@ -118,6 +148,7 @@
 	if t.Version == before.Version {
 		return
 	}
+	f.newestUnusable = false
 	now := f.Clock.Now()
 	f.learnFromSnapshot(now, confirmed, t)
 	before = f.Current()
--- /dev/null
+++ b/table/accepted.go
@@ -0,0 +1,44 @@
+package table
+
+import (
+	"regexp"
+	"strconv"
+
+	"github.com/samber/lo"
+)
+
+// MaxAcceptedNameBytes bounds the names of workspaces in tables that were accepted
+// elsewhere: targets get the name in a header.
+const MaxAcceptedNameBytes = 1024
+
+// headerValuePattern matches what a header can hold as it is.
+var headerValuePattern = regexp.MustCompile(`^[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?$`)
+
+// MarkUnusable prepares tables that were accepted elsewhere, where operators no longer
+// get to know of problems. Unlike Validate it bounds no numbers, and one entry that
+// can't be used spoils no other: routes are marked as Unusable, workspaces are
+// removed, which makes the tables Incomplete. file is the file name in the problems.
+// The error is of type Problems and tells of all such entries.
+func MarkUnusable(file string, t *Tables) error {
+	p := &fileParser{file: file}
+	for _, name := range sortedKeys(t.Routes) {
+		route, before := t.Routes[name], len(p.problems)
+		checkPools(p, t, route)
+		checkSplit(p, route)
+		if len(p.problems) > before {
+			route.Unusable = true
+			t.Routes[name] = route
+		}
+	}
+	for _, name := range sortedKeys(t.Workspaces) {
+		if len(name) > MaxAcceptedNameBytes || !headerValuePattern.MatchString(name) {
+			p.addProblem(name, "name", name, "a header value of 1 to "+strconv.Itoa(MaxAcceptedNameBytes)+" bytes")
+			delete(t.Workspaces, name)
+			t.Incomplete = true
+		}
+	}
+	checkKeyOwners(p, t.Workspaces)
+	// Of routes for the same requests the first by name gets them.
+	checkAmbiguous(p, lo.OmitBy(t.Routes, func(_ string, r Route) bool { return r.Unusable }))
+	return p.problems.orNil()
+}
--- a/table/codec.go
+++ b/table/codec.go
@@ -85,7 +85,7 @@
 // inside the pools and routes are shared with t: replace a pool or route as a
 // whole instead of modifying them.
 func (t *Tables) Clone() *Tables {
-	out := &Tables{Version: t.Version, Limits: t.Limits, Workspaces: maps.Clone(t.Workspaces), Evacuated: t.Evacuated, EvacuatedVersion: t.EvacuatedVersion, Pools: make(map[string]Pool, len(t.Pools)), Routes: make(map[string]Route, len(t.Routes))}
+	out := &Tables{Version: t.Version, Incomplete: t.Incomplete, Limits: t.Limits, Workspaces: maps.Clone(t.Workspaces), Evacuated: t.Evacuated, EvacuatedVersion: t.EvacuatedVersion, Pools: make(map[string]Pool, len(t.Pools)), Routes: make(map[string]Route, len(t.Routes))}
 	for k, v := range t.Pools {
 		out.Pools[k] = v
 	}
--- a/table/types.go
+++ b/table/types.go
@@ -101,6 +101,9 @@
 	// Regions are the regions whose targets may serve the requests; empty allows
 	// all.
 	Regions []string `json:"regions,omitempty"`
+	// Unusable is true when something is wrong with the entry of an accepted route:
+	// its requests are refused as not run.
+	Unusable bool `json:"unusable,omitempty"`
 }
 
 // WeightedPool is a pool of a route with its weight.
@@ -144,6 +147,9 @@
 	// EvacuatedVersion is the version of the store from which Evacuated is known; 0
 	// when Evacuated is part of the tables themselves.
 	EvacuatedVersion uint64 `json:"evacuated_version,omitempty"`
+	// Incomplete is true when accepted tables had an entry that was left out as
+	// unusable: a request that matches no route or no key may belong to it.
+	Incomplete bool `json:"incomplete,omitempty"`
 }
 
 // CallerLimits are bounds on callers' connections and requests; zero values set
--- a/table/validate.go
+++ b/table/validate.go
@@ -16,12 +16,7 @@
 	p := &fileParser{file: file}
 	for _, name := range sortedKeys(t.Routes) {
 		route := t.Routes[name]
-		key := lo.Ternary(len(route.Split) == 0, "pool", "split")
-		for _, weighted := range route.WeightedPools() {
-			if _, ok := t.Pools[weighted.Pool]; !ok {
-				p.addProblem(name, key, weighted.Pool, "a pool that exists")
-			}
-		}
+		checkPools(p, t, route)
 		checkSplit(p, route)
 		checkAccess(p, route)
 	}
@@ -31,6 +26,16 @@
 	return p.problems.orNil()
 }
 
+// checkPools checks that the pools of a route exist.
+func checkPools(p *fileParser, t *Tables, route Route) {
+	key := lo.Ternary(len(route.Split) == 0, "pool", "split")
+	for _, weighted := range route.WeightedPools() {
+		if _, ok := t.Pools[weighted.Pool]; !ok {
+			p.addProblem(route.Name, key, weighted.Pool, "a pool that exists")
+		}
+	}
+}
+
 // checkSplit checks the weights of a route that splits its requests. A pool of
 // weight 0 gets none, which is how a pool is added before it gets requests, or
 // kept after its last one; some pool must get them.
@@ -76,23 +81,27 @@
 // names has the same prefix and specificity and matches some of the same
 // requests.
 func checkAmbiguous(p *fileParser, routes map[string]Route) {
-	byPrefix := map[string][]Route{}
+	// Only routes of one host and prefix are compared: many hosts may share a prefix.
+	type place struct{ host, prefix string }
+	byPlace := make(map[place][]string, len(routes))
 	for _, name := range sortedKeys(routes) {
 		route := routes[name]
-		for _, other := range byPrefix[route.PathPrefix] {
+		at := place{route.Host, route.PathPrefix}
+		for _, earlier := range byPlace[at] {
+			other := routes[earlier]
 			if other.Specificity() == route.Specificity() && matchSameRequest(other, route) {
 				p.addProblem(name, "path_prefix", route.PathPrefix,
 					"no request that route "+other.Name+" matches equally well")
 			}
 		}
-		byPrefix[route.PathPrefix] = append(byPrefix[route.PathPrefix], route)
+		byPlace[at] = append(byPlace[at], name)
 	}
 }
 
 // matchSameRequest reports whether a request exists that both routes match,
-// provided that their path prefix and specificity are equal.
+// provided that their host, path prefix and specificity are equal.
 func matchSameRequest(a, b Route) bool {
-	return a.Host == b.Host && emptyOrShared(a.Callers, b.Callers) && emptyOrShared(a.Methods, b.Methods)
+	return emptyOrShared(a.Callers, b.Callers) && emptyOrShared(a.Methods, b.Methods)
 }
 
 // emptyOrShared reports whether two lists of callers or methods match a common
--- a/table/workspaces.go
+++ b/table/workspaces.go
@@ -133,7 +133,6 @@
 	if len(workspaces) > MaxWorkspaces {
 		p.addProblem("", "", strconv.Itoa(len(workspaces))+" workspaces", "at most "+strconv.Itoa(MaxWorkspaces))
 	}
-	owners := map[KeyDigest]string{}
 	for _, name := range sortedKeys(workspaces) {
 		w := workspaces[name]
 		if !validName(name) || w.Name != name {
@@ -145,7 +144,15 @@
 		checkRange(p, name, "rate_per_second", w.RatePerSecond, MaxRate)
 		checkRange(p, name, "burst", w.Burst, MaxBurst)
 		checkRegions(p, name, w.Regions)
-		for _, digest := range w.Keys {
+	}
+	checkKeyOwners(p, workspaces)
+}
+
+// checkKeyOwners checks that no key belongs to two workspaces.
+func checkKeyOwners(p *fileParser, workspaces map[string]Workspace) {
+	owners := map[KeyDigest]string{}
+	for _, name := range sortedKeys(workspaces) {
+		for _, digest := range workspaces[name].Keys {
 			if owner, taken := owners[digest]; taken && owner != name {
 				p.addProblem(name, digestsKey, "a key of workspace "+owner, "each key in one workspace")
 			}
