proxy: an unknown route is not final while the tables may be outdated

What callers saw: a final 404 for a route that was so new that the host had not read it, or whose version it could not take; clients don't come again after a 404. Cause: only unknown API keys were asked to come again while the tables were unconfirmed.

Evidence: TestUnknownRouteIsNotFinalWhileTablesMayBeOutdated got 404 before.

--- a/proxy/match.go
+++ b/proxy/match.go
@@ -59,7 +59,7 @@
 		}
 	}
 	switch {
-	case !ok && r.Incomplete():
+	case !ok && s.tablesOutdated(r):
 		return router.Match{}, mayBeOutdated("no route matches and the configuration may be outdated")
 	case !ok:
 		return router.Match{}, newLocalReply(outcome.NoRoute, outcome.NotRun, "no route matches")
