--- a/proxy/fakes_test.go
+++ b/proxy/fakes_test.go
@@ -126,11 +126,17 @@
 }
 
 func newUpstream(serve func(u *rawConn)) *rawUpstream {
+	up := startUpstream(serve)
+	DeferCleanup(func() { up.ln.Close() })
+	return up
+}
+
+// startUpstream is newUpstream for tests outside the suite, which close it themselves.
+func startUpstream(serve func(u *rawConn)) *rawUpstream {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	up := &rawUpstream{ln: ln, serve: serve}
 	go up.run()
-	DeferCleanup(func() { ln.Close() })
 	return up
 }
 
@@ -229,6 +235,13 @@
 }
 
 func newHarness(upstreams []*rawUpstream, options ...harnessOption) *harness {
+	b := startHarness(upstreams, options...)
+	DeferCleanup(b.abort)
+	return b
+}
+
+// startHarness is newHarness for tests outside the suite, which stop it themselves.
+func startHarness(upstreams []*rawUpstream, options ...harnessOption) *harness {
 	b := &harness{balancer: &orderedBalancer{}, ledger: &ledgerFake{}, budget: &budgetFake{}, served: make(chan error, 1)}
 	for _, up := range upstreams {
 		b.balancer.targets = append(b.balancer.targets, up.addr())
@@ -249,14 +262,16 @@
 	Expect(err).NotTo(HaveOccurred())
 	b.addr = ln.Addr().String()
 	go func() { b.served <- b.server.Serve(ln) }()
-	DeferCleanup(func() {
-		ctx, cancel := context.WithCancel(context.Background())
-		cancel()
-		_ = b.server.Shutdown(ctx)
-	})
 	return b
 }
 
+// abort stops the server without waiting for requests.
+func (b *harness) abort() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = b.server.Shutdown(ctx)
+}
+
 // caller is a raw connection to the proxy.
 type caller struct {
 	net.Conn
