proxy: a streamed response ends the same way however often it is read

Callers of responses of known length over 64 KB lost the last bytes and their connection. After the announced length the HTTP server reads once more, to see that nothing follows; the exchange was closed by then, and reading it failed with a nil pointer. The server takes a panic of a body stream for a failed response and drops what it has not flushed. The same happened when a chunk was followed by the end of the connection: the server drops an error that comes with bytes and reads again; there the caller's connection was to be cut anyway.

The stream now keeps the error of its last read and returns it again.

TestLargeResponseReachesItsCallerWhole failed with 65,536 of 65,537 bytes and passes; of 20 requests on a kept connection with 65,537, 69,632, 70,000, 100,000, 500,000, 1,048,575 and 1,048,576 bytes 20 arrive whole, on one connection, where 0, 10, 0, 0, 0, 0 and 10 did before.

--- a/proxy/response.go
+++ b/proxy/response.go
@@ -174,6 +174,9 @@
 	attempt  *upstreamAttempt
 	buffered []byte
 	ended    bool
+	// err is the error of the last read, io.EOF after a complete body. The HTTP
+	// server reads again after it, when the exchange is closed.
+	err error
 }
 
 // Read reads the next bytes of the body.
@@ -183,7 +186,11 @@
 		s.buffered = s.buffered[n:]
 		return n, nil
 	}
+	if s.err != nil {
+		return 0, s.err
+	}
 	n, err := s.attempt.x.Read(p)
+	s.err = err
 	if errors.Is(err, io.EOF) {
 		s.copyTrailers()
 		s.end(attempt.ResponseComplete, s.attempt.verdict())
