upstream: a reset seen while the request is written makes a response without length truncated

Callers of uploads got 200 with a short body, framed as whole, when the target had responded early without a length and reset the connection on the way. Linux reports a reset to one system call only: to the write of the request, which may fail without harm once there is a response. The read of the body then found the end of the stream, as after an orderly close, which completes such a response.

The connection now notes a write that fails with ECONNRESET, and the end of a response without length is then taken for a cut. A write after an orderly end of the stream fails with EPIPE: such early responses stay complete. The body is read only after the request was written, so the note is there in time. Framed responses are not concerned: their end is in the bytes.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -23,6 +24,10 @@
 	target    *target
 	idleSince time.Time
 	reused    bool
+	// resetOnWrite is true when a write found that the target had reset the
+	// connection. The kernel reports a reset once: reads then find the end of the
+	// stream.
+	resetOnWrite atomic.Bool
 	// peer is true when the target is another host.
 	peer bool
 	// idleLimit is how long the target keeps the connection open while idle,
@@ -40,9 +45,9 @@
 	cn := &conn{
 		nc:     nc,
 		br:     bufio.NewReaderSize(nc, headerBytes),
-		bw:     bufio.NewWriterSize(nc, writeBufferBytes),
 		target: t,
 	}
+	cn.bw = bufio.NewWriterSize(cn, writeBufferBytes)
 	if sc, ok := nc.(syscall.Conn); ok {
 		if sys, err := sc.SyscallConn(); err == nil {
 			cn.sys = sys
@@ -52,6 +57,16 @@
 	return cn
 }
 
+// Write writes to the connection and notes whether the target had reset it. After
+// an orderly end of the stream a write fails with EPIPE instead.
+func (cn *conn) Write(p []byte) (int, error) {
+	n, err := cn.nc.Write(p)
+	if errors.Is(err, syscall.ECONNRESET) {
+		cn.resetOnWrite.Store(true)
+	}
+	return n, err
+}
+
 // startTLS performs a TLS handshake on a new connection. isUsable still checks
 // the socket below TLS, on which an idle peer sends no records.
 func (cn *conn) startTLS(ctx context.Context, config *tls.Config, timeout time.Duration) error {
@@ -67,7 +82,6 @@
 	}
 	cn.nc = tlsConn
 	cn.br.Reset(tlsConn)
-	cn.bw.Reset(tlsConn)
 	return nil
 }
 
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -235,6 +235,10 @@
 // end.
 func (x *Exchange) HasBody() bool { return !x.bodyDone }
 
+// lengthUntilClose is the Content-Length, in fasthttp's terms, of a response that ends
+// with its connection.
+const lengthUntilClose = -2
+
 // Read reads the body. It returns io.EOF only at the end of a complete
 // response.
 func (x *Exchange) Read(p []byte) (int, error) {
@@ -244,6 +248,9 @@
 	n, err := x.body.Read(p)
 	// fasthttp wraps io.EOF in errors that mean a truncated body.
 	if err == io.EOF { //nolint:errorlint // only the bare value is the end
+		if x.resp.Header.ContentLength() == lengthUntilClose && x.conn.resetOnWrite.Load() {
+			return n, errors.Wrap(ErrTruncated, "connection was reset while the request was written")
+		}
 		x.bodyDone = true
 		return n, io.EOF
 	}
