Failing test: chunks of an HTTP/1.0 response are forwarded as a whole body

A target that says HTTP/1.0 (or any minor version but 1) and Transfer-Encoding: chunked, and stops in the middle: its caller gets 200 and a body that consists of the chunk sizes and of what had arrived, framed as whole.

--- a/proxy/cut_response_test.go
+++ b/proxy/cut_response_test.go
@@ -50,3 +50,16 @@
 		}
 	}
 }
+
+// Guards against chunks of an HTTP/1.0 response that are taken for a body which ends
+// with the connection: whatever was sent of them looks whole.
+func TestHTTP10ResponseWithTransferEncodingIsNotForwarded(t *testing.T) {
+	for _, version := range []string{"HTTP/1.0", "HTTP/1.2"} {
+		for _, lines := range []string{"Transfer-Encoding: chunked", "transfer-encoding : chunked", "Content-Length: 6\r\nTransfer-Encoding: chunked"} {
+			b := startCutTest(t, respondOnceAndClose(version+" 200 OK\r\n"+lines+"\r\n\r\n4\r\ndon"))
+			resp, body, err := b.tryAsk(postOrder)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.StatusCode).To(Equal(http.StatusBadGateway), "%s with %q was forwarded with the body %q", version, lines, body)
+		}
+	}
+}
