upstream: a Transfer-Encoding in a response that is not HTTP/1.1 is malformed

Callers got 200 and the chunk sizes in their body, and a response that broke off in the middle looked whole. The parser skips Transfer-Encoding unless the version is HTTP/1.1 and takes the body to end with the connection, so that any end is a good one. RFC 9112, section 6.1, calls the framing of such a message faulty; the response is now a 502, or another attempt.

TestHTTP10ResponseWithTransferEncodingIsNotForwarded failed with 200 and the body "4\r\ndon" and passes.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -128,6 +128,9 @@
 var (
 	headerEnd    = []byte("\r\n\r\n")
 	versionStart = []byte("HTTP/1.")
+	// versionChunked begins a response that may have a Transfer-Encoding.
+	versionChunked   = []byte("HTTP/1.1 ")
+	transferEncoding = []byte(fasthttp.HeaderTransferEncoding)
 )
 
 // readRawHeader waits for a complete header and copies its bytes.
@@ -147,11 +150,33 @@
 		}
 		if end := bytes.Index(block, headerEnd); end >= 0 {
 			x.conn.rawHeader = append(x.conn.rawHeader[:0], block[:end+len(headerEnd)]...)
-			return checkLineEnds(x.conn.rawHeader)
+			return checkRawHeader(x.conn.rawHeader)
 		}
 	}
 }
 
+func checkRawHeader(block []byte) error {
+	if err := checkLineEnds(block); err != nil {
+		return err
+	}
+	return checkVersion(block)
+}
+
+// checkVersion rejects a Transfer-Encoding in a response of another version than
+// HTTP/1.1: the parser ignores it and takes the body to end with the connection.
+func checkVersion(block []byte) error {
+	if bytes.HasPrefix(block, versionChunked) {
+		return nil
+	}
+	for line := range bytes.Lines(block) {
+		name, _, ok := bytes.Cut(line, []byte(":"))
+		if ok && bytes.EqualFold(bytes.TrimRight(name, " \t"), transferEncoding) {
+			return errors.New("response has a Transfer-Encoding but is not HTTP/1.1")
+		}
+	}
+	return nil
+}
+
 // checkLineEnds rejects folded lines and bare line feeds: code that filters a
 // header line by line must not leave part of one.
 func checkLineEnds(block []byte) error {
