proxy: a test that cuts responses of 14 kinds after every byte

A target that stops anywhere in its response, in the header, in an interim one, in a chunk size, between chunks, in the trailer or the body, and closes or resets the connection. Five set-ups: lookups buffered and streamed, with the headers of both programs, from HTTP/1.0 and HTTP/1.1 callers, and an order with a key. A caller gets a clean response only when header and body were whole, and the target's body; all else is a cut connection or 502 with outcome unknown, and no part is recorded for the order. All whole responses arrive.

--- a/proxy/cut_response_test.go
+++ b/proxy/cut_response_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -63,3 +65,115 @@
 		}
 	}
 }
+
+// cutKind is one kind of response, with the body that a complete one has.
+type cutKind struct {
+	response, body string
+	// untilClose is true when the body ends with the connection.
+	untilClose bool
+}
+
+const sealed = "200 OK\r\nBend-Id: r\r\nBend-Seal: s\r\n"
+
+var cutKinds = map[string]cutKind{
+	"length":               {response: "HTTP/1.1 " + sealed + "Content-Length: 4\r\n\r\ndone", body: "done"},
+	"length last but one":  {response: "HTTP/1.1 " + sealed + "Content-Length: 4\r\nX-A: 1\r\n\r\ndone", body: "done"},
+	"length, then closed":  {response: "HTTP/1.1 " + sealed + "Connection: close\r\nContent-Length: 4\r\n\r\ndone", body: "done"},
+	"chunks":               {response: "HTTP/1.1 " + sealed + "Transfer-Encoding: chunked\r\n\r\n4;x=y\r\ndone\r\n3\r\nnow\r\n0\r\n\r\n", body: "donenow"},
+	"trailers":             {response: "HTTP/1.1 " + sealed + "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\nX-A: 7\r\nX-B: 2\r\n\r\n", body: "done"},
+	"until the close":      {response: "HTTP/1.1 " + sealed + "\r\ndone", body: "done", untilClose: true},
+	"HTTP/1.0":             {response: "HTTP/1.0 " + sealed + "Content-Length: 4\r\n\r\ndone", body: "done"},
+	"HTTP/1.0 until close": {response: "HTTP/1.0 " + sealed + "\r\ndone", body: "done", untilClose: true},
+	"no body":              {response: "HTTP/1.1 " + sealed + "Content-Length: 0\r\n\r\n"},
+	"204":                  {response: "HTTP/1.1 204 None\r\nBend-Id: r\r\nBend-Seal: s\r\n\r\n"},
+	"304":                  {response: "HTTP/1.1 304 Same\r\nBend-Id: r\r\nBend-Seal: s\r\n\r\n"},
+	"HEAD":                 {response: "HTTP/1.1 " + sealed + "Content-Length: 400\r\n\r\n"},
+	"interim":              {response: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hint\r\nX-A: 1\r\n\r\nHTTP/1.1 " + sealed + "Content-Length: 4\r\n\r\ndone", body: "done"},
+	"interim, until close": {response: "HTTP/1.1 103 Hint\r\nX-A: 1\r\n\r\nHTTP/1.1 " + sealed + "\r\ndone", body: "done", untilClose: true},
+}
+
+// bodyOf returns the body that the first n bytes of a response make complete; ok is
+// false when they make none.
+func (k cutKind) bodyOf(n int, reset bool) (body string, ok bool) {
+	if k.untilClose {
+		head := len(k.response) - len(k.body)
+		return k.response[min(head, n):n], !reset && n >= head
+	}
+	return k.body, n == len(k.response)
+}
+
+// cutSetup is a way to ask the proxy.
+type cutSetup struct {
+	request string
+	options []harnessOption
+}
+
+var cutSetups = map[string]cutSetup{
+	"lookup":          {request: "GET /specs/a HTTP/1.1\r\nHost: h\r\nBend-Id: r\r\n\r\n"},
+	"HTTP/1.0 lookup": {request: "GET /specs/a HTTP/1.0\r\nHost: h\r\nBend-Id: r\r\n\r\n"},
+	"signed lookup": {request: "GET /specs/a HTTP/1.1\r\nHost: h\r\nBend-Id: r\r\n\r\n", options: []harnessOption{
+		withSignedDialect, withLimits(func(l *Limits) { l.BufferUnknownLength = true })}},
+	"streamed lookup": {request: "GET /specs/a HTTP/1.1\r\nHost: h\r\nBend-Id: r\r\n\r\n", options: []harnessOption{
+		withSignedDialect, withLimits(func(l *Limits) { l.BufferedResponseBytes = 1 })}},
+	"order with a key": {request: "POST /orders/a HTTP/1.1\r\nHost: h\r\nX-Caller: c\r\nIdempotency-Key: k\r\nBend-Id: r\r\nContent-Length: 5\r\n\r\nhello"},
+}
+
+// Guards against a response that breaks off anywhere, in its header or its body, and
+// still looks whole to its caller or is recorded for its order.
+func TestResponsesCutAtAnyByteNeverLookWhole(t *testing.T) {
+	for setupName, setup := range cutSetups {
+		for name, k := range cutKinds {
+			if name == "HEAD" {
+				setup.request = strings.Replace(setup.request, "GET", "HEAD", 1)
+				if strings.HasPrefix(setup.request, "POST") {
+					continue
+				}
+			}
+			t.Run(setupName+"/"+name, func(t *testing.T) { testCuts(t, k, setup) })
+			setup.request = cutSetups[setupName].request
+		}
+	}
+}
+
+func testCuts(t *testing.T, k cutKind, setup cutSetup) {
+	var sent atomic.Int32
+	var reset atomic.Bool
+	closed := make(chan struct{}, 1000)
+	b := startCutTest(t, func(u *rawConn) {
+		u.request()
+		u.send(k.response[:sent.Load()])
+		if reset.Load() {
+			_ = u.Conn.(*net.TCPConn).SetLinger(0)
+		}
+		u.Close()
+		closed <- struct{}{}
+	}, setup.options...)
+	for n := range len(k.response) + 1 {
+		for _, r := range []bool{false, true} {
+			sent.Store(int32(n))
+			reset.Store(r)
+			resp, body, err := b.tryAsk(setup.request)
+			<-closed
+			k.check(n, r, resp, body, err)
+		}
+	}
+	b.ledger.mu.Lock()
+	defer b.ledger.mu.Unlock()
+	for _, r := range b.ledger.recorded {
+		Expect(r == nil || k.untilClose || string(r.Body) == k.body).To(BeTrue(), "recorded %v", r)
+	}
+}
+
+// check checks what the caller got when the first n bytes of the response were sent.
+func (k cutKind) check(n int, reset bool, resp *http.Response, body string, err error) {
+	complete, ok := k.bodyOf(n, reset)
+	at := fmt.Sprintf("sent %q, reset %v: status, body and error are %v, %q, %v", k.response[:n], reset, resp, body, err)
+	switch {
+	case err != nil || resp.StatusCode == http.StatusBadGateway:
+		Expect(ok && !reset).To(BeFalse(), at)
+		Expect(err != nil || resp.Header.Get("Chestnut-Outcome") == "unknown").To(BeTrue(), at)
+	default:
+		Expect(ok).To(BeTrue(), at)
+		Expect(body).To(Equal(complete), at)
+	}
+}
