proxy: a test of responses that break off before or at the owner of a group

The same cuts behind a hand-over: the target breaks off, so that the owner has to break off towards the host that received the request, or the owner does. The handing-over set-up of the suite is split so that tests outside it can use it.

--- a/proxy/cut_response_test.go
+++ b/proxy/cut_response_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -135,28 +136,47 @@
 	}
 }
 
-func testCuts(t *testing.T, k cutKind, setup cutSetup) {
-	var sent atomic.Int32
-	var reset atomic.Bool
-	closed := make(chan struct{}, 1000)
-	b := startCutTest(t, func(u *rawConn) {
-		u.request()
-		u.send(k.response[:sent.Load()])
-		if reset.Load() {
-			_ = u.Conn.(*net.TCPConn).SetLinger(0)
-		}
-		u.Close()
-		closed <- struct{}{}
-	}, setup.options...)
-	for n := range len(k.response) + 1 {
-		for _, r := range []bool{false, true} {
-			sent.Store(int32(n))
-			reset.Store(r)
-			resp, body, err := b.tryAsk(setup.request)
-			<-closed
-			k.check(n, r, resp, body, err)
+// cutTarget is a target that sends the first bytes of a response and then closes or
+// resets the connection.
+type cutTarget struct {
+	response string
+	sent     atomic.Int32
+	reset    atomic.Bool
+	closed   chan struct{}
+}
+
+func newCutTarget(response string) *cutTarget {
+	return &cutTarget{response: response, closed: make(chan struct{}, 1000)}
+}
+
+func (c *cutTarget) serve(u *rawConn) {
+	u.request()
+	u.send(c.response[:c.sent.Load()])
+	if c.reset.Load() {
+		_ = u.Conn.(*net.TCPConn).SetLinger(0)
+	}
+	u.Close()
+	c.closed <- struct{}{}
+}
+
+// forAllCuts sends a request for every part of the response and either end of its connection, and checks
+// what the caller gets.
+func (c *cutTarget) forAllCuts(b *harness, request string, k cutKind) {
+	for n := range len(c.response) + 1 {
+		for _, reset := range []bool{false, true} {
+			c.sent.Store(int32(n))
+			c.reset.Store(reset)
+			resp, body, err := b.tryAsk(request)
+			<-c.closed
+			k.check(n, reset, resp, body, err)
 		}
 	}
+}
+
+func testCuts(t *testing.T, k cutKind, setup cutSetup) {
+	target := newCutTarget(k.response)
+	b := startCutTest(t, target.serve, setup.options...)
+	target.forAllCuts(b, setup.request, k)
 	b.ledger.mu.Lock()
 	defer b.ledger.mu.Unlock()
 	for _, r := range b.ledger.recorded {
@@ -177,3 +197,29 @@
 		Expect(body).To(Equal(complete), at)
 	}
 }
+
+// Guards against a response that breaks off on its way between two hosts: at the
+// target, so that the owner has to break off as well, or at the owner.
+func TestResponsesCutBehindAHandoverNeverLookWhole(t *testing.T) {
+	for _, name := range []string{"length", "chunks", "trailers", "until the close", "no body"} {
+		for _, lost := range []string{"target", "owner"} {
+			t.Run(lost+"/"+name, func(t *testing.T) { testHandedOverCuts(t, cutKinds[name], lost == "owner") })
+		}
+	}
+}
+
+func testHandedOverCuts(t *testing.T, k cutKind, atOwner bool) {
+	if atOwner {
+		status, rest, _ := strings.Cut(k.response, "Bend-Id")
+		k.response = status + "Chestnut-Handover: answered\r\nBend-Id" + rest
+	}
+	target := newCutTarget(k.response)
+	owner := startCutTest(t, target.serve, asOwner)
+	addr := owner.addrPort()
+	if atOwner {
+		addr = owner.balancer.targets[0]
+	}
+	b := startHarness(nil, handingOver(&peerBalancer{orderedBalancer{targets: []netip.AddrPort{addr}}}))
+	t.Cleanup(b.abort)
+	target.forAllCuts(b, cutSetups["lookup"].request, k)
+}
--- a/proxy/peerserver_test.go
+++ b/proxy/peerserver_test.go
@@ -30,18 +30,22 @@
 
 // newOwner returns a proxy that accepts requests that other hosts hand over.
 func newOwner(upstreams []*rawUpstream, options ...harnessOption) *harness {
-	asOwner := func(o *Options, _ *table.Tables) {
-		o.PeerServer = &PeerServerOptions{Token: peerToken, Load: func(string) (string, bool) { return "1 8 20000", true }}
-		o.Ledger = nil
-	}
 	return newHarness(upstreams, append([]harnessOption{asOwner}, options...)...)
 }
 
+func asOwner(o *Options, _ *table.Tables) {
+	o.PeerServer = &PeerServerOptions{Token: peerToken, Load: func(string) (string, bool) { return "1 8 20000", true }}
+	o.Ledger = nil
+}
+
 // newReceiver returns a proxy that hands requests over to owners.
 func newReceiver(owners []netip.AddrPort, options ...harnessOption) (*harness, *peerBalancer) {
 	balancer := &peerBalancer{orderedBalancer{targets: owners}}
-	withHandover := func(o *Options, _ *table.Tables) { o.Balancer, o.PeerToken = balancer, peerToken }
-	return newHarness(nil, append([]harnessOption{withHandover}, options...)...), balancer
+	return newHarness(nil, append([]harnessOption{handingOver(balancer)}, options...)...), balancer
+}
+
+func handingOver(balancer *peerBalancer) harnessOption {
+	return func(o *Options, _ *table.Tables) { o.Balancer, o.PeerToken = balancer, peerToken }
 }
 
 func (b *harness) addrPort() netip.AddrPort { return netip.MustParseAddrPort(b.addr) }
