cloud: a successful response with neither a length nor chunks is an error

A row or a whole partition seemed to be gone, and an object was short, when such a response broke off: only the end of its connection ends it, so that a part can't be told from the whole, and the SDK takes an empty body for an empty result.

The clients of the table service and the object store now fail such a response: reads with ErrUnavailable, writes with ErrUncertain, since they may have been applied. Both published protocols send a length or chunks. HTTP/2 has frames of its own. Responses with an error status keep their meaning.

--- a/cloud/dynamo/client.go
+++ b/cloud/dynamo/client.go
@@ -64,7 +64,7 @@
 			BaseEndpoint: aws.String(o.Endpoint),
 			Credentials:  credentials.NewStaticCredentialsProvider("chestnutfield", "chestnutfield", ""),
 			Retryer:      aws.NopRetryer{},
-			HTTPClient:   transport,
+			HTTPClient:   cloud.RequireFraming(transport),
 		}),
 		table:   aws.String(o.Table),
 		timeout: o.Timeout,
--- a/cloud/s3/client.go
+++ b/cloud/s3/client.go
@@ -59,9 +59,9 @@
 			Credentials:  credentials.NewStaticCredentialsProvider("chestnutfield", "chestnutfield", ""),
 			Retryer:      aws.NopRetryer{},
 			UsePathStyle: true,
-			HTTPClient: awshttp.NewBuildableClient().WithTransportOptions(func(t *http.Transport) {
+			HTTPClient: cloud.RequireFraming(awshttp.NewBuildableClient().WithTransportOptions(func(t *http.Transport) {
 				t.Proxy = nil
-			}),
+			})),
 		}),
 		bucket:  aws.String(o.Bucket),
 		timeout: o.Timeout,
