--- a/internal/cuttest/cuttest.go
+++ b/internal/cuttest/cuttest.go
@@ -23,17 +23,18 @@
 	UntilClose Framing = "until the connection is closed"
 )
 
-// response returns a response with status 200.
-func (f Framing) response(body string) string {
+// response returns a response with status 200 and one more header line.
+func (f Framing) response(line, body string) string {
+	head := "HTTP/1.1 200 OK\r\n" + line + "\r\n"
 	switch f {
 	case Length:
-		return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-A: 1\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
 	case Chunked:
 		half := len(body) / 2
-		return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-A: 1\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n%x\r\n%s\r\n0\r\nX-B: 1\r\n\r\n",
-			half, body[:half], len(body)-half, body[half:])
+		return fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n%x\r\n%s\r\n0\r\nX-B: 1\r\n\r\n",
+			head, half, body[:half], len(body)-half, body[half:])
 	default:
-		return "HTTP/1.1 200 OK\r\nX-A: 1\r\n\r\n" + body
+		return head + "\r\n" + body
 	}
 }
 
@@ -41,6 +42,13 @@
 // connection.
 type Server struct {
 	Addr netip.AddrPort
+	// HeaderLine is a line of the header of all responses.
+	HeaderLine string
+	// Strict is true when a part of a framed response must give an error, even where
+	// the result would be that of the whole.
+	Strict bool
+	// Framings are the framings that Check tries, by default all.
+	Framings []Framing
 
 	mu    sync.Mutex
 	part  string
@@ -54,7 +62,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = ln.Close() })
-	s := &Server{Addr: ln.Addr().(*net.TCPAddr).AddrPort()}
+	s := &Server{Addr: ln.Addr().(*net.TCPAddr).AddrPort(), HeaderLine: "X-A: 1", Framings: []Framing{Length, Chunked, UntilClose}}
 	go func() {
 		for {
 			nc, err := ln.Accept()
@@ -88,17 +96,17 @@
 	s.part, s.reset = part, reset
 }
 
-// Check makes a call for every part of a response with a body, in all framings, and
+// Check makes a call for every part of a response with a body, in each framing, and
 // fails the test when one gives a result that differs from that of the whole response.
 func (s *Server) Check(t *testing.T, body string, call func() (any, error)) {
 	t.Helper()
-	s.set(Length.response(body), false)
+	s.set(Length.response(s.HeaderLine, body), false)
 	want, err := call()
 	if err != nil {
 		t.Fatalf("the whole response gives %v; expected a result", err)
 	}
-	for _, f := range []Framing{Length, Chunked, UntilClose} {
-		s.checkParts(t, f, f.response(body), fmt.Sprint(want), call)
+	for _, f := range s.Framings {
+		s.checkParts(t, f, f.response(s.HeaderLine, body), fmt.Sprint(want), call)
 	}
 }
 
@@ -112,6 +120,9 @@
 			case err == nil && fmt.Sprint(got) != want:
 				t.Errorf("%s, reset %v: %d of %d bytes, %q, give %v; expected an error or %v", f, reset, n, len(response), response[:n], got, want)
 				return
+			case err == nil && s.Strict && n < len(response) && f != UntilClose:
+				t.Errorf("%s, reset %v: %d of %d bytes, %q, give a result; expected an error", f, reset, n, len(response), response[:n])
+				return
 			case err != nil && n == len(response) && !reset && f != UntilClose:
 				t.Errorf("%s: the whole response gives %v; expected a result", f, err)
 			}
--- /dev/null
+++ b/storesync/cut_internal_test.go
@@ -0,0 +1,30 @@
+package storesync
+
+import (
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/chestnutfield/chestnutfield/internal/cuttest"
+	"github.com/chestnutfield/chestnutfield/table"
+)
+
+// Guards against a snapshot that is applied in part because the response broke off.
+func TestCutSnapshotIsNoSnapshot(t *testing.T) {
+	f := &Follower{Options: Options{Clock: clockwork.NewFakeClock()}, registry: newRegistryState(), client: newSnapshotClient()}
+	f.tables.Store(table.Empty())
+	body, err := f.snapshot(peerVersions{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := cuttest.Start(t)
+	s.Strict = true
+	s.Check(t, string(body), func() (any, error) {
+		got, err := f.requestSnapshot(s.Addr, peerVersions{})
+		if err != nil {
+			return nil, err
+		}
+		_, c, err := decodeSnapshot(got)
+		return c, err
+	})
+}
