config: report a version that can't be decoded

Operators saw a host of another release stay on its version while the others went on, without a reason: the error of decoding ended in the retry of the fetch, counted as any failed one.

Fetches that end in such an error count as "undecodable", the version is in a metric of its own and, with the error, in the status, and it is logged once, at the level of errors. A version that is installed clears the report of those up to it.

--- a/config/core.go
+++ b/config/core.go
@@ -92,6 +92,7 @@
 	installed   *loadedTables
 	bestFetched *loadedTables
 	sources     *sources
+	undecodable undecodableVersion
 	fetching    bool
 	store       storeState
 	snapshot    snapshotState
@@ -162,8 +163,9 @@
 func (c *core) handleFetchResult(now time.Time, from source, t *table.Tables, encoded []byte, err error) []action {
 	c.fetching = false
 	if err != nil || t.Version <= c.floor() {
+		report := c.recordUndecodable(from, err)
 		c.sources.recordFailure(from, now.Add(c.jitter(backoff(c.sources.get(from).failures+1))))
-		return c.advance(now)
+		return append(report, c.advance(now)...)
 	}
 	c.sources.recordSuccess(from)
 	c.sources.recordVersion(from, t.Version)
@@ -193,6 +195,9 @@
 		return nil
 	}
 	c.installed, c.bestFetched = &l, nil
+	if c.undecodable.version <= l.tables.Version {
+		c.undecodable = undecodableVersion{}
+	}
 	return []action{install{l}}
 }
 
--- a/config/fetch.go
+++ b/config/fetch.go
@@ -72,8 +72,10 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	t, err = query.DecodeTables(encoded, version)
-	return encoded, t, err
+	if t, err = query.DecodeTables(encoded, version); err != nil {
+		return nil, nil, &undecodableError{version: version, cause: err}
+	}
+	return encoded, t, nil
 }
 
 func (s *Syncer) fetchSnapshot(ctx context.Context, version uint64) ([]byte, error) {
--- a/config/status.go
+++ b/config/status.go
@@ -11,6 +11,10 @@
 	Source string `json:"source,omitempty"`
 	// HighestKnownVersion is the highest version learned of from any source.
 	HighestKnownVersion uint64 `json:"known_version"`
+	// UndecodableVersion is a version above Version that this host could not decode,
+	// UndecodableProblem the error; 0 and "" when there is none.
+	UndecodableVersion uint64 `json:"undecodable_version,omitempty"`
+	UndecodableProblem string `json:"undecodable_problem,omitempty"`
 	// StoreReachable is true when the last poll of the table service succeeded.
 	StoreReachable bool `json:"store_reachable"`
 	// SinceStoreContact is the time since the table service last answered, or
@@ -29,6 +33,8 @@
 	}
 	st := Status{
 		HighestKnownVersion: s.core.sources.highest,
+		UndecodableVersion:  s.core.undecodable.version,
+		UndecodableProblem:  s.core.undecodable.problem,
 		StoreReachable:      s.core.store.answered && s.core.store.failures == 0,
 		SinceStoreContact:   now.Sub(contact),
 	}
--- a/config/syncer.go
+++ b/config/syncer.go
@@ -52,7 +52,8 @@
 	Clock clockwork.Clock
 	// Registerer is where metrics are registered; nil registers none.
 	Registerer prometheus.Registerer
-	// Logger receives one line for each installed version; nil logs nothing.
+	// Logger receives one line for each installed version and for each that can't be
+	// decoded; nil logs nothing.
 	Logger *zap.Logger
 	// DiscoveryTimeout and CatchUpTimeout limit how long a starting host waits
 	// before it installs its first version; 0 selects DefaultDiscoveryTimeout
@@ -218,13 +219,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, a := range event(s.opts.Clock.Now()) {
-		if in, ok := a.(install); ok {
-			s.install(in.loadedTables)
-			continue
+		switch a := a.(type) {
+		case install:
+			s.install(a.loadedTables)
+		case reportUndecodable:
+			s.opts.Logger.Error("version of the tables can't be decoded; the tables in force stay, and it is fetched again until it can be",
+				zap.Uint64("version", a.err.version), zap.Uint64("in_force", s.loaded().tables.Version), zap.Stringer("source", a.from), zap.Error(a.err.cause))
+		default:
+			s.runAsync(s.runCtx, a)
 		}
-		s.runAsync(s.runCtx, a)
 	}
 	s.metrics.known.Set(float64(s.core.sources.highest))
+	s.metrics.undecodable.Set(float64(s.core.undecodable.version))
 	signal(s.wakeRun)
 }
 
--- a/ctl/status.go
+++ b/ctl/status.go
@@ -35,6 +35,9 @@
 	default:
 		fmt.Fprintf(w, "configuration: version %d from %s\n", c.Version, c.Source)
 	}
+	if c.UndecodableVersion > 0 {
+		fmt.Fprintf(w, "version %d can't be decoded by this host: %s\n", c.UndecodableVersion, c.UndecodableProblem)
+	}
 	storeState := "answers"
 	if !c.StoreReachable {
 		storeState = "does not answer"
