config: test the rate at which an undecodable version is fetched

Each peer that has a version is a source with a backoff of its own, so a host that can't decode the version fetches it from all of them in turn without a pause.

--- a/config/undecodable_test.go
+++ b/config/undecodable_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -81,3 +84,34 @@
 	}
 	return sum
 }
+
+// Guards against a host that fetches tables that it can't decode from each of its peers
+// in turn, hundreds of KB at a time.
+func TestUndecodableVersionIsFetchedAtABoundedRate(t *testing.T) {
+	const (
+		peers = 50
+		step  = 20 * time.Millisecond
+	)
+	g := NewWithT(t)
+	now := time.Unix(1_800_000_000, 0)
+	c := newCore(coreOptions{discoveryTimeout: DefaultDiscoveryTimeout, catchUpTimeout: DefaultCatchUpTimeout}, now, rand.New(rand.NewPCG(1, 1)))
+	c.installIfNewer(loadedTables{tables: &table.Tables{Version: 8}})
+	acts := []action{}
+	for i := range peers {
+		acts = append(acts, c.handlePeerVersion(now, "peer-"+strconv.Itoa(i), 9)...)
+	}
+	fetches := 0
+	for end := now.Add(time.Minute); now.Before(end); now = now.Add(step) {
+		next := c.tick(now)
+		for _, a := range acts {
+			if f, ok := a.(fetch); ok {
+				fetches++
+				next = append(next, c.handleFetchResult(now, f.from, nil, nil, &undecodableError{version: f.version, cause: io.ErrUnexpectedEOF})...)
+			}
+		}
+		acts = next
+	}
+	g.Expect(fetches).To(BeNumerically("<=", 25), "fetches in a minute; the longest backoff is 4 s")
+	acts = append(acts, c.handlePeerVersion(now, "peer-0", 10)...)
+	g.Expect(acts).To(ContainElement(fetch{from: peerSource("peer-0"), version: 10}), "a newer version is fetched at once")
+}
