config: one backoff for a version that can't be decoded

A host that can't decode a version fetched it from each peer in turn: each peer has a backoff of its own, of 4 s at most, so with 50 peers there was always one whose turn it was.

The sources of a version mostly hold the same bytes. After a fetch that could not be decoded, none of them is asked for that version until a backoff that they share has passed; sources of other versions are, as before, and a newer version is fetched at once.

TestUndecodableVersionIsFetchedAtABoundedRate: 902 fetches in a minute before, 18 now.

--- a/config/core.go
+++ b/config/core.go
@@ -163,7 +163,7 @@
 func (c *core) handleFetchResult(now time.Time, from source, t *table.Tables, encoded []byte, err error) []action {
 	c.fetching = false
 	if err != nil || t.Version <= c.floor() {
-		report := c.recordUndecodable(from, err)
+		report := c.recordUndecodable(now, from, err)
 		c.sources.recordFailure(from, now.Add(c.jitter(backoff(c.sources.get(from).failures+1))))
 		return append(report, c.advance(now)...)
 	}
@@ -218,7 +218,7 @@
 	c.lastAdvance = now
 	acts := c.installFirst(now)
 	if !c.fetching {
-		if src, version, ok := c.sources.pick(now, c.floor(), c.mayFetchFrom, c.rng.IntN); ok {
+		if src, version, ok := c.sources.pick(now, c.floor(), func(src source) bool { return c.mayFetchFrom(now, src) }, c.rng.IntN); ok {
 			c.fetching = true
 			acts = append(acts, fetch{from: src, version: version})
 		}
@@ -281,9 +281,15 @@
 // open.
 func (c *core) breakerOpen() bool { return c.store.failures >= breakerThreshold }
 
-// mayFetchFrom reports whether tables may be fetched from src: always, except
-// from the table service while its breaker is open.
-func (c *core) mayFetchFrom(src source) bool { return src != storeSource || !c.breakerOpen() }
+// mayFetchFrom reports whether tables may be fetched from src: not from the table
+// service while its breaker is open, nor a version that could not be decoded a short
+// time ago.
+func (c *core) mayFetchFrom(now time.Time, src source) bool {
+	if src == storeSource && c.breakerOpen() {
+		return false
+	}
+	return c.sources.get(src).version != c.undecodable.version || !now.Before(c.undecodable.retryAt)
+}
 
 func (c *core) jitter(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (1 + jitterShare*(2*c.rng.Float64()-1)))
@@ -299,6 +305,7 @@
 	}
 	consider(c.store.nextPoll)
 	consider(c.snapshot.next)
+	consider(c.undecodable.retryAt)
 	if c.installed == nil {
 		consider(c.started.Add(c.opts.discoveryTimeout))
 		consider(c.started.Add(c.opts.catchUpTimeout))
--- a/config/undecodable.go
+++ b/config/undecodable.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -24,6 +25,10 @@
 type undecodableVersion struct {
 	version uint64
 	problem string
+	// failures counts the fetches from any source that ended so; none begins before
+	// retryAt.
+	failures int
+	retryAt  time.Time
 }
 
 // reportUndecodable logs a version that this host can't decode.
@@ -36,15 +41,21 @@
 
 // recordUndecodable takes the error of a fetch. It returns the report of a version
 // that could not be decoded for the first time.
-func (c *core) recordUndecodable(from source, err error) []action {
+func (c *core) recordUndecodable(now time.Time, from source, err error) []action {
 	var e *undecodableError
 	if !errors.As(err, &e) || e.version <= c.floor() {
 		return nil
 	}
 	c.sources.recordVersion(from, e.version)
-	if e.version <= c.undecodable.version {
-		return nil
+	var report []action
+	if e.version > c.undecodable.version {
+		c.undecodable = undecodableVersion{version: e.version, problem: e.cause.Error()}
+		report = []action{reportUndecodable{from: from, err: e}}
+	}
+	if e.version == c.undecodable.version {
+		// Most sources hold the same bytes, so they share the backoff.
+		c.undecodable.failures++
+		c.undecodable.retryAt = now.Add(c.jitter(backoff(c.undecodable.failures)))
 	}
-	c.undecodable = undecodableVersion{version: e.version, problem: e.cause.Error()}
-	return []action{reportUndecodable{from: from, err: e}}
+	return report
 }
