host: refuse requests with 503 until a configuration is in force

A host of chestnutd that starts accepts callers at once, and until its first version is installed it routed them by empty tables: callers with a route got a final 404. With all sources down that lasts until one comes back, and with one host that announces a version which can't be fetched, 30 s.

The caller server gets the condition that chestnut-gateway has: while no version is installed, requests are refused as not run, with 503 and a Retry-After. A fresh deployment has empty tables installed and answers 404 as before.

--- a/config/syncer.go
+++ b/config/syncer.go
@@ -128,6 +128,9 @@
 // Ready returns a channel that is closed once a version is installed.
 func (s *Syncer) Ready() <-chan struct{} { return s.ready }
 
+// Configured reports whether a version is installed. It takes no lock.
+func (s *Syncer) Configured() bool { return s.current.Load() != nil }
+
 // loaded returns the installed version, or noTables while there is none.
 func (s *Syncer) loaded() *loadedTables {
 	if l := s.current.Load(); l != nil {
--- a/host/forwarding.go
+++ b/host/forwarding.go
@@ -193,7 +193,8 @@
 	}
 	syncer := do.MustInvoke[*config.Syncer](i)
 	server, err := proxy.New(proxy.Options{
-		Tables: do.MustInvoke[lb.Tables](i),
+		Tables:     do.MustInvoke[lb.Tables](i),
+		Configured: syncer.Configured,
 		TablesConfirmed: func() bool {
 			st := syncer.Status()
 			return st.StoreReachable && st.Version >= st.HighestKnownVersion
