ctl: test what an operator is told of an undecodable version

status names the version and the error, wait names the host that lags, and apply through a host that can't read the accepted version changes nothing.

--- a/ctl/deployment_test.go
+++ b/ctl/deployment_test.go
@@ -29,6 +29,7 @@
 // transcript of the commands that an operator runs.
 type deployment struct {
 	store       *fake.Table
+	clock       *clockwork.FakeClock
 	syncer      *config.Syncer
 	peers       []api.HostStatus
 	pools       []api.PoolStatus
@@ -55,8 +56,8 @@
 
 func newDeployment() *deployment {
 	GinkgoHelper()
-	d := &deployment{store: fake.NewTable()}
 	clock := clockwork.NewFakeClockAt(time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC))
+	d := &deployment{store: fake.NewTable(), clock: clock}
 	registry := prometheus.NewRegistry()
 	d.syncer = config.New(config.Options{Host: "entry-1", Store: d.store, Objects: fake.NewObjectStore(), Clock: clock, Registerer: registry})
 	server, err := admin.New(admin.Options{
--- a/ctl/session_test.go
+++ b/ctl/session_test.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/sebdah/goldie/v2"
 
+	"github.com/chestnutfield/chestnutfield/cloud"
+	"github.com/chestnutfield/chestnutfield/config"
+	"github.com/chestnutfield/chestnutfield/config/schema"
 	"github.com/chestnutfield/chestnutfield/ctl"
 )
 
@@ -103,6 +107,23 @@
 		golden(d, "workspaces")
 	})
 
+	// Guards against a host that stays behind without a reason that an operator can see.
+	It("is told of a version that the host can't decode", func() {
+		d := newDeployment()
+		Expect(d.store.Transact(context.Background(), []cloud.Write{
+			{Row: cloud.Row{Key: schema.VersionKey, Revision: 9}},
+			{Row: cloud.Row{Key: schema.BodyKey, Revision: 9, Body: []byte("of another release")}},
+		})).To(Succeed())
+		Eventually(func() uint64 { d.clock.Advance(config.MaxPollInterval); return d.syncer.Status().UndecodableVersion }).
+			WithTimeout(10 * time.Second).Should(BeEquivalentTo(9))
+		Expect(d.run("", "status")).To(Equal(ctl.ExitOK))
+		Expect(d.run("", "wait --version 9 --timeout 0s")).To(Equal(ctl.ExitLagging))
+		Expect(d.run(poolsFile, "pools apply -")).NotTo(Equal(ctl.ExitOK))
+		Expect(d.transcript.String()).To(And(
+			ContainSubstring("behind: version 9 is known\nversion 9 can't be decoded by this host: gunzip tables"),
+			ContainSubstring("version 9 is not in force on: entry-1")))
+	})
+
 	It("is told why invalid changes are refused", func() {
 		d := newDeployment()
 		d.run(poolsFile, "pools apply - --author kirsty")
