proxy: a version that comes into force while a request is matched doesn't deny its routes

What callers saw: a final 404 for a new route whose version came into force between the match and the question whether the tables are the newest: matched by the version before, confirmed by the new one. The request is now refused with 503, not run, when the tables have changed since it was matched.

--- a/proxy/match.go
+++ b/proxy/match.go
@@ -69,10 +69,14 @@
 	return m, nil
 }
 
-// tablesOutdated reports whether a newer version, or an entry that was left out of
-// this one, may have what a request needs.
+// tablesOutdated reports whether a newer version than that of r, or an entry that was
+// left out of it, may have what a request needs.
 func (s *Server) tablesOutdated(r *router.Router) bool {
-	return r.Incomplete() || s.opts.TablesConfirmed != nil && !s.opts.TablesConfirmed()
+	if r.Incomplete() || s.opts.TablesConfirmed != nil && !s.opts.TablesConfirmed() {
+		return true
+	}
+	// What is confirmed may have come into force since r was loaded.
+	return s.router.Router() != r
 }
 
 // outdatedRetryAfter is the Retry-After of a request that the tables in force can't
