storesync: failing test: large entries make all hosts read the store

Thirty hosts in virtual time follow the registry while further entries change every two seconds. With one entry of 2000 bytes 192 readings of the store by 30 hosts, with ten of 150 bytes 190 by 30, with sixty of 400 bytes 227 by 30; expected is the reader alone.

--- /dev/null
+++ b/storesync/large_entries_internal_test.go
@@ -0,0 +1,55 @@
+package storesync
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
+
+	"github.com/chestnutfield/chestnutfield/registry"
+)
+
+// Guards against hosts that lose their reader, and all read the store, because changed
+// entries are too large for a message.
+func TestHostsFollowTheirReaderBesideLargeEntries(t *testing.T) {
+	for _, c := range []struct {
+		entries, bytes int
+	}{{1, 2000}, {10, 150}, {60, 400}} {
+		t.Run(fmt.Sprintf("%d of %d bytes", c.entries, c.bytes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g, fl := NewWithT(t), newScaleFleet(30)
+				defer fl.Stop()
+				fl.start(fl.hosts...)
+				fl.await(fl.hosts, 30*time.Second, fl.knowsAll)
+				time.Sleep(10 * time.Second)
+				fl.reset()
+				began := time.Now()
+				write := func(entries []registry.Entry) {
+					fl.mu.Lock()
+					fl.others = entries
+					fl.mu.Unlock()
+					time.Sleep(2 * time.Second)
+				}
+				for sequence := range int64(5) {
+					write(lo.Times(c.entries, func(i int) registry.Entry {
+						return registry.Entry{
+							Instance: registry.Instance{ID: strings.Repeat("i", c.bytes/2) + fmt.Sprint(i)}, Service: strings.Repeat("s", c.bytes/2),
+							Slots: 1, Sequence: sequence, Leaving: sequence%2 == 1,
+						}
+					}))
+				}
+				write(nil)
+				counts := fl.count(began)
+				t.Logf("%d reads by %d hosts", counts.reads, counts.readers)
+				g.Expect(counts.readers).To(Equal(1))
+				for _, h := range fl.hosts {
+					g.Expect(h.follower.registry.entries).To(HaveLen(fl.targets))
+				}
+			})
+		})
+	}
+}
--- a/storesync/scale_fixture_internal_test.go
+++ b/storesync/scale_fixture_internal_test.go
@@ -36,6 +36,8 @@
 	listed  map[string]roster.Host
 	leaving map[int]bool
 	targets int
+	// others are further entries of the registry.
+	others []registry.Entry
 	// firstStart is Options.FirstStart of the hosts that start.
 	firstStart bool
 	tables     *table.Tables
@@ -125,6 +127,7 @@
 			Leaving: fl.leaving[i], Sequence: now.UnixMilli() / heartbeatInterval.Milliseconds(),
 		}
 	}
+	r.Entries = append(r.Entries, fl.others...)
 	bytes := entryBytes * fl.targets
 	s.readBytes += bytes
 	took := s.transfer(nil, bytes)
