storesync: responses to sync requests are divided by size

Cause: a response held ten changed entries or twenty removed IDs in each message, whatever their size. Beyond 1400 bytes the message isn't sent, the asking host hears nothing, skips its reader and every further one, and reads the store itself; it does so again with each change. Ten entries of 150 bytes were enough, and one odd entry with a long service.

Changes are now put into a message while they fit.

The format of messages is the same, so hosts of both versions understand each other.

--- a/storesync/follower.go
+++ b/storesync/follower.go
@@ -262,8 +262,12 @@
 	if !ok || len(changed)+len(removed) > maxChanges {
 		return []syncResponse{r}
 	}
-	r.ChangesIncluded = true
-	return r.split(toWireAll(changed), removed)
+	whole := r
+	whole.ChangesIncluded = true
+	if parts, fit := whole.split(toWireAll(changed), removed); fit {
+		return parts
+	}
+	return []syncResponse{r}
 }
 
 // ageNeverRead stands for the age of data that was never read, in milliseconds.
--- a/storesync/message.go
+++ b/storesync/message.go
@@ -28,7 +28,7 @@
 	RegistryVersion uint64
 	RegistryAge     int64
 	// ChangesIncluded is false when the changes since the requested version are
-	// unknown or too many.
+	// unknown, too many or too large.
 	ChangesIncluded bool
 	// Changed and Removed are the changes, split over Parts messages; this is the
 	// one with index Part.
@@ -58,27 +58,47 @@
 	Sequence      int64
 }
 
-// split distributes changes over as many messages as they need, at least one.
-func (r syncResponse) split(changed []entry, removed []string) []syncResponse {
-	entries, names := lo.Chunk(changed, changesPerMessage), lo.Chunk(removed, 2*changesPerMessage)
-	parts := make([]syncResponse, 0, len(entries)+len(names)+1)
-	for _, chunk := range entries {
-		part := r
-		part.Changed = chunk
-		parts = append(parts, part)
+const (
+	// maxChangesBytes is the room for changes in a message; the rest holds the other
+	// fields of the response and the envelope, at most 90 bytes.
+	maxChangesBytes = hostmsg.MaxBytes - 128
+	// entryFieldBytes is the size of an entry without its texts, at most 80 bytes, and
+	// textHeadBytes that of the head of a text.
+	entryFieldBytes, textHeadBytes = 96, 3
+	// maxParts bounds the messages of one response; the receiver has room for 16.
+	maxParts = 12
+)
+
+// wireBytes returns an upper bound of the encoded size of e.
+func wireBytes(e entry) int {
+	return entryFieldBytes + len(e.ID) + len(e.Service) + len(e.FailureDomain) + len(e.Addr.Addr().Zone())
+}
+
+// split distributes changes over as many messages as they need, at least one; ok is
+// false when they don't fit maxParts messages.
+func (r syncResponse) split(changed []entry, removed []string) (parts []syncResponse, ok bool) {
+	parts, ok = []syncResponse{r}, true
+	room := maxChangesBytes
+	// next returns the message with room for a change.
+	next := func(bytes int) *syncResponse {
+		if room -= bytes; room < 0 {
+			parts, room = append(parts, r), maxChangesBytes-bytes
+		}
+		ok = ok && bytes <= maxChangesBytes
+		return &parts[len(parts)-1]
 	}
-	for _, chunk := range names {
-		part := r
-		part.Removed = chunk
-		parts = append(parts, part)
+	for _, e := range changed {
+		part := next(wireBytes(e))
+		part.Changed = append(part.Changed, e)
 	}
-	if len(parts) == 0 {
-		parts = append(parts, r)
+	for _, id := range removed {
+		part := next(textHeadBytes + len(id))
+		part.Removed = append(part.Removed, id)
 	}
 	for i := range parts {
 		parts[i].Part, parts[i].Parts = i, len(parts)
 	}
-	return parts
+	return parts, ok && len(parts) <= maxParts
 }
 
 // responseParts collects the parts of a response to one sync request.
--- a/storesync/registry_state.go
+++ b/storesync/registry_state.go
@@ -12,13 +12,9 @@
 	"github.com/chestnutfield/chestnutfield/registry"
 )
 
-const (
-	// maxChanges bounds the changes in the messages of one response; a host that
-	// lacks more fetches a snapshot.
-	maxChanges = 60
-	// changesPerMessage is the number of changed entries that fit one message.
-	changesPerMessage = 10
-)
+// maxChanges bounds the changes in the messages of one response; a host that lacks
+// more fetches a snapshot.
+const maxChanges = 60
 
 // registryState is the target registry as of the last reading, with the store
 // version at which each entry last changed. It is not safe for concurrent use.
