--- a/storesync/follower.go
+++ b/storesync/follower.go
@@ -57,8 +57,8 @@
 	minRetryPause         = 100 * time.Millisecond
 	maxRetryPause         = 150 * time.Millisecond
 	followerRetryInterval = 2 * time.Second
-	// maxProblemLogs bounds the log lines about invalid entries in one reading of
-	// the registry.
+	// maxProblemLogs bounds the log lines about single invalid entries after one
+	// reading of the registry.
 	maxProblemLogs = 3
 )
 
--- a/storesync/registry.go
+++ b/storesync/registry.go
@@ -319,11 +319,12 @@
 }
 
 func (f *Follower) logProblems(problems []error) {
-	for i, p := range problems {
-		f.reads.WithLabelValues("entry", "unusable").Inc()
-		if i < maxProblemLogs {
-			f.Logger.Debug("registry entry is invalid; the target is left out", zap.Error(p))
-		}
+	f.reads.WithLabelValues("entry", "unusable").Add(float64(len(problems)))
+	for _, p := range problems[:min(len(problems), maxProblemLogs)] {
+		f.Logger.Info("registry entry is invalid; it names no target", zap.Error(p))
+	}
+	if len(problems) > maxProblemLogs {
+		f.Logger.Info("more registry entries are invalid than are logged; they name no targets", zap.Int("entries", len(problems)))
 	}
 }
 
--- a/storesync/source.go
+++ b/storesync/source.go
@@ -50,7 +50,8 @@
 	// Version is the version of the store at that moment.
 	Version uint64
 	Entries []registry.Entry
-	// Problems has one error for each entry left out as invalid.
+	// Problems has one error for each entry left out as invalid, unless an earlier
+	// reading had it for the same version of the entry.
 	Problems []error
 }
 
