cloud/hostlist: an odd entry leaves the others of the host list

Cause: the list was decoded as a whole, so that one entry of another type, nested too deep or with an address that is none made it unreadable: targets neither joined nor left as long as it stayed. An entry that decoded was used whatever it said: one without an address, with port 0 or an unspecified address (the host itself), of another service, or with a failure domain of any size.

Entries are now decoded one by one; the elements of the array are found without encoding/json, which rejects a whole array for one element beyond 10,000 levels. An odd entry names no target. A list of odd entries only stays an error, as it was. A line is logged when the number of odd entries of a list changes, not for each reading.

A new fuzz target compares lists without odd entries with encoding/json.

--- /dev/null
+++ b/cloud/hostlist/export_test.go
@@ -0,0 +1,4 @@
+package hostlist
+
+// Decode is for the fuzz target.
+var Decode = decode
--- a/cloud/hostlist/hostlist.go
+++ b/cloud/hostlist/hostlist.go
@@ -6,14 +6,15 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"net/url"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"github.com/chestnutfield/chestnutfield/cloud"
 )
@@ -32,12 +33,19 @@
 	BaseURL string
 	// Timeout limits the duration of one call; 0 means DefaultTimeout.
 	Timeout time.Duration
+	// Logger receives a line when the number of odd entries changes; nil logs nothing.
+	Logger *zap.Logger
 }
 
 // Client implements cloud.HostList. It is safe for concurrent use.
 type Client struct {
 	listURL string
 	http    *http.Client
+	log     *zap.Logger
+
+	mu sync.Mutex
+	// odd is the number of odd entries in the last list of each service that had one.
+	odd map[string]int
 }
 
 var _ cloud.HostList = (*Client)(nil)
@@ -45,14 +53,20 @@
 // New returns a Client. It does not contact the platform.
 func New(o Options) *Client {
 	o.Timeout = cmp.Or(o.Timeout, DefaultTimeout)
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
 	return &Client{
+		log: o.Logger, odd: map[string]int{},
 		listURL: strings.TrimSuffix(o.BaseURL, "/") + "/hostlist",
 		http:    &http.Client{Timeout: o.Timeout, Transport: &http.Transport{}},
 	}
 }
 
-// List implements cloud.HostList. Every failed request, including one whose
-// response can't be decoded completely, returns cloud.ErrUnavailable.
+// List implements cloud.HostList. An odd entry names no host and the others hold: one
+// that can't be decoded, of another service, or with an address that not all hosts
+// reach. Every failed request, including one whose response is no list or has odd
+// entries only, returns cloud.ErrUnavailable.
 func (c *Client) List(ctx context.Context, service string) ([]cloud.ListedHost, error) {
 	address := c.listURL
 	if service != "" {
@@ -70,9 +84,33 @@
 	if res.StatusCode != http.StatusOK {
 		return nil, errors.Wrapf(cloud.ErrUnavailable, "host list: expected status 200, got %d", res.StatusCode)
 	}
-	var hosts []cloud.ListedHost
-	if err := json.NewDecoder(io.LimitReader(res.Body, MaxListBytes)).Decode(&hosts); err != nil {
+	body, err := io.ReadAll(io.LimitReader(res.Body, MaxListBytes))
+	if err != nil {
+		return nil, errors.Wrapf(cloud.ErrUnavailable, "host list: response body not received: %v", err)
+	}
+	hosts, problems, err := decode(body, service)
+	if err != nil {
 		return nil, errors.Wrapf(cloud.ErrUnavailable, "host list: response body rejected: %v", err)
 	}
+	c.logOdd(service, problems)
+	if len(hosts) == 0 && len(problems) > 0 {
+		return nil, errors.Wrapf(cloud.ErrUnavailable, "host list: all %d entries rejected: %v", len(problems), problems[0])
+	}
 	return hosts, nil
 }
+
+// logOdd logs the number of odd entries of a list if it has changed.
+func (c *Client) logOdd(service string, problems []error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(problems) == c.odd[service] {
+		return
+	}
+	c.odd[service] = len(problems)
+	if len(problems) == 0 {
+		delete(c.odd, service)
+		c.log.Info("host list has no odd entries any more", zap.String("service", service))
+		return
+	}
+	c.log.Warn("odd entries in the host list are ignored; the others hold", zap.String("service", service), zap.Int("odd", len(problems)), zap.Error(problems[0]))
+}
--- a/cloud/hostlist/odd_entries_test.go
+++ b/cloud/hostlist/odd_entries_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 
@@ -49,3 +51,19 @@
 		})
 	}
 }
+
+// FuzzList checks that no list makes a host crash, and that a list without odd entries
+// is read as encoding/json reads it.
+func FuzzList(f *testing.F) {
+	f.Add([]byte(`[{"service":"s","addr":"127.0.0.1:1"}, 7, null, {"a":"\"]"}, [{}]]`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		hosts, problems, err := hostlist.Decode(body, "")
+		var want []cloud.ListedHost
+		if json.Unmarshal(body, &want) == nil && len(want) > 0 && err != nil {
+			t.Errorf("got %v", err)
+		}
+		if err == nil && len(problems) == 0 && len(hosts) > 0 && (json.Unmarshal(body, &want) != nil || !slices.Equal(hosts, want)) {
+			t.Errorf("got %v; expected %v", hosts, want)
+		}
+	})
+}
--- a/host/cloud.go
+++ b/host/cloud.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/samber/do/v2"
+	"go.uber.org/zap"
 
 	"github.com/chestnutfield/chestnutfield/cloud"
 	"github.com/chestnutfield/chestnutfield/cloud/dynamo"
@@ -23,6 +24,6 @@
 	})
 	do.Provide(i, func(i do.Injector) (cloud.HostList, error) {
 		s := do.MustInvoke[*settings.Settings](i)
-		return hostlist.New(hostlist.Options{BaseURL: s.Platform.Hosts}), nil
+		return hostlist.New(hostlist.Options{BaseURL: s.Platform.Hosts, Logger: do.MustInvoke[*zap.Logger](i)}), nil
 	})
 }
