membership: odd member rows don't count, nor reach other hosts

Cause: a row of a host was accepted with any name, failure domain and valid address. Hosts pass entries on to each other, and a peer checks them more strictly: a name or failure domain of more than 128 bytes, or with control characters, makes it reject the whole message. So one odd row stopped the exchange of loads, drains and heartbeats between all hosts for as long as its entry was passed on. A host with port 0 or an unspecified, multicast or zoned address counted in shared limits.

Rows and messages are now held to the same limits; an entry beyond them is counted as refused and not passed on.

--- a/membership/member.go
+++ b/membership/member.go
@@ -37,6 +37,10 @@
 	}
 }
 
+// MaxNameBytes bounds the names of hosts and failure domains, which hosts pass on in
+// messages.
+const MaxNameBytes = 128
+
 // Member is the entry that a host publishes about itself.
 type Member struct {
 	Name          string         `json:"name"`
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -1,6 +1,13 @@
 package membership
 
-import "time"
+import (
+	"strings"
+	"time"
+	"unicode"
+	"unicode/utf8"
+
+	"github.com/chestnutfield/chestnutfield/table"
+)
 
 // maxClockAhead is how far in the future an incarnation may lie.
 const maxClockAhead = 24 * time.Hour
@@ -81,9 +88,16 @@
 	return result
 }
 
+// valid reports whether an entry is one that a host may have published and that peers
+// accept in a message: they reject a message as a whole.
 func (c *Core) valid(now time.Time, m Member) bool {
 	latest := uint64(now.Add(maxClockAhead).UnixMilli())
-	return m.Name != "" && m.Addr.IsValid() && m.State >= Live && m.State <= Gone && m.Incarnation <= latest
+	return m.Name != "" && validText(m.Name) && validText(m.FailureDomain) && table.UsableAddr(m.Addr) &&
+		m.State >= Live && m.State <= Gone && m.Incarnation <= latest
+}
+
+func validText(text string) bool {
+	return len(text) <= MaxNameBytes && utf8.ValidString(text) && !strings.ContainsFunc(text, func(r rune) bool { return !unicode.IsPrint(r) })
 }
 
 // handleSelfEntry handles an entry under this host's own name. One that is not
--- a/peer/message.go
+++ b/peer/message.go
@@ -16,7 +16,7 @@
 // Limits on the content of a message.
 const (
 	maxEntries        = 4096
-	maxNameBytes      = 128
+	maxNameBytes      = membership.MaxNameBytes
 	maxInFlight       = 1 << 20
 	maxLatency        = 10 * time.Minute
 	maxLoadAge        = 10 * time.Minute
