cloud/dynamo: an odd row doesn't hide the other rows of its partition

Cause: a query failed as a whole for one row without a revision or writer, or with a number that is none. Hosts read their list by such a query, so one odd row kept them from learning of any host that joined, and of any that left, for as long as it stayed; records of requests that end targets were unreadable in the same way.

A query now returns the key alone of such a row. A row that is read alone, such as the version of the configuration, still fails.

--- a/cloud/cloud.go
+++ b/cloud/cloud.go
@@ -82,7 +82,7 @@
 	// Get reads a row with strong consistency. ok is false if there is none.
 	Get(ctx context.Context, k Key) (row Row, ok bool, err error)
 	// Query reads up to limit rows of a partition with Sort > after, in
-	// ascending order of Sort.
+	// ascending order of Sort. A row that can't be decoded has its key alone.
 	Query(ctx context.Context, partition, after string, limit int) ([]Row, error)
 	// Write applies one write.
 	Write(ctx context.Context, w Write) error
--- a/cloud/dynamo/client.go
+++ b/cloud/dynamo/client.go
@@ -124,7 +124,7 @@
 	}
 	rows := make([]cloud.Row, 0, len(out.Items))
 	for _, it := range out.Items {
-		row, err := decodeRow(it)
+		row, err := decodeListedRow(it)
 		if err != nil {
 			return nil, false, err
 		}
--- a/cloud/dynamo/rows.go
+++ b/cloud/dynamo/rows.go
@@ -88,6 +88,18 @@
 	return r, nil
 }
 
+// decodeListedRow decodes a row of a query. An odd row doesn't make the others
+// unreadable: of one that another writer left, only the key is returned, so that
+// whoever lists the rows finds no body. It fails for a row without a key, with which
+// no query goes on.
+func decodeListedRow(it item) (cloud.Row, error) {
+	r, err := decodeRow(it)
+	if err != nil && r.Sort != "" {
+		return cloud.Row{Key: r.Key}, nil
+	}
+	return r, err
+}
+
 func readString(it item, name string) (string, error) {
 	v, ok := it[name].(*types.AttributeValueMemberS)
 	if !ok {
