platform: odd rows of the host list count as no hosts

Cause: a row of the host list counted if its address was valid. One with a strength of 1e308 comes before all hosts in each task, one with port 0 or an address that is not one host's gets the messages of all others in vain, and all divide shared limits by one host more, until the reader removes it as silent after two minutes.

The number of invalid rows is logged when it changes, with the first problem; before, they left no trace.

--- a/storesync/follower.go
+++ b/storesync/follower.go
@@ -150,6 +150,8 @@
 	knownHosts   []roster.Host
 	hostsHash    uint64
 	hostsVersion uint64
+	// hostProblems is the number of invalid rows in the last reading of the host list.
+	hostProblems atomic.Int64
 	// activity is maintained only while this host is the reader.
 	activity hostActivity
 	// evacuations is what is known of evacuated failure domains, noticeAt when another
--- a/storesync/hosts.go
+++ b/storesync/hosts.go
@@ -96,6 +96,7 @@
 // writes them again for all: many hosts that do so themselves would exceed what
 // one part of the store takes.
 func (f *Follower) restoreHosts(r HostsReading) []roster.Host {
+	f.logHostProblems(r.Problems)
 	f.mu.Lock()
 	known, restored := f.knownHosts, f.hostsVersion != 0 && Era(r.Version) > Era(f.hostsVersion)
 	f.mu.Unlock()
@@ -116,6 +117,18 @@
 	return hosts
 }
 
+// logHostProblems logs the number of invalid rows in the host list if it has changed.
+func (f *Follower) logHostProblems(problems []error) {
+	if before := f.hostProblems.Swap(int64(len(problems))); before == int64(len(problems)) {
+		return
+	}
+	var first error
+	if len(problems) > 0 {
+		first = problems[0]
+	}
+	f.Logger.Info("number of invalid rows in the host list changed; they count as no hosts", zap.Int("rows", len(problems)), zap.Error(first))
+}
+
 // announceAgain writes the rows of other hosts again; false when that failed.
 func (f *Follower) announceAgain(lost []roster.Host) bool {
 	for _, chunk := range lo.Chunk(lost, MaxAnnounced) {
--- a/storesync/source.go
+++ b/storesync/source.go
@@ -60,6 +60,8 @@
 	// Version is the version of the store at that moment.
 	Version uint64
 	Hosts   []roster.Host
+	// Problems has one error for each row left out as invalid.
+	Problems []error
 }
 
 // MaxAnnounced is the number of hosts that one call of Source.Announce may add.
