--- /dev/null
+++ b/quarantine/odd_rows_internal_test.go
@@ -0,0 +1,49 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+)
+
+type storedRows map[string][]byte
+
+func (s storedRows) Suspects() (map[string][]byte, error) { return s, nil }
+func (s storedRows) SaveSuspects(map[string][]byte) error { return nil }
+func (s storedRows) DeleteSuspects([]string) error        { return nil }
+
+// Guards against thousands of lines about thousands of odd rows, and against their
+// repetition each time that the records are read.
+func TestOddRowsAreLoggedInFewLines(t *testing.T) {
+	g, rows := NewWithT(t), storedRows{}
+	clock := clockwork.NewFakeClock()
+	now := clock.Now().UnixMilli()
+	core, logged := observer.New(zapcore.InfoLevel)
+	guard := &Guard{Options: Options{Store: rows, Logger: zap.New(core), Clock: clock}, book: NewBook(), writes: make(chan storeWrite, 10)}
+	load := func() []observer.LoggedEntry {
+		logged.TakeAll()
+		for range 5 {
+			g.Expect(guard.load()).To(BeTrue())
+		}
+		return logged.FilterMessageSnippet("malformed").All()
+	}
+	for i, at := range []int64{now, -1 << 63, 1<<63 - 1} {
+		rows[fmt.Sprint("good", i)] = fmt.Appendf(nil, `{"content":"a%d","id":"t","started":1,"at":%d}`, i, at)
+	}
+	for i := range 1000 {
+		rows[fmt.Sprint("odd", i)] = fmt.Appendf(nil, `{"content":%d}`, i)
+	}
+	lines := load()
+	g.Expect(len(lines)).To(BeNumerically("<=", 5))
+	g.Expect(lines[len(lines)-1].ContextMap()).To(HaveKeyWithValue("rows", int64(1000)))
+	g.Expect(load()).To(BeEmpty())
+	rows["odd"] = nil
+	g.Expect(load()).To(HaveLen(1))
+	_, known := guard.book.Record(0xa0)
+	g.Expect(known).To(BeTrue())
+}
