quarantine: odd stored rows are logged once, in few lines

Cause: each malformed row was logged with each reading, which comes every few seconds while there are suspect requests, and errors held the row's text. A reading now logs the malformed rows that the last one did not have: up to three one by one, the others by their number; texts of errors are cut off. Five readings of 1000 odd rows log four lines, before 5000. Rows with times at the bounds of 64 bits were and are harmless: they count as now, or are deleted as outdated.

--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -89,6 +89,9 @@
 	repeatedAt time.Time
 	// listedHosts are the other hosts of the last round of the background loop.
 	listedHosts []roster.Host
+	// malformed holds the rows that could not be decoded at the last reading of the
+	// store, by key; only the background loop uses it.
+	malformed map[string]error
 }
 
 // check is a running check of a target.
--- a/quarantine/message.go
+++ b/quarantine/message.go
@@ -104,15 +104,15 @@
 }
 
 // decodeRow returns the record of one row. A loss in the future, by a clock that
-// differs, counts as now.
+// differs, counts as now. The error is short, whatever the row holds.
 func decodeRow(now time.Time, key string, value []byte) (Record, error) {
 	var stored storedLoss
 	if err := json.Unmarshal(value, &stored); err != nil {
-		return Record{}, errors.Wrapf(err, "row %.100q of a suspect request", key)
+		return Record{}, errors.Errorf("row %.100q of a suspect request: %.200s", key, err.Error())
 	}
 	content, err := strconv.ParseUint(stored.Content, 16, 64)
 	if err != nil {
-		return Record{}, errors.Wrapf(err, "row %.100q of a suspect request: content; expected a hexadecimal number", key)
+		return Record{}, errors.Errorf("row %.100q of a suspect request: got content %.40q; expected a hexadecimal number", key, stored.Content)
 	}
 	return Record{Content: Content(content), Losses: []Loss{{
 		Instance: registry.Instance{ID: stored.ID, StartedMillis: stored.StartedMillis},
--- a/quarantine/persist.go
+++ b/quarantine/persist.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,10 +53,11 @@
 	}
 	now := g.Clock.Now()
 	var outdated []string
+	malformed := map[string]error{}
 	for key, value := range rows {
 		r, err := decodeRow(now, key, value)
 		if err != nil {
-			g.Logger.Warn("stored end of a target under a request is malformed and left out", zap.String("key", key), zap.Error(err))
+			malformed[key] = err
 			continue
 		}
 		if now.Sub(r.lastLoss()) > maxStoredAge {
@@ -70,9 +72,26 @@
 	for _, keys := range lo.Chunk(outdated, maxRows) {
 		g.write(storeWrite{deletes: keys})
 	}
+	g.logMalformed(malformed)
 	return true
 }
 
+// maxMalformedLogs bounds the lines about single malformed rows after one reading.
+const maxMalformedLogs = 3
+
+// logMalformed logs the malformed rows of a reading that the last one did not have.
+func (g *Guard) logMalformed(malformed map[string]error) {
+	added := lo.Filter(lo.Keys(malformed), func(key string, _ int) bool { return g.malformed[key] == nil })
+	g.malformed = malformed
+	slices.Sort(added)
+	for _, key := range added[:min(len(added), maxMalformedLogs)] {
+		g.Logger.Warn("stored end of a target under a request is malformed and left out", zap.String("key", key), zap.Error(malformed[key]))
+	}
+	if len(added) > maxMalformedLogs {
+		g.Logger.Warn("more stored ends of targets are malformed than are logged; all are left out", zap.Int("rows", len(added)))
+	}
+}
+
 // repeat tells all hosts of the suspects again, and reads those that others stored,
 // if this is the host to do so. Hosts that were not listed the last time are told at
 // once: notices have passed them by.
