--- a/storesync/large_entries_internal_test.go
+++ b/storesync/large_entries_internal_test.go
@@ -53,3 +53,21 @@
 		})
 	}
 }
+
+// Guards against hosts that can't read a snapshot, and all read the store, because
+// thousands of entries are as large as entries may be.
+func TestSnapshotOfThousandsOfLargeEntriesIsReadable(t *testing.T) {
+	g, reader := NewWithT(t), newRegistryState()
+	text := func(i int) string { return fmt.Sprintf("%0200d", i*7919) }
+	reader.replace(1, time.Unix(1_700_000_000, 0), lo.Times(10_000, func(i int) registry.Entry {
+		return registry.Entry{Instance: registry.Instance{ID: text(i), StartedMillis: 1}, Service: text(i + 1), FailureDomain: text(i + 2), Slots: 1}
+	}))
+	sent := content{RegistryVersion: 1, Whole: true, Entries: toWireAll(reader.list())}
+	body, err := encodeContent(sent)
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Logf("%d bytes compressed", len(body))
+	g.Expect(len(body)).To(BeNumerically("<", maxSnapshotBytes))
+	got, err := decodeContent(body)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(got.Entries).To(HaveLen(len(sent.Entries)))
+}
