--- a/storesync/snapshot.go
+++ b/storesync/snapshot.go
@@ -34,8 +34,10 @@
 	// maxConcurrentSnapshots bounds the snapshots that a host serves at the same
 	// time; hosts that get none read the store.
 	maxConcurrentSnapshots = 64
-	// maxSnapshotBytes bounds a snapshot, compressed and uncompressed.
+	// maxSnapshotBytes bounds a compressed snapshot, maxContentBytes its content:
+	// thousands of entries with the longest texts, some 650 bytes each.
 	maxSnapshotBytes = 4 << 20
+	maxContentBytes  = 32 << 20
 )
 
 // errHostUnreachable means that no connection to a host was possible.
@@ -231,7 +233,7 @@
 	if err != nil {
 		return c, errors.Wrap(err, "decompress snapshot content")
 	}
-	plain, err := io.ReadAll(io.LimitReader(z, maxSnapshotBytes))
+	plain, err := io.ReadAll(io.LimitReader(z, maxContentBytes))
 	if err != nil {
 		return c, errors.Wrap(err, "decompress snapshot content")
 	}
