quarantine: failing test: losses at targets with long IDs aren't stored

The key of the row of a loss has up to 234 bytes for a target whose ID has 200; the store takes keys of at most 200 and refuses the whole change.

--- a/quarantine/odd_rows_internal_test.go
+++ b/quarantine/odd_rows_internal_test.go
@@ -2,13 +2,21 @@
 
 import (
 	"fmt"
+	"math"
+	"strconv"
+	"strings"
 	"testing"
+	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/chestnutfield/chestnutfield/hostmsg"
+	"github.com/chestnutfield/chestnutfield/registry"
 )
 
 type storedRows map[string][]byte
@@ -47,3 +55,26 @@
 	_, known := guard.book.Record(0xa0)
 	g.Expect(known).To(BeTrue())
 }
+
+// Guards against losses that the store refuses, with all others of their record, as the
+// key of their row is longer than 200 bytes, and against a record that fits no message.
+func TestLossesAtTargetsWithLongIDsAreStored(t *testing.T) {
+	g, now := NewWithT(t), time.Now()
+	r := Record{Content: math.MaxUint64, ClearedAt: now.Add(-time.Hour)}
+	for i := range maxLosses {
+		id := strings.Repeat("x", 199) + strconv.Itoa(i)
+		r.Losses = append(r.Losses, Loss{Instance: registry.Instance{ID: id, StartedMillis: 1 << 53}, At: now})
+	}
+	rows, err := encodeRows(r)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(rows).To(HaveLen(maxLosses))
+	for key, value := range rows {
+		g.Expect(len(key)).To(BeNumerically("<=", 200))
+		stored, err := decodeRow(now, key, value)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(stored.Losses[0].rowKey(r.Content)).To(Equal(key))
+	}
+	told, err := cbor.Marshal(newRecordNotice(now, r))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(told)).To(BeNumerically("<", hostmsg.MaxBytes-20))
+}
