quarantine: losses at targets with long IDs are stored

Cause: the key of a loss's row holds the target's ID beside 34 more bytes, so that an ID of more than 166 bytes, which the platform allows, makes a key that the store refuses, and with it the rows of the other losses; the queue of writes waits 10 s for it. Rows don't rely on their key.

--- a/quarantine/message.go
+++ b/quarantine/message.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/samber/lo"
 
@@ -83,9 +84,18 @@
 // key returns the key of a content in logs and in the store.
 func (c Content) key() string { return strconv.FormatUint(uint64(c), 16) }
 
-// rowKey returns the key of a loss's row.
+// maxKeyBytes is the length of the longest key that stores take.
+const maxKeyBytes = 200
+
+// rowKey returns the key of a loss's row. An ID that leaves no room for the rest is
+// replaced by its hash.
 func (l Loss) rowKey(c Content) string {
-	return c.key() + "/" + l.Instance.ID + "/" + strconv.FormatInt(l.Instance.StartedMillis, 10)
+	started := strconv.FormatInt(l.Instance.StartedMillis, 10)
+	key := c.key() + "/" + l.Instance.ID + "/" + started
+	if len(key) > maxKeyBytes {
+		key = c.key() + "/#" + strconv.FormatUint(xxhash.Sum64String(l.Instance.ID), 16) + "/" + started
+	}
+	return key
 }
 
 // encodeRows returns the rows of a record's losses by key.
