--- a/cloud/dynamo/odd_rows_test.go
+++ b/cloud/dynamo/odd_rows_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 
 	"github.com/chestnutfield/chestnutfield/cloud"
 	"github.com/chestnutfield/chestnutfield/cloud/dynamo"
+	"github.com/chestnutfield/chestnutfield/lab/platformd"
 	"github.com/chestnutfield/chestnutfield/membership"
 )
 
@@ -60,6 +62,35 @@
 	}
 }
 
+// Guards against a host that never renews its row, and so never holds its lease, because
+// another writer left an odd row under its name.
+func TestHostReplacesAnOddRowUnderItsName(t *testing.T) {
+	g := NewWithT(t)
+	platform := platformd.New(platformd.Options{})
+	g.Expect(platform.Start("127.0.0.1:0")).To(Succeed())
+	defer platform.Close()
+	body := `{"TableName":"chestnutfield","Item":{"pk":{"S":"members"},"sk":{"S":"self"},"rev":{"S":"odd"}}}`
+	put, err := http.NewRequest(http.MethodPost, platform.URL(), strings.NewReader(body))
+	g.Expect(err).NotTo(HaveOccurred())
+	put.Header.Set("X-Amz-Target", "DynamoDB_20120810.PutItem")
+	put.Header.Set("Content-Type", "application/x-amz-json-1.0")
+	response, err := http.DefaultClient.Do(put)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(response.Body.Close()).To(Succeed())
+	g.Expect(response.StatusCode).To(Equal(http.StatusOK))
+
+	table := dynamo.New(dynamo.Options{Endpoint: platform.URL()})
+	own := cloud.Key{Partition: "members", Sort: "self"}
+	_, _, err = table.Get(t.Context(), own)
+	g.Expect(err).To(HaveOccurred())
+	s, err := membership.New(membership.Options{Self: membership.Member{Name: "self", Addr: addr, State: membership.Live}, Table: table})
+	g.Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = s.Run(ctx) }()
+	g.Eventually(func() error { _, _, err := table.Get(ctx, own); return err }).WithTimeout(10 * time.Second).Should(Succeed())
+}
+
 var addr = netip.MustParseAddrPort("127.0.0.1:7004")
 
 func base64Text(text string) string { return base64.StdEncoding.EncodeToString([]byte(text)) }
