membership: a host replaces an odd row under its name

Cause: a host writes its row on the condition that the stored one is that which it wrote last. When the stored one can't be decoded, the failed condition names no revision to go on from, so that each renewal failed and the host never held its lease. Such a row is now replaced without a condition and counted as a bad row: no process of this name can have written it.

--- a/membership/rowstore.go
+++ b/membership/rowstore.go
@@ -49,9 +49,9 @@
 
 // write stores this host's own row. When the stored row is not the one last
 // written, write returns it as found, with an error, if it is of a later
-// incarnation, and otherwise tries once more to replace it. A heartbeat lower
-// than one already attempted is an error, so that a delayed renewal does not
-// undo the row of a host that left.
+// incarnation, and otherwise tries once more to replace it; a row that can't be read
+// is replaced as well. A heartbeat lower than one already attempted is an error, so
+// that a delayed renewal does not undo the row of a host that left.
 func (r *rowStore) write(ctx context.Context, m Member) (found *Member, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -61,15 +61,22 @@
 	r.highestHeartbeat = m.Heartbeat
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err = r.writeOnce(ctx, m)
+	err = r.writeOnce(ctx, m, false)
 	var conflict *cloud.ConditionError
-	if !errors.As(err, &conflict) {
+	switch {
+	case errors.As(err, &conflict):
+	case errors.Is(err, cloud.ErrConditionFailed):
+		// Another writer left a row under this host's name that can't be read.
+		r.badRows.Add(1)
+		r.revision = 0
+		return nil, r.writeOnce(ctx, m, true)
+	default:
 		return nil, err
 	}
 	row := conflict.Failed[0]
 	if row == nil {
 		r.revision = 0
-		return nil, r.writeOnce(ctx, m)
+		return nil, r.writeOnce(ctx, m, false)
 	}
 	stored, decodeErr := decodeRow(*row)
 	if decodeErr != nil {
@@ -78,10 +85,11 @@
 		return &stored, err
 	}
 	r.revision = row.Revision
-	return nil, r.writeOnce(ctx, m)
+	return nil, r.writeOnce(ctx, m, false)
 }
 
-func (r *rowStore) writeOnce(ctx context.Context, m Member) error {
+// writeOnce writes the row if the stored one is that last written, or replaces any row.
+func (r *rowStore) writeOnce(ctx context.Context, m Member, replace bool) error {
 	r.writes++
 	writer := fmt.Sprintf("%s/%d/%d", m.Name, m.Incarnation, r.writes)
 	row, err := encodeRow(m, writer, r.clock.Now().Add(r.retention))
@@ -89,7 +97,7 @@
 		return err
 	}
 	row.Revision = r.revision + 1
-	err = r.table.Write(ctx, cloud.Write{Row: row, IfAbsent: r.revision == 0, IfRevision: r.revision})
+	err = r.table.Write(ctx, cloud.Write{Row: row, IfAbsent: r.revision == 0 && !replace, IfRevision: r.revision})
 	if err != nil {
 		return errors.Wrap(err, "write member row")
 	}
