platform: services and failure domains of entries may have 1024 bytes

Names of services in accepted configurations aren't bounded by 64 bytes any more; a target of a service with a longer name must not be left out for it.

--- a/storesync/large_entries_internal_test.go
+++ b/storesync/large_entries_internal_test.go
@@ -58,7 +58,7 @@
 // thousands of entries are as large as entries may be.
 func TestSnapshotOfThousandsOfLargeEntriesIsReadable(t *testing.T) {
 	g, reader := NewWithT(t), newRegistryState()
-	text := func(i int) string { return fmt.Sprintf("%0200d", i*7919) }
+	text := func(i int) string { return fmt.Sprintf("%0700d", i*7919) }
 	reader.replace(1, time.Unix(1_700_000_000, 0), lo.Times(10_000, func(i int) registry.Entry {
 		return registry.Entry{Instance: registry.Instance{ID: text(i), StartedMillis: 1}, Service: text(i + 1), FailureDomain: text(i + 2), Slots: 1}
 	}))
--- a/storesync/snapshot.go
+++ b/storesync/snapshot.go
@@ -35,7 +35,7 @@
 	// time; hosts that get none read the store.
 	maxConcurrentSnapshots = 64
 	// maxSnapshotBytes bounds a compressed snapshot, maxContentBytes its content:
-	// thousands of entries with the longest texts, some 650 bytes each.
+	// 10,000 entries with the longest texts, some 2300 bytes each.
 	maxSnapshotBytes = 4 << 20
 	maxContentBytes  = 32 << 20
 )
