--- a/storesync/source.go
+++ b/storesync/source.go
@@ -51,7 +51,8 @@
 	// Version is the version of the store at that moment.
 	Version uint64
 	Entries []registry.Entry
-	// Problems has one error for each entry left out as invalid.
+	// Problems has one error for each entry left out as invalid, unless an earlier
+	// reading had it for the same version of the entry.
 	Problems []error
 }
 
@@ -60,6 +61,8 @@
 	// Version is the version of the store at that moment.
 	Version uint64
 	Hosts   []roster.Host
+	// Problems has one error for each row left out as invalid.
+	Problems []error
 }
 
 // MaxAnnounced is the number of hosts that one call of Source.Announce may add.
