upstream: failing test of an order on a connection released meanwhile

Where each order gets a new connection (chestnut-gateway), one may still take an idle connection: the clock is read before the search, another request releases its connection in between, and its idle time of -1 us is within the limit of -1 ns.

--- a/upstream/unsolicited_test.go
+++ b/upstream/unsolicited_test.go
@@ -143,3 +143,21 @@
 	clock.Advance(quietPeriod)
 	g.Expect(order()).To(BeTrue())
 }
+
+// TestConnectionReleasedMeanwhileIsNotReusedForOrders guards against an order on a
+// reused connection where each gets a new one: another request may end between the
+// reading of the clock and the search for a connection.
+func TestConnectionReleasedMeanwhileIsNotReusedForOrders(t *testing.T) {
+	g := NewWithT(t)
+	clock, target := clockwork.NewFakeClock(), newRepeatingTarget(t)
+	client := New(Options{NonIdempotentMaxIdle: -1, Clock: clock})
+	before := clock.Now()
+	clock.Advance(time.Microsecond)
+	target.ask(g, client)
+	for _, o := range []OpenOptions{{Limit: 2}, {Limit: 2, Idempotent: true, New: true}} {
+		cn, ok := client.target(target.addr).acquire(before, client.reuseRules(o))
+		g.Expect(ok).To(BeTrue())
+		g.Expect(cn == nil).To(BeTrue(), "a connection that was released after the clock was read")
+		client.target(target.addr).uncount()
+	}
+}
