upstream: an order takes no connection that was released after the clock was read

Callers of chestnut-gateway: an order went out on a kept connection now and then, where an earlier refusal that a faulty target writes again is taken for its answer and the order is sent to a second target, or where the target's close loses it.

Cause: with a limit of -1 ns on the idle time, a connection that another request released between the reading of the clock and the search was idle for a negative time, and so within the limit.

Change: a negative idle time counts as none.

--- a/upstream/target.go
+++ b/upstream/target.go
@@ -74,7 +74,8 @@
 // that was silent for longest. The caller holds the lock.
 func (t *target) reusable(now time.Time, r reuseRules) int {
 	mayReuse := func(cn *conn) bool {
-		idle := now.Sub(cn.idleSince)
+		// A connection may have been released after now was read.
+		idle := max(0, now.Sub(cn.idleSince))
 		return idle <= r.maxIdle && !cn.idleLimitExceeded(idle) && (r.quietReuses <= 0 || t.trust.mayReuse(now, idle, r))
 	}
 	last := len(t.idle) - 1
