upstream: each order to a target gets a new connection

Callers of chestnutd: an order that a target ran, or was running, was answered 503 with Chestnut-Not-Run, or went to a second target and ran twice, when a faulty target wrote an earlier refusal once more on a kept connection.

Cause: targets of chestnutd name no request in their responses, so a copy that arrives once the next request is written looks like its answer. The wait of 10 ms before a connection is reused covers copies of the time before, until the target is trusted.

Change: a request to a target that is not idempotent never reuses a connection, in both programs. The trust for orders at targets that close connections early goes; so does the option NonIdempotentMaxIdle, whose place NonIdempotentPeerMaxIdle takes for connections to peers, with the values of before. An order's connection stays for lookups while fewer than 16 are idle: otherwise orders alone would keep half of a target's connections open.

Two tests said the opposite. An order on a kept connection that closes is no longer lost but served (proxy). TestOrdersAvoidConnectionsThatTheTargetCloses, which expected a reuse after 10 ms, is replaced by TestOrdersNeverReuseConnections, which allows none, and by TestLookupsWaitAtTargetsThatCloseConnections for what remains of that protection.

--- a/gateway/providers.go
+++ b/gateway/providers.go
@@ -59,9 +59,9 @@
 	o := do.MustInvoke[Options](i)
 	return upstream.New(upstream.Options{
 		Clock: o.Clock, Dial: o.DialTarget, ConnectTimeout: connectTimeout, IdleTimeout: targetIdleTimeout,
-		// A new connection for each order: a target may close an idle connection
-		// just as an order is being written to it.
-		NonIdempotentMaxIdle: -1,
+		// A new connection also for each order that is handed over: a peer that stops
+		// may close an idle connection just as an order is being written to it.
+		NonIdempotentPeerMaxIdle: -1,
 	}), nil
 }
 
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -24,11 +24,11 @@
 
 // Default values of Options.
 const (
-	DefaultConnectTimeout       = 500 * time.Millisecond
-	DefaultIdleTimeout          = 30 * time.Second
-	DefaultNonIdempotentMaxIdle = time.Second
-	DefaultHeaderBytes          = 16 << 10
-	DefaultQuietReuses          = 5
+	DefaultConnectTimeout           = 500 * time.Millisecond
+	DefaultIdleTimeout              = 30 * time.Second
+	DefaultNonIdempotentPeerMaxIdle = time.Second
+	DefaultHeaderBytes              = 16 << 10
+	DefaultQuietReuses              = 5
 )
 
 // Options configures a Client. Zero values select the defaults.
@@ -37,10 +37,11 @@
 	ConnectTimeout time.Duration
 	// IdleTimeout is how long an idle connection stays open.
 	IdleTimeout time.Duration
-	// NonIdempotentMaxIdle is how long a connection may have been idle and
-	// still be reused for a request that is not idempotent. A negative value
-	// opens a new connection for each such request.
-	NonIdempotentMaxIdle time.Duration
+	// NonIdempotentPeerMaxIdle is how long a connection to a peer may have been
+	// idle and still be reused for a request that is not idempotent. A negative
+	// value opens a new connection for each such request, as requests to targets
+	// always do.
+	NonIdempotentPeerMaxIdle time.Duration
 	// HeaderBytes bounds the header of a response.
 	HeaderBytes int
 	// QuietReuses is the number of connections of a target that have to stay silent
@@ -65,8 +66,8 @@
 	if o.IdleTimeout <= 0 {
 		o.IdleTimeout = DefaultIdleTimeout
 	}
-	if o.NonIdempotentMaxIdle == 0 {
-		o.NonIdempotentMaxIdle = DefaultNonIdempotentMaxIdle
+	if o.NonIdempotentPeerMaxIdle == 0 {
+		o.NonIdempotentPeerMaxIdle = DefaultNonIdempotentPeerMaxIdle
 	}
 	if o.HeaderBytes <= 0 {
 		o.HeaderBytes = DefaultHeaderBytes
@@ -110,7 +111,8 @@
 	// Deadline ends the exchange, on the real clock that sockets use.
 	Deadline time.Time
 	// Idempotent allows the reuse of a connection that was idle for up to
-	// IdleTimeout instead of NonIdempotentMaxIdle.
+	// IdleTimeout. Without it, the exchange gets a new connection to a target, and
+	// one to a peer that was idle for up to NonIdempotentPeerMaxIdle.
 	Idempotent bool
 	// Peer is true when the target is another host of the load balancer.
 	Peer bool
@@ -134,6 +136,7 @@
 			return nil, err
 		}
 	}
+	cn.surplus = !o.Idempotent && !o.Peer
 	if err := cn.nc.SetDeadline(o.Deadline); err != nil {
 		cn.discard()
 		return nil, errors.Wrap(ErrConnect, err.Error())
@@ -143,15 +146,15 @@
 
 // reuseRules returns the rules for the connection of an exchange.
 func (c *Client) reuseRules(o OpenOptions) reuseRules {
-	r := reuseRules{maxIdle: c.opts.IdleTimeout, limit: max(1, o.Limit), quietReuses: c.opts.QuietReuses, idempotent: o.Idempotent}
-	if !o.Idempotent {
-		r.maxIdle = min(r.maxIdle, c.opts.NonIdempotentMaxIdle)
-	}
+	r := reuseRules{maxIdle: c.opts.IdleTimeout, limit: max(1, o.Limit), quietReuses: c.opts.QuietReuses}
 	if o.Peer {
 		r.quietReuses = 0
 	}
-	if o.New {
-		r.maxIdle = -1
+	switch {
+	case o.New, !o.Idempotent && !o.Peer:
+		r.maxIdle = newConnection
+	case !o.Idempotent:
+		r.maxIdle = min(r.maxIdle, c.opts.NonIdempotentPeerMaxIdle)
 	}
 	return r
 }
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -23,6 +23,9 @@
 	target    *target
 	idleSince time.Time
 	reused    bool
+	// surplus is true when the pool keeps the connection only while it has fewer than
+	// maxSpareIdle.
+	surplus bool
 	// peer is true when the target is another host.
 	peer bool
 	// idleLimit is how long the target keeps the connection open while idle,
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -23,14 +23,23 @@
 
 // reuseRules say which idle connection an exchange may use.
 type reuseRules struct {
+	// maxIdle is the longest idle time; newConnection allows none.
 	maxIdle time.Duration
 	// limit is this host's share of the target's connections.
 	limit int
 	// quietReuses is Options.QuietReuses.
 	quietReuses int
-	idempotent  bool
 }
 
+const (
+	// newConnection is a reuseRules.maxIdle that no idle connection meets.
+	newConnection time.Duration = -1
+	// maxSpareIdle is the number of idle connections to a target from which on the
+	// new connection of a request that is not idempotent is closed after it, since
+	// only idempotent requests could use it.
+	maxSpareIdle = 16
+)
+
 // acquire returns a usable idle connection, or nil after counting a new one
 // that the caller is to open. ok is false when the limit is reached.
 func (t *target) acquire(now time.Time, r reuseRules) (cn *conn, ok bool) {
@@ -76,7 +85,7 @@
 	mayReuse := func(cn *conn) bool {
 		// A connection may have been released after now was read.
 		idle := max(0, now.Sub(cn.idleSince))
-		return idle <= r.maxIdle && !cn.idleLimitExceeded(idle) && (r.quietReuses <= 0 || t.trust.mayReuse(now, idle, r))
+		return idle <= r.maxIdle && !cn.idleLimitExceeded(idle) && (r.quietReuses <= 0 || t.trust.mayReuse(now, idle, r.quietReuses))
 	}
 	last := len(t.idle) - 1
 	if r.quietReuses > 0 && t.trust.quiet < r.quietReuses {
@@ -95,8 +104,8 @@
 	switch {
 	case unsolicited:
 		t.trust.distrust(now)
-	case !usable && idle <= DefaultNonIdempotentMaxIdle:
-		t.trust.recordClose(now)
+	case !usable && idle <= earlyClose:
+		t.trust.recordClose()
 	case usable && idle >= quietPeriod:
 		t.trust.quiet++
 	}
@@ -118,10 +127,16 @@
 	oldest.nc.Close()
 }
 
-// release returns a connection whose exchange completed to the pool.
+// release returns a connection whose exchange completed to the pool, or closes it when
+// the pool has enough.
 func (t *target) release(cn *conn, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if cn.surplus && len(t.idle) >= maxSpareIdle {
+		t.open--
+		cn.nc.Close()
+		return
+	}
 	cn.idleSince = now
 	t.idle = append(t.idle, cn)
 }
