probe: each probe has a connection of its own

A target that wrote the response to one probe twice gave a host of chestnutd load reports, and the state of health and warm-up, that were one probe old for as long as the connection lasted: the second copy was read as the response to the next probe, whose own response was left for the one after it. The client of probes does not check its connection for bytes that nobody asked for.

Change: probes send Connection: close and use one connection each. There are few of them, and at most probe_budget a second at one target; a kept one could still give the copy that arrives after the next probe was sent.

--- a/probe/http.go
+++ b/probe/http.go
@@ -24,10 +24,11 @@
 // warmupHeader is the header with the rest of a target's warm-up.
 var warmupHeader = dialect.Default().Warmup
 
-// maxConnsPerTarget is the maximum number of connections to one target.
+// maxConnsPerTarget is the maximum number of connections to one target at a time.
 const maxConnsPerTarget = 1
 
-// httpTransport sends probes over HTTP on its own connections, one per target.
+// httpTransport sends each probe over HTTP on a connection of its own, so that no copy of
+// an earlier response is taken for its own.
 type httpTransport struct {
 	client *fasthttp.Client
 }
@@ -51,6 +52,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + addr.String() + path)
+	req.SetConnectionClose()
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		deadline = time.Now().Add(defaultTimeout)
