--- a/host/repeated_refusal_test.go
+++ b/host/repeated_refusal_test.go
@@ -40,6 +40,8 @@
 	turn, conns int
 	// closes is true when they close each connection 0 to 1.5 ms after an answer.
 	closes bool
+	// refusalsOnly is true when they write no other response again.
+	refusalsOnly bool
 }
 
 // start starts a target and returns its address.
@@ -99,7 +101,9 @@
 		}
 		time.Sleep(runTime - after)
 		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(req.URL.Path), req.URL.Path)
-		earlier = append(earlier, answer)
+		if !r.refusalsOnly {
+			earlier = append(earlier, answer)
+		}
 		write(answer)
 		if r.closes {
 			time.Sleep(after * 3 / 40)
@@ -165,9 +169,9 @@
 // resultsAmongRefusals sends each caller's requests of the given kinds between refused
 // ones. It returns which of them were called not run though they ran, which ran more than
 // once, and which got the answer to another request.
-func resultsAmongRefusals(t *testing.T, kinds ...string) (untrue, twice, foreign []string) {
+func resultsAmongRefusals(t *testing.T, targets *repeatingTargets, kinds ...string) (untrue, twice, foreign []string) {
 	const callers, requests = 20, 16
-	targets := &repeatingTargets{runs: map[string]int{}}
+	targets.runs = map[string]int{}
 	hosts := startHosts(t, 2, lo.Times(8, func(int) string { return targets.start(t) }))
 	var calls sync.WaitGroup
 	var mu sync.Mutex
@@ -176,9 +180,9 @@
 		calls.Go(func() {
 			for j := range requests {
 				h, id := hosts[(i+j)%len(hosts)], fmt.Sprintf("%d-%d", i, j)
-				_, _ = send(h, http.MethodPost, "/orders/refuse/"+id, "")
-				time.Sleep(time.Duration(j%5) * repeatWithin / 4)
 				kind, keyed := strings.CutPrefix(kinds[j%len(kinds)], "keyed ")
+				_, _ = send(h, http.MethodPost, "/"+kind+"/refuse/"+id, "")
+				time.Sleep(time.Duration(j%5) * repeatWithin / 4)
 				path := "/" + kind + "/run/" + id
 				r, err := send(h, http.MethodPost, path, lo.Ternary(keyed, id, ""))
 				mu.Lock()
@@ -209,12 +213,19 @@
 // or sent to a second target, because a target wrote an earlier refusal once more.
 func TestEarlierRefusalIsNoAnswerToAnOrder(t *testing.T) {
 	g := NewWithT(t)
-	untrue, twice, foreign := resultsAmongRefusals(t, "orders", "batches", "uploads", "keyed orders")
+	untrue, twice, foreign := resultsAmongRefusals(t, &repeatingTargets{}, "orders", "batches", "uploads", "keyed orders")
 	g.Expect(untrue).To(BeEmpty())
 	g.Expect(twice).To(BeEmpty())
 	g.Expect(foreign).To(BeEmpty())
 }
 
+// TestEarlierRefusalIsNoAnswerToALookup guards against lookups that are called not run
+// though they ran, because a target wrote an earlier refusal once more.
+func TestEarlierRefusalIsNoAnswerToALookup(t *testing.T) {
+	untrue, _, _ := resultsAmongRefusals(t, &repeatingTargets{refusalsOnly: true}, "specs")
+	NewWithT(t).Expect(untrue).To(BeEmpty())
+}
+
 // TestOrdersAtTargetsThatCloseConnections guards against orders that are lost because a
 // target closes its connections, unannounced, shortly after an answer.
 func TestOrdersAtTargetsThatCloseConnections(t *testing.T) {
