proxy: a refusal without an ID of its request is the last response of its connection

Callers of lookups were told that a request did not run, which a target ran, when a faulty target wrote an earlier refusal once more on a kept connection; and the lookup after it got the answer that was left there.

Cause: lookups reuse connections, and a refusal that names no request, as all of chestnutd's targets, looks the same to each of them.

Change: a connection that carried a refusal which says not-run and has no ID of its request is closed after it, so that no copy of it can be read. Refusals of peers are the project's own and close nothing. In chestnut-gateway refusals that carry the ID are as before.

Price: a connection for each such refusal.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -180,6 +180,10 @@
 	if err := c.readTargetSignals(t, x); err != nil {
 		return err
 	}
+	if _, peer := groupOf(t.picked); t.notRun && !peer && !c.namesRequest(x.Header()) {
+		// A copy of the refusal would look like a true one to the next request.
+		x.DisableReuse()
+	}
 	return c.bufferResponse(t, x)
 }
 
--- a/proxy/verify.go
+++ b/proxy/verify.go
@@ -63,6 +63,12 @@
 	return ok && id != c.in.requestID, nil
 }
 
+// namesRequest reports whether a response carries the ID of its request.
+func (c *call) namesRequest(h *fasthttp.ResponseHeader) bool {
+	_, ok := headerValue(h, c.server.names.RequestID)
+	return ok
+}
+
 // verify rejects a 2xx response that can't be the upstream's own complete
 // response.
 func (c *call) verify(h *fasthttp.ResponseHeader) error {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -54,10 +54,9 @@
 	requestSent bool
 	// bodyDone is true when the response was read completely.
 	bodyDone bool
-	// responseSkipped is true when a response to another request came before
-	// the response to this one.
-	responseSkipped bool
-	body            io.Reader
+	// notReusable is true when the connection is to be closed after the exchange.
+	notReusable bool
+	body        io.Reader
 }
 
 func newExchange(c *Client, cn *conn) *Exchange {
@@ -213,7 +212,7 @@
 // that ReadHeader reads the next one. The connection is not reused
 // afterwards.
 func (x *Exchange) Skip() error {
-	x.responseSkipped = true
+	x.DisableReuse()
 	switch n, err := io.Copy(io.Discard, io.LimitReader(x, maxSkippedBytes+1)); {
 	case err != nil:
 		return err
@@ -227,6 +226,9 @@
 	return nil
 }
 
+// DisableReuse makes Close close the connection.
+func (x *Exchange) DisableReuse() { x.notReusable = true }
+
 // Header returns the header of the response after ReadHeader. After the end
 // of the body it includes the trailers.
 func (x *Exchange) Header() *fasthttp.ResponseHeader { return &x.resp.Header }
@@ -266,7 +268,7 @@
 func (x *Exchange) Close() {
 	cancelled := !x.state.CompareAndSwap(exchangeOpen, exchangeEnded)
 	cn := x.conn
-	keep := !cancelled && !x.responseSkipped && x.requestSent && x.bodyDone && !x.resp.Header.ConnectionClose() && cn.br.Buffered() == 0
+	keep := !cancelled && !x.notReusable && x.requestSent && x.bodyDone && !x.resp.Header.ConnectionClose() && cn.br.Buffered() == 0
 	if cn.br.Buffered() > 0 && x.bodyDone {
 		cn.target.recordUnsolicited(x.client.opts.Clock.Now())
 	}
