placement: load queries skip responses to requests

Change: a response with the ID of a request, and without the identity that a target gives in response to queries, belongs to a request. It is skipped, and the connection not reused.

What remains: the second copy of a response to an earlier query can't be told from the response to this one; such a report is one query old, and the bytes that it leaves behind end the connection before its next use.

--- a/placement/load_querier.go
+++ b/placement/load_querier.go
@@ -77,7 +77,7 @@
 	if path == "" {
 		return nil
 	}
-	return get(exchange, t, path)
+	return q.get(exchange, t, path)
 }
 
 // open opens an exchange that ends with the context or after one second.
@@ -90,16 +90,33 @@
 	return q.Client.Open(ctx, o)
 }
 
-// get sends a request for a path and reads the response.
-func get(exchange *upstream.Exchange, t registry.Target, path string) error {
+// maxOtherResponses bounds the responses to other requests that are skipped before the
+// response to a query.
+const maxOtherResponses = 4
+
+// errOtherRequest: only responses to requests arrived.
+var errOtherRequest = errors.New("the first 4 responses to the load query carry the ID of a request; the target's load is unknown")
+
+// get sends a request for a path and reads the response. A response with the ID of a
+// request, and without the target's identity that responses to queries carry, is a copy
+// that a faulty target wrote again.
+func (q HTTPLoadQuerier) get(exchange *upstream.Exchange, t registry.Target, path string) error {
 	header := "GET " + path + " HTTP/1.1\r\nHost: " + t.Addr.String() + "\r\n\r\n"
 	if err := exchange.Send([]byte(header), nil); err != nil {
 		return err
 	}
-	if err := exchange.ReadHeader(false); err != nil {
-		return err
+	for range maxOtherResponses {
+		if err := exchange.ReadHeader(false); err != nil {
+			return err
+		}
+		if exchange.HeaderValue(q.Dialect.RequestID) == "" || exchange.HeaderValue(q.Dialect.Identity) != "" {
+			return exchange.DiscardBody()
+		}
+		if err := exchange.Skip(); err != nil {
+			return err
+		}
 	}
-	return exchange.DiscardBody()
+	return errOtherRequest
 }
 
 // QueryLoad implements LoadQuerier. Without a deadline in ctx it gives up after
@@ -110,7 +127,7 @@
 		return load.Report{}, err
 	}
 	defer exchange.Close()
-	if err := get(exchange, t, path); err != nil {
+	if err := q.get(exchange, t, path); err != nil {
 		return load.Report{}, err
 	}
 	if id := exchange.HeaderValue(q.Dialect.Identity); id != "" && id != t.ID {
