--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -28,6 +28,9 @@
 	// connection. The kernel reports a reset once: reads then find the end of the
 	// stream.
 	resetOnWrite atomic.Bool
+	// surplus is true when the pool keeps the connection only while it has fewer than
+	// maxSpareIdle.
+	surplus bool
 	// peer is true when the target is another host.
 	peer bool
 	// idleLimit is how long the target keeps the connection open while idle,
