--- a/storesync/scale_fixture_internal_test.go
+++ b/storesync/scale_fixture_internal_test.go
@@ -41,8 +41,10 @@
 	// firstStart is Options.FirstStart of the hosts that start.
 	firstStart bool
 	tables     *table.Tables
-	version    uint64
-	changed    chan struct{}
+	// tablesBytes is the size of the tables as read from the store; 0 takes no time.
+	tablesBytes int
+	version     uint64
+	changed     chan struct{}
 }
 
 // scaleHost is a host with what it did; counters are guarded by scaleFleet.mu.
@@ -54,7 +56,11 @@
 	// reads are the moments of readings of the registry.
 	reads     []time.Time
 	readBytes int
-	known     map[string]bool
+	// tablesReads counts readings of changed tables; arriving is true while one of them
+	// takes its time.
+	tablesReads int
+	arriving    bool
+	known       map[string]bool
 	// updates counts calls of OnChange.
 	updates int
 }
@@ -147,6 +153,7 @@
 		}
 		s.fleet.mu.Unlock()
 		if r.Tables != nil {
+			s.receiveTables()
 			return r, nil
 		}
 		select {
@@ -157,6 +164,29 @@
 	}
 }
 
+// receiveTables takes the time in which the tables arrive over the host's link.
+func (s scaleSource) receiveTables() {
+	s.fleet.mu.Lock()
+	s.tablesReads++
+	s.arriving = s.fleet.tablesBytes > 0
+	took := s.transfer(nil, s.fleet.tablesBytes)
+	s.fleet.mu.Unlock()
+	time.Sleep(took)
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	s.arriving = false
+}
+
+// configure writes tables to the store.
+func (fl *scaleFleet) configure(t *table.Tables, bytes int) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.tables, fl.tablesBytes = t, bytes
+	fl.version++
+	close(fl.changed)
+	fl.changed = make(chan struct{})
+}
+
 func (s scaleSource) Announce(hosts ...roster.Host) error {
 	time.Sleep(storeLatency)
 	s.fleet.mu.Lock()
--- a/storesync/scale_internal_test.go
+++ b/storesync/scale_internal_test.go
@@ -15,7 +15,7 @@
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	for _, h := range fl.hosts {
-		h.reads, h.readBytes, h.sentBytes, h.updates = nil, 0, 0, 0
+		h.reads, h.readBytes, h.sentBytes, h.updates, h.tablesReads = nil, 0, 0, 0, 0
 	}
 }
 
