table: a form for hosts without the bound of a row

EncodeTransfer is the gzip-compressed JSON of Encode without the 300 KB of a row, which bound what hosts could send each other to some 9,000 routes.

--- a/table/large_bench_test.go
+++ b/table/large_bench_test.go
@@ -43,16 +43,17 @@
 func BenchmarkManyRoutes(b *testing.B) {
 	for _, routes := range []int{2000, 10_000, 20_000} {
 		t := tablesOfRoutes(routes)
-		encoded, err := table.Encode(t)
+		encoded, plain, err := table.EncodeTransfer(t)
 		b.Run(fmt.Sprintf("encode/routes=%d", routes), func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				encoded, err = table.Encode(t)
+				encoded, plain, err = table.EncodeTransfer(t)
 			}
 			if err != nil {
 				b.Skip(err)
 			}
 			b.ReportMetric(float64(len(encoded)), "packed-bytes")
+			b.ReportMetric(float64(plain), "json-bytes")
 		})
 		b.Run(fmt.Sprintf("decode/routes=%d", routes), func(b *testing.B) {
 			if err != nil {
@@ -62,7 +63,7 @@
 			var decoded *table.Tables
 			before := heapBytes()
 			for b.Loop() {
-				decoded, _ = table.Decode(encoded)
+				decoded, _ = table.DecodeTransfer(encoded)
 			}
 			b.ReportMetric(heapBytes()-before, "held-bytes")
 			runtime.KeepAlive(decoded)
