platform: bound the time without progress of a reading, not its whole time

Hosts on links of 10 Mbit/s never got a configuration of 10,000 routes: the row is 4.5 MB as the store sends it and takes 3.6 s, each call ended after 0.6 s and began again at the first byte.

--- a/storesync/source.go
+++ b/storesync/source.go
@@ -87,3 +87,12 @@
 	// meanwhile.
 	RemoveHost(h roster.Host) error
 }
+
+// ProgressSource is a Source that tells of tables while they arrive, which takes seconds
+// for large ones on a slow link.
+type ProgressSource interface {
+	Source
+	// TablesArrivedAt returns when a part of a large response of Tables last arrived; a
+	// time long ago if none did.
+	TablesArrivedAt() time.Time
+}
