--- a/table/large_bench_test.go
+++ b/table/large_bench_test.go
@@ -76,3 +76,33 @@
 		})
 	}
 }
+
+// BenchmarkOneRouteChanged measures what one changed route costs the sender, which
+// compares two versions, and the receiver.
+func BenchmarkOneRouteChanged(b *testing.B) {
+	for _, routes := range []int{2000, 10_000, 20_000} {
+		before, after := tablesOfRoutes(routes), tablesOfRoutes(routes)
+		for name, r := range after.Routes {
+			r.Timeout++
+			after.Routes[name] = r
+			break
+		}
+		names, encoded := table.ChangedNames(before, after), []byte(nil)
+		run := func(name string, do func()) {
+			b.Run(fmt.Sprintf("%s/routes=%d", name, routes), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					do()
+				}
+				b.ReportMetric(float64(len(encoded)), "sent-bytes")
+			})
+		}
+		run("compare", func() { table.ChangedNames(before, after) })
+		run("digest", func() { _, _ = table.Digest(after) })
+		run("encode", func() { encoded, _ = table.EncodeChanges(table.NewChanges(1, names, after)) })
+		run("apply", func() {
+			c, _ := table.DecodeChanges(encoded)
+			c.Apply(before)
+		})
+	}
+}
