router: find routes by host and prefix, and share their pools

Tables in which many routes differ in their host alone cost each request a scan of all routes of the prefix: 22 us at the 1,500th of 10,000 routes with prefix /. Routes are indexed by host and prefix now: 0.085 us at any number. Routes with a host are more specific than any without, so the order of matches stays.

Each route had a copy of its pool. Routes share them: compiling 10,000 routes leaves 4.1 MB instead of 5.8 and takes 4.8 MB and 20,097 allocations instead of 7.1 MB and 40,111.

--- a/router/bench_test.go
+++ b/router/bench_test.go
@@ -45,6 +45,26 @@
 	}
 }
 
+// BenchmarkMatchOnOnePrefix measures a match where many routes differ in their host alone.
+func BenchmarkMatchOnOnePrefix(b *testing.B) {
+	for _, routes := range []int{2000, 10_000} {
+		t := table.Empty()
+		t.Pools["p"] = table.Pool{Name: "p"}
+		for i := range routes {
+			name := fmt.Sprint("r", i)
+			t.Routes[name] = table.Route{Name: name, PathPrefix: "/", Host: fmt.Sprintf("h%d.example", i), Pool: "p"}
+		}
+		compiled := router.Compile(t)
+		b.Run(fmt.Sprintf("routes=%d", routes), func(b *testing.B) {
+			for b.Loop() {
+				if _, ok := compiled.Match(router.Request{Path: "/x", Host: "h1500.example"}); !ok {
+					b.Fatal("no match")
+				}
+			}
+		})
+	}
+}
+
 func heapBytes() float64 {
 	var m runtime.MemStats
 	runtime.GC()
--- a/router/router.go
+++ b/router/router.go
@@ -51,17 +51,19 @@
 	pools       []weightedPool
 	methods     map[string]struct{}
 	callers     map[string]struct{}
-	host        string
 	specificity int
 }
 
+// place is what many routes differ in. The host is in lower case, "" for routes without.
+type place struct{ host, prefix string }
+
 // Router matches requests against one version of the tables. It is safe for
 // concurrent use.
 type Router struct {
 	version    uint64
 	incomplete bool
-	// byPrefix holds the routes by path prefix, most specific first.
-	byPrefix map[string][]compiledRoute
+	// byPlace holds the routes by host and path prefix, most specific first.
+	byPlace map[place][]compiledRoute
 	// prefixLengths holds the distinct prefix lengths, longest first.
 	prefixLengths []int
 	keys          *table.KeyIndex
@@ -71,38 +73,59 @@
 // the version doesn't contain, and routes without any other pool unless they are
 // marked as unusable.
 func Compile(t *table.Tables) *Router {
-	r := &Router{version: t.Version, incomplete: t.Incomplete, byPrefix: make(map[string][]compiledRoute, len(t.Routes)), keys: table.NewKeyIndex(t)}
+	r := &Router{version: t.Version, incomplete: t.Incomplete, byPlace: make(map[place][]compiledRoute, len(t.Routes)), keys: table.NewKeyIndex(t)}
+	pools := newPoolIndex(t)
 	for _, name := range slices.Sorted(maps.Keys(t.Routes)) {
 		route := t.Routes[name]
-		pools := weightedPools(t, route)
+		pools := pools.weighted(route)
 		if route.Unusable {
 			// It keeps its requests from a route with a shorter prefix.
 			pools = nil
 		} else if len(pools) == 0 {
 			continue
 		}
-		r.byPrefix[route.PathPrefix] = append(r.byPrefix[route.PathPrefix], newCompiledRoute(route, pools))
+		at := place{strings.ToLower(route.Host), route.PathPrefix}
+		r.byPlace[at] = append(r.byPlace[at], newCompiledRoute(route, pools))
 	}
-	for prefix, routes := range r.byPrefix {
+	lengths := map[int]struct{}{}
+	for at, routes := range r.byPlace {
 		slices.SortStableFunc(routes, func(a, b compiledRoute) int { return b.specificity - a.specificity })
-		r.prefixLengths = append(r.prefixLengths, len(prefix))
+		lengths[len(at.prefix)] = struct{}{}
 	}
-	r.prefixLengths = lo.Uniq(r.prefixLengths)
+	r.prefixLengths = lo.Keys(lengths)
 	slices.SortFunc(r.prefixLengths, func(a, b int) int { return b - a })
 	return r
 }
 
-// weightedPools returns the pools of a route with their cumulative weights.
-func weightedPools(t *table.Tables, route table.Route) []weightedPool {
+// poolIndex holds the pools of tables, which their routes share: alone, and as what a
+// route without a split has.
+type poolIndex struct {
+	pools  map[string]*table.Pool
+	single map[string][]weightedPool
+}
+
+func newPoolIndex(t *table.Tables) poolIndex {
+	i := poolIndex{pools: make(map[string]*table.Pool, len(t.Pools)), single: make(map[string][]weightedPool, len(t.Pools))}
+	for name, pool := range t.Pools {
+		i.pools[name], i.single[name] = &pool, []weightedPool{{pool: &pool, cumulative: 1}}
+	}
+	return i
+}
+
+// weighted returns the pools of a route with their cumulative weights.
+func (i poolIndex) weighted(route table.Route) []weightedPool {
+	if len(route.Split) == 0 {
+		return i.single[route.Pool]
+	}
 	var pools []weightedPool
 	cumulative := uint64(0)
-	for _, s := range route.WeightedPools() {
-		pool, ok := t.Pools[s.Pool]
+	for _, s := range route.Split {
+		pool, ok := i.pools[s.Pool]
 		if !ok || s.Weight < 1 {
 			continue
 		}
 		cumulative += uint64(s.Weight)
-		pools = append(pools, weightedPool{pool: &pool, cumulative: cumulative})
+		pools = append(pools, weightedPool{pool: pool, cumulative: cumulative})
 	}
 	return pools
 }
@@ -113,7 +136,6 @@
 		pools:   pools,
 		methods: nameSet(route.Methods),
 		callers: nameSet(route.Callers),
-		host:    route.Host,
 	}
 	// Lists that contain "*" don't make a route more specific.
 	named := route
@@ -148,20 +170,34 @@
 // Match returns the route and pool of a request; ok is false when no route
 // matches.
 func (r *Router) Match(q Request) (m Match, ok bool) {
+	host := strings.ToLower(q.Host)
 	for _, n := range r.prefixLengths {
 		if n > len(q.Path) {
 			continue
 		}
-		for i := range r.byPrefix[q.Path[:n]] {
-			c := &r.byPrefix[q.Path[:n]][i]
-			if c.matches(q) {
-				return Match{Route: c.route, Pool: c.pool(q.SplitHash)}, true
-			}
+		c := firstMatch(r.byPlace[place{host, q.Path[:n]}], q)
+		if c == nil && host != "" {
+			// Any route with a host is more specific than those without.
+			c = firstMatch(r.byPlace[place{"", q.Path[:n]}], q)
+		}
+		if c != nil {
+			return Match{Route: c.route, Pool: c.pool(q.SplitHash)}, true
 		}
 	}
 	return Match{}, false
 }
 
+// firstMatch returns the first route of a host and prefix that matches a request, nil
+// if none does.
+func firstMatch(routes []compiledRoute, q Request) *compiledRoute {
+	for i := range routes {
+		if routes[i].matches(q) {
+			return &routes[i]
+		}
+	}
+	return nil
+}
+
 // pool selects a pool by weight; nil for an unusable route.
 func (c *compiledRoute) pool(splitHash uint64) *table.Pool {
 	if len(c.pools) == 0 {
@@ -177,6 +213,7 @@
 	return last.pool
 }
 
+// matches reports whether a route of the request's host and prefix matches it.
 func (c *compiledRoute) matches(q Request) bool {
 	if c.methods != nil {
 		if _, ok := c.methods[q.Method]; !ok {
@@ -188,7 +225,7 @@
 			return false
 		}
 	}
-	return c.host == "" || strings.EqualFold(c.host, q.Host)
+	return true
 }
 
 // Cache caches the Router of the current version of the tables.
