--- a/table/transfer.go
+++ b/table/transfer.go
@@ -195,7 +195,10 @@
 		share(&name)
 	}
 	for name, r := range t.Routes {
-		r.Name = name
+		if r.Name == name {
+			// The key and the name share their memory.
+			r.Name = name
+		}
 		share(&r.Pool)
 		share(&r.Host)
 		share((*string)(&r.Class))
