--- a/storesync/large_entries_internal_test.go
+++ b/storesync/large_entries_internal_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
-	"strings"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
