storesync: tables that can't be used are read by the reader alone

What operators saw: 30 hosts read the tables 750 times in 20 s while the newest ones could not be used, 1.3 a second in a calm deployment. Cause: such tables are never confirmed, so that each follower took its own for unconfirmed and read the store in a long poll of its own. A follower that found them unusable now leaves them to a reader with recent data, which tells of other tables when the store has them.

--- a/storesync/confirmed.go
+++ b/storesync/confirmed.go
@@ -13,5 +13,5 @@
 func (f *Follower) TablesConfirmed() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.newestUnusable && f.Clock.Now().Sub(f.lastConfirmedAt) <= maxTablesDelay
+	return f.unusableAt.IsZero() && f.Clock.Now().Sub(f.lastConfirmedAt) <= maxTablesDelay
 }
--- a/storesync/follower.go
+++ b/storesync/follower.go
@@ -144,8 +144,9 @@
 	// lastConfirmedAt is tablesConfirmedAt without its reset when newer tables are heard
 	// of, which arrive within milliseconds.
 	lastConfirmedAt time.Time
-	// newestUnusable is true while the newest tables in the store can't be used at all.
-	newestUnusable bool
+	// unusableAt is when the newest tables in the store were last read and could not be
+	// used at all; zero while they can.
+	unusableAt time.Time
 	// announcedAt is when this host added itself to the host list.
 	announcedAt time.Time
 	// knownHosts is the host list, hostsHash a hash over it; hostsVersion is the
--- a/storesync/tables.go
+++ b/storesync/tables.go
@@ -72,7 +72,15 @@
 	if f.isReader() {
 		return false
 	}
-	return f.tablesConfirmed() || f.failedLately(tracker)
+	return f.tablesConfirmed() || f.failedLately(tracker) || f.leavesUnusableTables()
+}
+
+// leavesUnusableTables reports whether this follower leaves tables that it could not use
+// to the reader, which has recent data and tells when the store holds others.
+func (f *Follower) leavesUnusableTables() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.unusableAt.IsZero() && f.Clock.Now().Sub(f.registry.readAt) <= maxRegistryAge
 }
 
 // fetchNewerTables fetches a snapshot from the reader that has newer tables, if
@@ -92,16 +100,16 @@
 	f.applyEvacuations(r)
 	if r.Tables == nil && r.Problem != nil {
 		f.tablesMetrics.refused.Inc()
-		f.newestUnusable = true
+		f.unusableAt = f.Clock.Now()
 		f.Logger.Error("new tables in the store can't be used; the tables in force stay, and requests that they have no route for are refused as not run",
 			zap.Uint64("in_force", f.Current().Version), zap.Error(r.Problem))
 		return
 	}
 	if r.Tables != nil {
-		f.newestUnusable = false
+		f.unusableAt = time.Time{}
 		f.noteUnusableEntries(r)
 	}
-	if f.newestUnusable {
+	if !f.unusableAt.IsZero() {
 		// The store still holds the tables that can't be used.
 		return
 	}
@@ -148,7 +156,7 @@
 	if t.Version == before.Version {
 		return
 	}
-	f.newestUnusable = false
+	f.unusableAt = time.Time{}
 	now := f.Clock.Now()
 	f.learnFromSnapshot(now, confirmed, t)
 	before = f.Current()
@@ -175,6 +183,9 @@
 		signal(f.tablesWake)
 	case version == own && confirmed.After(f.tablesConfirmedAt):
 		f.confirmTables(confirmed)
+		if confirmed.After(f.unusableAt) {
+			f.unusableAt = time.Time{}
+		}
 	}
 }
 
