router: paths that an upstream may normalize are compared with normalized prefixes

What callers saw: 400 'path is ambiguous' for every request on a route whose prefix has a percent-encoding, a double slash or a dot segment. Cause: both forms of the path were matched against the prefixes as they are written, so that the normalized form belonged to another route. It is matched against the normalized prefixes now; tables whose prefixes are all normalized have one index as before.

Evidence: TestRouteOfAnEncodedPrefixIsReached got 400 before; a path whose forms belong to two routes still does.

--- a/proxy/headerlines.go
+++ b/proxy/headerlines.go
@@ -3,8 +3,6 @@
 import (
 	"strings"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/chestnutfield/chestnutfield/lb"
 )
 
@@ -170,15 +168,3 @@
 	}
 	return b
 }
-
-// normalizedPath returns the path with percent escapes decoded, dot segments
-// resolved and repeated slashes merged, as an upstream may interpret it.
-func normalizedPath(path string) string {
-	if !strings.ContainsAny(path, "%\\") && !strings.Contains(path, "//") && !strings.Contains(path, "/.") {
-		return path
-	}
-	uri := fasthttp.AcquireURI()
-	defer fasthttp.ReleaseURI(uri)
-	uri.SetPath(path)
-	return string(uri.Path())
-}
--- a/proxy/match.go
+++ b/proxy/match.go
@@ -52,9 +52,9 @@
 func (s *Server) route(r *router.Router, in *inbound) (router.Match, *localReply) {
 	q := in.query()
 	m, ok := r.Match(q)
-	if normal := normalizedPath(in.path); normal != in.path {
+	if normal := router.NormalizedPath(in.path); normal != in.path {
 		q.Path = normal
-		if n, okNormal := r.Match(q); okNormal != ok || n.Route != m.Route {
+		if n, okNormal := r.MatchNormalized(q); okNormal != ok || n.Route != m.Route {
 			return router.Match{}, malformed("path is ambiguous")
 		}
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 
 	"github.com/samber/lo"
+	"github.com/valyala/fasthttp"
 
 	"github.com/chestnutfield/chestnutfield/lb"
 	"github.com/chestnutfield/chestnutfield/table"
@@ -62,19 +63,26 @@
 type Router struct {
 	version    uint64
 	incomplete bool
+	// asWritten finds routes by their prefixes, normalized by their normalized
+	// prefixes; both are the same unless a prefix is not normalized.
+	asWritten, normalized *routeIndex
+	keys                  *table.KeyIndex
+}
+
+// routeIndex finds routes by host and path prefix.
+type routeIndex struct {
 	// byPlace holds the routes by host and path prefix, most specific first.
 	byPlace map[place][]compiledRoute
 	// prefixLengths holds the distinct prefix lengths, longest first.
 	prefixLengths []int
-	keys          *table.KeyIndex
 }
 
 // Compile returns the Router of one version of the tables. It skips pools that
 // the version doesn't contain, and routes without any other pool unless they are
 // marked as unusable.
 func Compile(t *table.Tables) *Router {
-	r := &Router{version: t.Version, incomplete: t.Incomplete, byPlace: make(map[place][]compiledRoute, len(t.Routes)), keys: table.NewKeyIndex(t)}
-	pools := newPoolIndex(t)
+	r := &Router{version: t.Version, incomplete: t.Incomplete, keys: table.NewKeyIndex(t)}
+	routes, pools, allNormal := make([]compiledRoute, 0, len(t.Routes)), newPoolIndex(t), true
 	for _, name := range slices.Sorted(maps.Keys(t.Routes)) {
 		route := t.Routes[name]
 		pools := pools.weighted(route)
@@ -84,17 +92,44 @@
 		} else if len(pools) == 0 {
 			continue
 		}
-		at := place{strings.ToLower(route.Host), route.PathPrefix}
-		r.byPlace[at] = append(r.byPlace[at], newCompiledRoute(route, pools))
+		routes = append(routes, newCompiledRoute(route, pools))
+		allNormal = allNormal && NormalizedPath(route.PathPrefix) == route.PathPrefix
+	}
+	r.asWritten = newRouteIndex(routes, func(prefix string) string { return prefix })
+	r.normalized = r.asWritten
+	if !allNormal {
+		r.normalized = newRouteIndex(routes, NormalizedPath)
+	}
+	return r
+}
+
+// newRouteIndex returns an index of routes by a form of their prefixes.
+func newRouteIndex(routes []compiledRoute, form func(prefix string) string) *routeIndex {
+	x := &routeIndex{byPlace: make(map[place][]compiledRoute, len(routes))}
+	for _, c := range routes {
+		at := place{strings.ToLower(c.route.Host), form(c.route.PathPrefix)}
+		x.byPlace[at] = append(x.byPlace[at], c)
 	}
 	lengths := map[int]struct{}{}
-	for at, routes := range r.byPlace {
-		slices.SortStableFunc(routes, func(a, b compiledRoute) int { return b.specificity - a.specificity })
+	for at, same := range x.byPlace {
+		slices.SortStableFunc(same, func(a, b compiledRoute) int { return b.specificity - a.specificity })
 		lengths[len(at.prefix)] = struct{}{}
 	}
-	r.prefixLengths = lo.Keys(lengths)
-	slices.SortFunc(r.prefixLengths, func(a, b int) int { return b - a })
-	return r
+	x.prefixLengths = lo.Keys(lengths)
+	slices.SortFunc(x.prefixLengths, func(a, b int) int { return b - a })
+	return x
+}
+
+// NormalizedPath returns the path with percent escapes decoded, dot segments
+// resolved and repeated slashes merged, as an upstream may interpret it.
+func NormalizedPath(path string) string {
+	if !strings.ContainsAny(path, "%\\") && !strings.Contains(path, "//") && !strings.Contains(path, "/.") {
+		return path
+	}
+	uri := fasthttp.AcquireURI()
+	defer fasthttp.ReleaseURI(uri)
+	uri.SetPath(path)
+	return string(uri.Path())
 }
 
 // poolIndex holds the pools of tables, which their routes share: alone, and as what a
@@ -169,16 +204,22 @@
 
 // Match returns the route and pool of a request; ok is false when no route
 // matches.
-func (r *Router) Match(q Request) (m Match, ok bool) {
+func (r *Router) Match(q Request) (m Match, ok bool) { return r.asWritten.match(q) }
+
+// MatchNormalized returns the route and pool of a request with a normalized path, by
+// the normalized prefixes.
+func (r *Router) MatchNormalized(q Request) (m Match, ok bool) { return r.normalized.match(q) }
+
+func (x *routeIndex) match(q Request) (m Match, ok bool) {
 	host := strings.ToLower(q.Host)
-	for _, n := range r.prefixLengths {
+	for _, n := range x.prefixLengths {
 		if n > len(q.Path) {
 			continue
 		}
-		c := firstMatch(r.byPlace[place{host, q.Path[:n]}], q)
+		c := firstMatch(x.byPlace[place{host, q.Path[:n]}], q)
 		if c == nil && host != "" {
 			// Any route with a host is more specific than those without.
-			c = firstMatch(r.byPlace[place{"", q.Path[:n]}], q)
+			c = firstMatch(x.byPlace[place{"", q.Path[:n]}], q)
 		}
 		if c != nil {
 			return Match{Route: c.route, Pool: c.pool(q.SplitHash)}, true
