host: a wrong path gets 404 also while the table service is down

Without the table service no host accepts a change, so a route is unconfirmed only while this host knows of a version that it lacks; keys stay as they were.

--- a/host/forwarding.go
+++ b/host/forwarding.go
@@ -199,6 +199,12 @@
 			st := syncer.Status()
 			return st.StoreReachable && st.Version >= st.HighestKnownVersion
 		},
+		// Without the table service no new route is accepted either, so that only a
+		// version that this host knows of and lacks can have one.
+		RoutesConfirmed: func() bool {
+			st := syncer.Status()
+			return st.Version >= st.HighestKnownVersion
+		},
 		ExtraAttempts: extraAttempts,
 		Guard:         guard,
 		Quota:         quotas,
--- a/proxy/match.go
+++ b/proxy/match.go
@@ -59,7 +59,7 @@
 		}
 	}
 	switch {
-	case !ok && s.tablesOutdated(r):
+	case !ok && s.mayBeIncomplete(r, s.opts.RoutesConfirmed):
 		return router.Match{}, mayBeOutdated("no route matches and the configuration may be outdated")
 	case !ok:
 		return router.Match{}, newLocalReply(outcome.NoRoute, outcome.NotRun, "no route matches")
@@ -69,10 +69,10 @@
 	return m, nil
 }
 
-// tablesOutdated reports whether a newer version than that of r, or an entry that was
+// mayBeIncomplete reports whether a newer version than that of r, or an entry that was
 // left out of it, may have what a request needs.
-func (s *Server) tablesOutdated(r *router.Router) bool {
-	if r.Incomplete() || s.opts.TablesConfirmed != nil && !s.opts.TablesConfirmed() {
+func (s *Server) mayBeIncomplete(r *router.Router, confirmed func() bool) bool {
+	if r.Incomplete() || confirmed != nil && !confirmed() {
 		return true
 	}
 	// What is confirmed may have come into force since r was loaded.
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -60,9 +60,11 @@
 	// every request is refused as not run. nil means always.
 	Configured func() bool
 	// TablesConfirmed reports whether the tables in force were the newest a short
-	// time ago, so that a route or key that they don't contain is not a new one. nil
-	// means always.
+	// time ago, so that a key that they don't contain is not a new one. nil means
+	// always.
 	TablesConfirmed func() bool
+	// RoutesConfirmed reports the same of routes; nil selects TablesConfirmed.
+	RoutesConfirmed func() bool
 	// Patience estimates how long callers had waited before a request; nil takes each
 	// request for a first one.
 	Patience *patience.Estimator
@@ -210,6 +212,9 @@
 	if o.Client == nil {
 		o.Client = upstream.New(o.Upstream)
 	}
+	if o.RoutesConfirmed == nil {
+		o.RoutesConfirmed = o.TablesConfirmed
+	}
 	o.Limits = o.Limits.withDefaults()
 	return o, nil
 }
--- a/proxy/outdated_tables_test.go
+++ b/proxy/outdated_tables_test.go
@@ -33,6 +33,20 @@
 	}
 }
 
+// Guards against wrong paths that get 503 for as long as the table service is down.
+func TestUnknownRouteIsFinalWhereOnlyKeysAreUnconfirmed(t *testing.T) {
+	g := NewWithT(t)
+	tables := &tablesFake{}
+	tables.Store(testTables())
+	s, err := New(Options{
+		Tables: tables, Balancer: &orderedBalancer{}, Retries: &budgetFake{},
+		TablesConfirmed: func() bool { return false }, RoutesConfirmed: func() bool { return true },
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	_, p := s.route(s.router.Router(), &inbound{method: http.MethodGet, path: "/new/a", target: "/new/a"})
+	g.Expect(p.status).To(Equal(http.StatusNotFound))
+}
+
 // Guards against a request that a route with a shorter prefix takes, or that gets a final
 // 404, as the entry of its own route can't be used.
 func TestUnusableEntriesOfTablesRefuseTheirRequestsAsNotRun(t *testing.T) {
--- a/proxy/workspace.go
+++ b/proxy/workspace.go
@@ -82,7 +82,7 @@
 // may be outdated, a well-formed key that is unknown may be a new one: the caller
 // is asked to try again, since a 401 would tell it that its key is wrong.
 func (s *Server) refuseKey(r *router.Router, wellFormed bool) *localReply {
-	if wellFormed && s.tablesOutdated(r) {
+	if wellFormed && s.mayBeIncomplete(r, s.opts.TablesConfirmed) {
 		return mayBeOutdated("API key is unknown and the configuration may be outdated")
 	}
 	detail := "API key is unknown"
