coordinator: a request that fits no message leaves its coordinator in use

What callers saw: requests of a host were placed without the coordinators of their pools, by what this host alone knows, for up to 30 s after one request with a Request-Id of some 1,300 bytes, with many regions or with some 200 excluded targets. Cause: the message to the coordinator exceeded 1,400 bytes and was not sent, which counted as a coordinator that does not respond. Such a request is now placed by its host, and no coordinator is skipped for it. Request IDs above 128 bytes are sent as their hash, as long names of workspaces are, so that requests with long IDs are still placed by a coordinator.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/lo"
 	"go.uber.org/zap"
@@ -223,11 +224,18 @@
 	return false
 }
 
+// noCoordinator makes a host place a request itself without skipping the coordinator.
+var noCoordinator = &lb.Refusal{Reason: outcome.NoTarget}
+
 // sendPlace sends a message of that kind to a coordinator and waits until the
 // request is placed or refused. silent is true when no response arrived; done is
 // false then, and when the message or the response is unusable.
 func (c *Client) sendPlace(ctx context.Context, host roster.Host, q lb.PlaceQuery, kind hostmsg.Kind) (a *attempt, refusal *lb.Refusal, done, silent bool) {
 	request, err := c.Node.Request(host.Addr, kind, c.placeMessage(kind, q))
+	if errors.Is(err, hostmsg.ErrTooLarge) {
+		c.Logger.Info("request does not fit a message; this host places it", zap.String("pool", q.Pool), zap.String("request", q.RequestID), zap.Error(err))
+		return nil, noCoordinator, true, false
+	}
 	if err != nil {
 		c.Logger.Warn("request to the coordinator could not be sent; the coordinator is skipped for a while", zap.String("desk", host.Name), zap.Error(err))
 		return nil, nil, false, false
--- a/coordinator/extension.go
+++ b/coordinator/extension.go
@@ -18,10 +18,12 @@
 // coordinator of such a build has no handler for it and does not respond.
 const kindPlaceExtended hostmsg.Kind = 18
 
-// maxWorkspaceNameBytes is the length of the longest name of a workspace that is
-// sent; a longer one is replaced by its hash, since a message has to fit one
-// packet.
-const maxWorkspaceNameBytes = 64
+// The lengths of the longest name of a workspace and the longest request ID that are
+// sent; longer ones are replaced by their hash, since a message has to fit one packet.
+const (
+	maxWorkspaceNameBytes = 64
+	maxRequestIDBytes     = 128
+)
 
 // extendedPlaceRequest asks a coordinator for a target for a request that has a
 // workspace, home regions or an upload, or is an order in a deployment that uses any
@@ -51,11 +53,18 @@
 }
 
 func newPlaceExtension(q lb.PlaceQuery) placeExtension {
-	e := placeExtension{Workspace: q.Workspace, Weight: q.Weight, BodyBytes: q.BodyBytes, Regions: q.Regions, Order: !q.Route.Idempotent}
-	if len(e.Workspace) > maxWorkspaceNameBytes {
-		e.Workspace = "#" + strconv.FormatUint(xxhash.Sum64String(e.Workspace), 16)
+	return placeExtension{
+		Workspace: shortened(q.Workspace, maxWorkspaceNameBytes), Weight: q.Weight, BodyBytes: q.BodyBytes,
+		Regions: q.Regions, Order: !q.Route.Idempotent,
+	}
+}
+
+// shortened returns a text, or a hash of one that is longer than the maximum in bytes.
+func shortened(s string, maximum int) string {
+	if len(s) <= maximum {
+		return s
 	}
-	return e
+	return "#" + strconv.FormatUint(xxhash.Sum64String(s), 16)
 }
 
 // placeQuery returns the query of the request. A weight that is no positive number
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -45,7 +45,7 @@
 
 func newPlaceRequest(now time.Time, q lb.PlaceQuery, domain string) placeRequest {
 	return placeRequest{
-		Pool: q.Pool, RequestID: q.RequestID,
+		Pool: q.Pool, RequestID: shortened(q.RequestID, maxRequestIDBytes),
 		Elapsed: now.Sub(q.Received).Milliseconds(), Remaining: q.Deadline.Sub(now).Milliseconds(),
 		Objective: objectiveLeft(q).Milliseconds(), Rank: q.Route.Rank,
 		FailureDomain: domain, Exclude: q.Exclude, Subsequent: q.Subsequent, Hedge: q.Hedge, Partition: q.Partition,
