--- a/quarantine/message.go
+++ b/quarantine/message.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/samber/lo"
 
@@ -83,9 +84,18 @@
 // key returns the key of a content in logs and in the store.
 func (c Content) key() string { return strconv.FormatUint(uint64(c), 16) }
 
-// rowKey returns the key of a loss's row.
+// maxKeyBytes is the length of the longest key that stores take.
+const maxKeyBytes = 200
+
+// rowKey returns the key of a loss's row. An ID that leaves no room for the rest is
+// replaced by its hash.
 func (l Loss) rowKey(c Content) string {
-	return c.key() + "/" + l.Instance.ID + "/" + strconv.FormatInt(l.Instance.StartedMillis, 10)
+	started := strconv.FormatInt(l.Instance.StartedMillis, 10)
+	key := c.key() + "/" + l.Instance.ID + "/" + started
+	if len(key) > maxKeyBytes {
+		key = c.key() + "/#" + strconv.FormatUint(xxhash.Sum64String(l.Instance.ID), 16) + "/" + started
+	}
+	return key
 }
 
 // encodeRows returns the rows of a record's losses by key.
@@ -104,15 +114,15 @@
 }
 
 // decodeRow returns the record of one row. A loss in the future, by a clock that
-// differs, counts as now.
+// differs, counts as now. The error is short, whatever the row holds.
 func decodeRow(now time.Time, key string, value []byte) (Record, error) {
 	var stored storedLoss
 	if err := json.Unmarshal(value, &stored); err != nil {
-		return Record{}, errors.Wrapf(err, "row %.100q of a suspect request", key)
+		return Record{}, errors.Errorf("row %.100q of a suspect request: %.200s", key, err.Error())
 	}
 	content, err := strconv.ParseUint(stored.Content, 16, 64)
 	if err != nil {
-		return Record{}, errors.Wrapf(err, "row %.100q of a suspect request: content; expected a hexadecimal number", key)
+		return Record{}, errors.Errorf("row %.100q of a suspect request: got content %.40q; expected a hexadecimal number", key, stored.Content)
 	}
 	return Record{Content: Content(content), Losses: []Loss{{
 		Instance: registry.Instance{ID: stored.ID, StartedMillis: stored.StartedMillis},
--- a/storesync/follower.go
+++ b/storesync/follower.go
@@ -57,8 +57,8 @@
 	minRetryPause         = 100 * time.Millisecond
 	maxRetryPause         = 150 * time.Millisecond
 	followerRetryInterval = 2 * time.Second
-	// maxProblemLogs bounds the log lines about invalid entries in one reading of
-	// the registry.
+	// maxProblemLogs bounds the log lines about single invalid entries after one
+	// reading of the registry.
 	maxProblemLogs = 3
 )
 
@@ -153,6 +153,8 @@
 	knownHosts   []roster.Host
 	hostsHash    uint64
 	hostsVersion uint64
+	// hostProblems is the number of invalid rows in the last reading of the host list.
+	hostProblems atomic.Int64
 	// activity is maintained only while this host is the reader.
 	activity hostActivity
 	// evacuations is what is known of evacuated failure domains, noticeAt when another
@@ -266,8 +268,12 @@
 	if !ok || len(changed)+len(removed) > maxChanges {
 		return []syncResponse{r}
 	}
-	r.ChangesIncluded = true
-	return r.split(toWireAll(changed), removed)
+	whole := r
+	whole.ChangesIncluded = true
+	if parts, fit := whole.split(toWireAll(changed), removed); fit {
+		return parts
+	}
+	return []syncResponse{r}
 }
 
 // ageNeverRead stands for the age of data that was never read, in milliseconds.
