table: regions of accepted tables are checked for what hosts send in headers

What could have happened since accepted tables are no longer checked for names of regions: a region with a line end adds header lines to the requests that hosts pass on to each other, and one with a comma is taken for two. Such a route is now unusable, such a workspace left out.

--- a/table/accepted.go
+++ b/table/accepted.go
@@ -3,6 +3,7 @@
 import (
 	"regexp"
 	"strconv"
+	"strings"
 
 	"github.com/samber/lo"
 )
@@ -25,14 +26,19 @@
 		route, before := t.Routes[name], len(p.problems)
 		checkPools(p, t, route)
 		checkSplit(p, route)
+		checkRegionHeader(p, name, route.Regions)
 		if len(p.problems) > before {
 			route.Unusable = true
 			t.Routes[name] = route
 		}
 	}
 	for _, name := range sortedKeys(t.Workspaces) {
-		if len(name) > MaxAcceptedNameBytes || !headerValuePattern.MatchString(name) {
+		before := len(p.problems)
+		if !isHeaderValue(name) {
 			p.addProblem(name, "name", name, "a header value of 1 to "+strconv.Itoa(MaxAcceptedNameBytes)+" bytes")
+		}
+		checkRegionHeader(p, name, t.Workspaces[name].Regions)
+		if len(p.problems) > before {
 			delete(t.Workspaces, name)
 			t.Incomplete = true
 		}
@@ -42,3 +48,17 @@
 	checkAmbiguous(p, lo.OmitBy(t.Routes, func(_ string, r Route) bool { return r.Unusable }))
 	return p.problems.orNil()
 }
+
+func isHeaderValue(text string) bool {
+	return len(text) <= MaxAcceptedNameBytes && headerValuePattern.MatchString(text)
+}
+
+// checkRegionHeader checks that hosts can send the regions to each other in a header, as a
+// list with commas.
+func checkRegionHeader(p *fileParser, section string, regions []string) {
+	for _, region := range regions {
+		if !isHeaderValue(region) || strings.Contains(region, ",") {
+			p.addProblem(section, "regions", region, "a header value without commas")
+		}
+	}
+}
