storesync: an older version from another host doesn't end the search for tables that can be used

Callers could get a final 404 although the newest tables in the store could not be used: another host had handed on a version between the one in force and the newest, and with it the newest ones counted as usable. They count as usable only with tables that were confirmed after the reading that found them unusable. The extended TestTablesAreUnconfirmedWhileNewerOnesCanNotBeUsed failed before.

--- a/storesync/confirmed_internal_test.go
+++ b/storesync/confirmed_internal_test.go
@@ -39,6 +39,9 @@
 	f.applyTables(TablesReading{Problem: errors.New("not readable")})
 	f.applyTables(TablesReading{})
 	g.Expect(f.TablesConfirmed()).To(BeFalse())
+	f.install(&table.Tables{Version: 5}, clock.Now().Add(-time.Millisecond))
+	f.applyTables(TablesReading{})
+	g.Expect(f.TablesConfirmed()).To(BeFalse(), "a version between arrived from another host")
 	f.applyTables(TablesReading{Tables: &table.Tables{Version: 6}})
 	g.Expect(f.TablesConfirmed()).To(BeTrue())
 }
--- a/storesync/tables.go
+++ b/storesync/tables.go
@@ -156,7 +156,9 @@
 	if t.Version == before.Version {
 		return
 	}
-	f.unusableAt = time.Time{}
+	if confirmed.After(f.unusableAt) {
+		f.unusableAt = time.Time{}
+	}
 	now := f.Clock.Now()
 	f.learnFromSnapshot(now, confirmed, t)
 	before = f.Current()
