soak: the rate of health checks is that of the time that a run took

The run took 105 s in place of 20 s, with 2,614 requests in place of some 870, as an event of its plan ended that much later; the checks of 105 s, 24 a second, were divided by the 20 s of the plan. The rate is now that of the time that passed; the bound is the same.

--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -78,7 +78,7 @@
 	time.Sleep(o.Length - time.Since(d.startedAt))
 	cancel()
 	workers.Wait()
-	r.Violations, r.Summary = d.Verify(o.Length), d.Summary()
+	r.Violations, r.Summary = d.Verify(time.Since(d.startedAt)), d.Summary()
 	return r, nil
 }
 
--- a/lab/soak/verify.go
+++ b/lab/soak/verify.go
@@ -28,7 +28,8 @@
 	sent          map[bool]int
 }
 
-// Verify returns every violation, one line each. All events must be over.
+// Verify returns every violation of a run of that length, one line each. All events must
+// be over.
 func (d *Deployment) Verify(length time.Duration) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
