--- a/storesync/registry.go
+++ b/storesync/registry.go
@@ -120,11 +120,8 @@
 
 // failedLately reports whether this host failed to read the store a short time
 // ago, so that another attempt is left to the reader. A host that has no data yet
-// tries again sooner. The tables are also left to hosts that are about to have them.
+// tries again sooner.
 func (f *Follower) failedLately(tracker *readTracker) bool {
-	if tracker.name == tablesTracker && f.leavesTables() {
-		return true
-	}
 	interval := lo.Ternary(f.Configured(), followerRetryInterval, syncInterval)
 	return tracker.failures > 0 && f.Clock.Now().Sub(tracker.lastAttempt) < interval
 }
--- a/storesync/tables.go
+++ b/storesync/tables.go
@@ -72,7 +72,7 @@
 	if f.isReader() {
 		return false
 	}
-	return f.tablesConfirmed() || f.failedLately(tracker) || f.leavesUnusableTables()
+	return f.tablesConfirmed() || f.leavesTables() || f.failedLately(tracker) || f.leavesUnusableTables()
 }
 
 // leavesUnusableTables reports whether this follower leaves tables that it could not use
--- a/storesync/tables_wait.go
+++ b/storesync/tables_wait.go
@@ -21,9 +21,6 @@
 	Age int64
 }
 
-// tablesTracker is the name of the readTracker of the tables.
-const tablesTracker = "tables"
-
 const (
 	// maxArrivalAge is the time since a part of the tables last arrived up to which the
 	// reader tells others that they are arriving.
