shutdown: requests that wait for a target are refused while their callers can be told

Cause: only the deadline of a request ended its wait. The stop had an end that no decision knew of.

Change: package shutdown decides until when a request may be passed on during a stop, by how long requests of its kind take and whether it may be repeated. Waits for a target, for admission and for a token of a quota end then; the request is refused as not run with a Retry-After. The queue is told by when the host has to answer, and the decision is repeated before the first byte is sent. Relays, owners and chestnutd use the same code.

Evidence: no target received the lost orders; all of them ended at once when Shutdown closed the connections. Ruled out: a reply lost in the close (none was written).

Before: the spec "a planned stop answers every request that waits for a target, and serves those that it can" fails (context deadline exceeded, connections cut).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/chestnutfield/chestnutfield/reach"
 	"github.com/chestnutfield/chestnutfield/retry"
 	"github.com/chestnutfield/chestnutfield/settings"
+	"github.com/chestnutfield/chestnutfield/shutdown"
 	"github.com/chestnutfield/chestnutfield/storesync"
 )
 
@@ -31,8 +32,10 @@
 	// connections: its readiness is checked every second, and it gets none after
 	// two responses that it is not ready.
 	deregistrationDelay = 2600 * time.Millisecond
-	// exitReserve is the part of the grace period left for the process to exit.
+	// exitReserve is the part of the grace period left for the process to exit, and
+	// answerTime the part before it that is left for responses.
 	exitReserve = 400 * time.Millisecond
+	answerTime  = 100 * time.Millisecond
 )
 
 // Options configures a Gateway besides the settings file. Source, Suspects,
@@ -205,15 +208,17 @@
 func (g *Gateway) ReadyAddr() net.Addr { return g.readyLn.Addr() }
 
 // Stop shuts the host down gracefully: it reports that it is not ready, goes on
-// serving for deregistrationDelay, and then waits for the requests in flight.
+// serving for deregistrationDelay, and then waits for the requests in flight. Requests
+// that can't be expected to end by then are refused before they are passed on.
 // When the context ends first, Stop aborts the remaining requests and returns
 // the context's error.
 func (g *Gateway) Stop(ctx context.Context) error {
-	g.log.Info("graceful stop started")
+	schedule := stopSchedule(g.clock.Now(), g.settings.Bounds.StopGrace)
+	g.log.Info("graceful stop started", zap.Time("cut_at", schedule.CutAt))
 	g.ready.stopping.Store(true)
-	g.proxy.DisableKeepAlives()
+	g.proxy.BeginStop(schedule)
 	g.relays.Stop()
-	g.relayServer.DisableKeepAlives()
+	g.relayServer.BeginStop(schedule)
 	g.follower.AnnounceShutdown(g.settings.Bounds.StopGrace)
 	select {
 	case <-ctx.Done():
@@ -240,3 +245,10 @@
 // StopTime returns how long Stop may take, given the time between the signal to
 // stop and the forced end of the process.
 func StopTime(grace time.Duration) time.Duration { return max(grace-exitReserve, grace/2) }
+
+// stopSchedule returns the schedule of a stop that begins now.
+func stopSchedule(now time.Time, grace time.Duration) shutdown.Schedule {
+	return shutdown.Schedule{
+		Began: now, CutAt: now.Add(max(StopTime(grace)-answerTime, grace/2)),
+	}
+}
--- a/host/host.go
+++ b/host/host.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
@@ -13,6 +14,7 @@
 
 	"github.com/chestnutfield/chestnutfield/connmux"
 	"github.com/chestnutfield/chestnutfield/settings"
+	"github.com/chestnutfield/chestnutfield/shutdown"
 	"github.com/chestnutfield/chestnutfield/table"
 )
 
@@ -114,8 +116,11 @@
 // cuts the remaining requests and returns the context's error. Stop must be
 // called once, after Start.
 func (h *Host) Stop(ctx context.Context) error {
-	h.log.Info("graceful stop started")
+	schedule := h.stopSchedule(ctx)
+	h.log.Info("graceful stop started", zap.Time("cut_at", schedule.CutAt))
 	h.components.status.stopping.Store(true)
+	h.components.callerServer.BeginStop(schedule)
+	h.components.peerServer.BeginStop(schedule)
 	h.announceLeave(ctx, false)
 	leftAt := h.reconciler.clock.Now()
 	err := h.components.callerServer.Shutdown(ctx)
@@ -132,6 +137,22 @@
 	return err
 }
 
+// closingTime is the part of the time to stop that remains after the requests that are
+// still at work have been cut: for their responses, the outcomes of orders and the
+// announcement that the host has left.
+const closingTime = 1500 * time.Millisecond
+
+// stopSchedule returns the schedule of a stop that begins now and ends with ctx.
+func (h *Host) stopSchedule(ctx context.Context) shutdown.Schedule {
+	now := h.reconciler.clock.Now()
+	schedule := shutdown.Schedule{Began: now}
+	if end, ok := ctx.Deadline(); ok {
+		left := time.Until(end)
+		schedule.CutAt = now.Add(left - min(closingTime, left/4))
+	}
+	return schedule
+}
+
 // Kill stops the host as a crash would: peers are not notified, connections
 // are cut.
 func (h *Host) Kill() {
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -63,7 +63,8 @@
 	BadRequest
 	// TooLarge: a documented size limit was exceeded (413 or 431).
 	TooLarge
-	// Stopping: the host is shutting down and accepts no new requests (503).
+	// Stopping: the host is shutting down and the request could not be expected to end
+	// before (503).
 	Stopping
 	// NotConfigured: the host has not loaded any configuration yet (503).
 	NotConfigured
--- a/proxy/attempts.go
+++ b/proxy/attempts.go
@@ -156,6 +156,7 @@
 	}
 	a, refusal := c.pickTarget(act, pool, now)
 	if refusal != nil {
+		refusal = c.stopRefusalOr(refusal)
 		none.Reason = refusal.Reason
 		c.setRetryAfter(refusal.RetryAfter)
 		return c.step(none)
@@ -211,14 +212,14 @@
 	if placer, ok := c.server.opts.Balancer.(lb.QueueingBalancer); ok {
 		began := c.now()
 		defer c.addWait(began)
-		return placer.Place(c.ctx, lb.PlaceQuery{
-			Pool: pool, Route: c.match.Route, Received: c.received, Waited: c.waited, Deadline: c.deadline,
+		return placer.Place(c.stop.waiting, lb.PlaceQuery{
+			Pool: pool, Route: c.match.Route, Received: c.received, Waited: c.waited, Deadline: c.answerBy(),
 			Exclude: c.triedTargets(), Subsequent: act.NeedsBudget, Hedge: c.attemptInFlight(), RequestID: c.in.requestID,
 			Workspace: c.in.access.workspaceName(), Weight: c.in.access.weight(),
 			Regions: c.in.access.regions, BodyBytes: c.uploadBytes(),
 		})
 	}
-	q := lb.PickQuery{Pool: pool, Class: c.match.Route.Class, Now: now, Exclude: c.triedTargets(), Deadline: c.deadline}
+	q := lb.PickQuery{Pool: pool, Class: c.match.Route.Class, Now: now, Exclude: c.triedTargets(), Deadline: c.answerBy()}
 	a, refusal := c.pickOrRefuse(q)
 	if refusal != nil && c.lastWasStale() {
 		q.Exclude = nil
@@ -230,7 +231,7 @@
 // pickOrRefuse asks a balancer that does not queue for a target.
 func (c *call) pickOrRefuse(q lb.PickQuery) (lb.Attempt, *lb.Refusal) {
 	if b, ok := c.server.opts.Balancer.(lb.RefusingBalancer); ok {
-		return b.PickOrRefuse(c.ctx, q)
+		return b.PickOrRefuse(c.stop.waiting, q)
 	}
 	if a, ok := c.server.opts.Balancer.Pick(q); ok {
 		return a, nil
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -35,6 +36,7 @@
 	deadline time.Time
 	ctx      context.Context
 	cancel   context.CancelFunc
+	stop     callStop
 
 	body requestBody
 	// releaseBody frees the memory that is reserved for the body of an upload.
@@ -111,6 +113,7 @@
 	c.attempts = c.attemptsBuf[:0]
 	c.deadline = c.received.Add(timeout)
 	c.ctx, c.cancel = context.WithDeadline(context.Background(), time.Now().Add(timeout))
+	c.enterService()
 	return c
 }
 
@@ -134,6 +137,7 @@
 	// The response may still be streamed after that; the body is not needed any more.
 	defer func() { c.releaseBody() }()
 	if p := c.prepare(); p != nil {
+		c.leaveService()
 		c.cancel()
 		c.recordEnd(attempt.End{Outcome: p.outcome, Reason: p.reason})
 		c.reply(p)
@@ -166,7 +170,7 @@
 		}
 		body, p := readBody(c.rc, c.in, limit)
 		if p != nil {
-			return p
+			return c.stopReplyOr(p)
 		}
 		if c.bodyLimit = c.server.opts.Tables.Current().Limits.BodyBytes; c.bodyOverLimit(int64(len(body.buffered))) {
 			return bodyTooLarge()
@@ -177,8 +181,11 @@
 			return tooLarge(fasthttp.StatusRequestEntityTooLarge, "body of an order with Idempotency-Key is too large")
 		}
 	}
+	if p := c.requestArrived(); p != nil {
+		return p
+	}
 	route := c.match.Route
-	c.machine = attempt.New(attempt.Config{
+	machine := attempt.New(attempt.Config{
 		Idempotent: route.Idempotent,
 		Retries:    route.Retries,
 		// Under a limit most hedged attempts that are due are refused.
@@ -188,6 +195,9 @@
 		BodyNotReplayable:  !c.body.replayable(),
 		Deadline:           c.deadline,
 	})
+	c.mu.Lock()
+	c.machine = machine
+	c.mu.Unlock()
 	c.hedgeDelay = c.hedgeAfter()
 	if c.hedgeDelay > 0 && route.Idempotent && c.body.replayable() && !c.in.noRetries {
 		c.hedgeEnd = make(chan attempt.Action, hedgeEnds)
@@ -274,21 +284,19 @@
 		return nil
 	}
 	began := c.now()
-	permit, refusal := c.server.opts.Admission.Admit(c.ctx, lb.AdmitQuery{
+	permit, refusal := c.server.opts.Admission.Admit(c.stop.waiting, lb.AdmitQuery{
 		Pool:     c.match.Pool.Name,
 		Class:    c.match.Route.Class,
 		Caller:   c.in.caller,
-		Deadline: c.deadline,
+		Deadline: c.answerBy(),
 	})
 	c.waitTime += c.now().Sub(began)
 	if refusal == nil {
 		c.permit = permit
 		return nil
 	}
-	reason := refusal.Reason
-	if reason == 0 {
-		reason = outcome.DeadlinePassed
-	}
+	refusal = c.stopRefusalOr(refusal)
+	reason := cmp.Or(refusal.Reason, outcome.DeadlinePassed)
 	act := c.step(attempt.Event{Kind: attempt.Refused, Reason: reason})
 	end := act.End
 	if act.Kind != attempt.Finish {
--- a/proxy/callerconn.go
+++ b/proxy/callerconn.go
@@ -19,6 +19,9 @@
 	gone    atomic.Bool
 	mu      sync.Mutex
 	current *call
+	// serving is the call whose request is being received, processed or answered; a
+	// planned stop applies to it. current is set later, when the call can be cancelled.
+	serving atomic.Pointer[call]
 
 	closeOnce sync.Once
 	closeErr  error
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"io"
 	"strconv"
 	"time"
@@ -34,7 +35,7 @@
 		return c.connectFailed(t, err)
 	}
 	c.setExchange(t, x)
-	if reason := c.authorizeAttempt(t); reason != 0 {
+	if reason := cmp.Or(c.authorizeAttempt(t), c.stopReason()); reason != 0 {
 		return c.refuseAttempt(t, reason)
 	}
 	act := c.step(attempt.Event{Kind: attempt.Sending, Attempt: t.number})
@@ -134,6 +135,7 @@
 		c.reportLost(t)
 	}
 	if errors.Is(err, upstream.ErrTimeout) {
+		c.recordDuration(t)
 		c.endAttempt(t, lb.TimedOut)
 		c.recordResult(t, reused)
 		return c.step(attempt.Event{Kind: attempt.Expired})
--- a/proxy/finish.go
+++ b/proxy/finish.go
@@ -8,6 +8,7 @@
 	"github.com/chestnutfield/chestnutfield/attempt"
 	"github.com/chestnutfield/chestnutfield/lb"
 	"github.com/chestnutfield/chestnutfield/outcome"
+	"github.com/chestnutfield/chestnutfield/shutdown"
 )
 
 // close ends the call, once: it releases the permit and the attempts, records
@@ -15,6 +16,7 @@
 func (c *call) close(end attempt.End, recorded *lb.RecordedResponse) {
 	c.closeOnce.Do(func() {
 		c.conn.end()
+		c.leaveService()
 		c.stopHedgeTimer()
 		c.abandon(0)
 		c.closeUnused()
@@ -76,6 +78,9 @@
 		c.refuse(c.overrideReply)
 		return
 	}
+	if end.Reason == outcome.Stopping {
+		c.setRetryAfter(shutdown.RetryAfter())
+	}
 	p := newLocalReply(end.Reason, end.Outcome, endDetails[end.Reason])
 	p.closesConnection = !c.body.replayable()
 	p.retryAfter = c.retryAfter
@@ -96,6 +101,7 @@
 	outcome.UnknownKey:      "API key was withdrawn while the request waited",
 	outcome.QuotaExceeded:   "quota of the workspace is used up",
 	outcome.NotConfigured:   "another configuration came into force",
+	outcome.Stopping:        "host is stopping and the request would not have ended before",
 }
 
 // replay writes the recorded response of an order that has run, in answer to a
--- a/proxy/quota.go
+++ b/proxy/quota.go
@@ -24,14 +24,15 @@
 		return nil
 	}
 	began := c.now()
-	permit, refusal := quota.Take(c.ctx, lb.QuotaQuery{
-		Workspace: *w, MaxWait: c.maxQuotaWait(began), Deadline: c.deadline, RequestID: c.in.requestID,
+	permit, refusal := quota.Take(c.stop.waiting, lb.QuotaQuery{
+		Workspace: *w, MaxWait: c.maxQuotaWait(began), Deadline: c.answerBy(), RequestID: c.in.requestID,
 	})
 	c.addWait(began)
 	if refusal == nil {
 		c.quotaPermit = permit
 		return nil
 	}
+	refusal = c.stopRefusalOr(refusal)
 	reason := cmp.Or(refusal.Reason, outcome.QuotaExceeded)
 	act := c.step(attempt.Event{Kind: attempt.Refused, Reason: reason})
 	end := act.End
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -46,6 +46,7 @@
 }
 
 func (c *call) endResponse(t *upstreamAttempt, act attempt.Action, v lb.Verdict, recorded *lb.RecordedResponse) {
+	c.recordDuration(t)
 	c.endAttempt(t, v)
 	c.recordResult(t, false)
 	c.close(c.endAfter(act), recorded)
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -10,13 +9,13 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
-	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
 	"github.com/chestnutfield/chestnutfield/internal/logging"
 	"github.com/chestnutfield/chestnutfield/internal/token"
 	"github.com/chestnutfield/chestnutfield/outcome"
 	"github.com/chestnutfield/chestnutfield/router"
+	"github.com/chestnutfield/chestnutfield/shutdown"
 	"github.com/chestnutfield/chestnutfield/upstream"
 )
 
@@ -35,12 +34,15 @@
 	// PeerServerOptions.
 	peerToken token.Token
 
-	// keepAlivesDisabled is set shortly before a planned stop, stopping when it
-	// begins.
+	// keepAlivesDisabled is set when a planned stop begins, stopping when no more
+	// connections are accepted. schedule is that of the stop, nil until it begins.
 	keepAlivesDisabled atomic.Bool
 	stopping           atomic.Bool
-	mu                 sync.Mutex
-	listener           net.Listener
+	schedule           atomic.Pointer[shutdown.Schedule]
+	// durations are those of the requests that ended.
+	durations shutdown.Durations
+	mu        sync.Mutex
+	listener  net.Listener
 	// attempts counts hedged attempts, which run on goroutines of their own.
 	attempts sync.WaitGroup
 	// connections counts the open connections of callers.
@@ -237,61 +239,6 @@
 // periodically.
 func (s *Server) CloseIdle() int { return s.upstream.CloseIdle(false) }
 
-// DisableKeepAlives prepares a planned stop: requests are served as before, and
-// every response carries Connection: close.
-func (s *Server) DisableKeepAlives() { s.keepAlivesDisabled.Store(true) }
-
-// Shutdown stops the server gracefully. It stops accepting connections at
-// once, answers requests in flight, and those that arrive on open connections
-// within ShutdownDelay, with Connection: close, and returns when the last
-// response is written. If ctx ends first, Shutdown closes the remaining
-// connections and returns the error of ctx.
-func (s *Server) Shutdown(ctx context.Context) error {
-	if !s.stopping.CompareAndSwap(false, true) {
-		return errors.New("proxy: Shutdown was called before; ignoring this call")
-	}
-	s.opts.Logger.Info("stopping: no new connections")
-	s.mu.Lock()
-	ln := s.listener
-	s.mu.Unlock()
-	if ln != nil {
-		ln.Close()
-	}
-	err := s.waitForRequests(ctx)
-	for _, c := range s.watcher.all() {
-		c.hangup()
-		c.Close()
-	}
-	s.watcher.stop()
-	s.upstream.CloseIdle(true)
-	s.opts.Logger.Info("stopped", zap.Error(err))
-	return err
-}
-
-// waitForRequests waits until the requests in flight, and those that arrive
-// within ShutdownDelay, are answered.
-func (s *Server) waitForRequests(ctx context.Context) error {
-	select {
-	case <-s.opts.Clock.After(s.limits.ShutdownDelay):
-	case <-ctx.Done():
-		return errors.WithStack(ctx.Err())
-	}
-	if err := s.http.ShutdownWithContext(ctx); err != nil && ctx.Err() != nil {
-		return errors.WithStack(ctx.Err())
-	}
-	done := make(chan struct{})
-	go func() {
-		s.attempts.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return errors.WithStack(ctx.Err())
-	}
-}
-
 // refuseMalformed answers a request that the HTTP server could not parse.
 func (s *Server) refuseMalformed(ctx *fasthttp.RequestCtx, err error) {
 	p := malformed("request could not be parsed")
--- /dev/null
+++ b/proxy/stop_schedule_test.go
@@ -0,0 +1,127 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnutfield/chestnutfield/lb"
+	"github.com/chestnutfield/chestnutfield/outcome"
+	"github.com/chestnutfield/chestnutfield/shutdown"
+	"github.com/chestnutfield/chestnutfield/table"
+)
+
+// fullPool is a balancer whose targets have no room until room is closed.
+type fullPool struct {
+	orderedBalancer
+	waiting chan lb.PlaceQuery
+	room    chan struct{}
+}
+
+func (b *fullPool) Place(ctx context.Context, q lb.PlaceQuery) (lb.Attempt, *lb.Refusal) {
+	b.waiting <- q
+	select {
+	case <-b.room:
+		a, _ := b.Pick(lb.PickQuery{})
+		return a, nil
+	case <-ctx.Done():
+		return nil, &lb.Refusal{Reason: outcome.DeadlinePassed}
+	}
+}
+
+// stoppingHarness is a proxy with a clock that stands still, whose stop can be begun.
+type stoppingHarness struct {
+	*harness
+	clock *clockwork.FakeClock
+	pool  *fullPool
+}
+
+// newStoppingHarness returns a proxy whose only pool is full if so wanted.
+func newStoppingHarness(up *rawUpstream, full bool) *stoppingHarness {
+	h := &stoppingHarness{clock: clockwork.NewFakeClock()}
+	h.pool = &fullPool{waiting: make(chan lb.PlaceQuery, 8), room: make(chan struct{})}
+	h.pool.targets = []netip.AddrPort{up.addr()}
+	if !full {
+		close(h.pool.room)
+	}
+	h.harness = newHarness([]*rawUpstream{up}, func(o *Options, _ *table.Tables) { o.Clock, o.Balancer = h.clock, h.pool })
+	return h
+}
+
+// beginStop begins a stop with the times of a grace period of 6 s.
+func (h *stoppingHarness) beginStop() {
+	now := h.clock.Now()
+	h.server.BeginStop(shutdown.Schedule{
+		Began: now, CutAt: now.Add(5750 * time.Millisecond),
+	})
+}
+
+// expectNotRun expects the refusal of a stopping host.
+func expectNotRun(c *caller, method string) {
+	GinkgoHelper()
+	resp, body, err := c.readResponse(method)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	Expect(resp.Header.Get("Chestnut-Outcome")).To(Equal("not-run"))
+	Expect(resp.Header.Get("Retry-After")).NotTo(BeEmpty())
+	Expect(resp.Close).To(BeTrue())
+	Expect(body).To(HavePrefix("stopping"))
+}
+
+var _ = Describe("a planned stop", func() {
+	// Guards against requests that wait for a target until the host closes their
+	// connections.
+	DescribeTable("refuses a request that waits for a target while its caller can still be told",
+		func(raw, method string) {
+			up := newUpstream(respondAlways(okResponse))
+			b := newStoppingHarness(up, true)
+			c, after := b.dial(), b.dial()
+			c.send(raw)
+			Expect((<-b.pool.waiting).Deadline).To(Equal(b.clock.Now().Add(20 * time.Second)))
+			b.beginStop()
+			after.send(raw)
+			Expect((<-b.pool.waiting).Deadline).To(Equal(b.clock.Now().Add(5750*time.Millisecond)), "the pool knows how long the host stays")
+			b.clock.Advance(2 * time.Second)
+			Consistently(b.pool.inFlight, "50ms").Should(BeZero())
+			b.clock.Advance(1500 * time.Millisecond)
+			expectNotRun(c, method)
+			expectNotRun(after, method)
+			Expect(up.received()).To(BeEmpty())
+		},
+		Entry("order", postOrder, "POST"),
+		Entry("lookup", getSpec, "GET"),
+	)
+
+	It("passes on a request that waited, while it can be expected to end", func() {
+		b := newStoppingHarness(newUpstream(respondAlways(okResponse)), true)
+		for range 10 {
+			b.server.durations.Record(shutdown.Kind{Pool: "catalogue", Class: "order"}, time.Second)
+		}
+		c := b.dial()
+		c.send(postOrder)
+		<-b.pool.waiting
+		b.beginStop()
+		b.clock.Advance(4 * time.Second)
+		close(b.pool.room)
+		resp, body, err := c.readResponse("POST")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal("done"))
+		Expect(resp.Close).To(BeTrue())
+	})
+
+	It("makes a host that handed a request over send it to another one", func() {
+		up := newUpstream(respondAlways(okResponse))
+		stopping, owner := newOwner([]*rawUpstream{up}), newOwner([]*rawUpstream{up})
+		stopping.server.BeginStop(shutdown.Schedule{Began: time.Now(), CutAt: time.Now()})
+		b, _ := newReceiver([]netip.AddrPort{stopping.addrPort(), owner.addrPort()})
+		_, body := b.ask(postOrder)
+		Expect(body).To(Equal("done"))
+		Expect(strings.Count(up.received(), "POST")).To(Equal(1))
+	})
+})
