shutdown: requests that arrive late in a stop are refused before they are passed on

What callers saw: in a planned stop, requests whose last bytes came late (begun 2.45 s after the SIGTERM, whole at 3.45 s, 2.2 or 3.5 s of work) were passed on and cut at the end of the grace period, orders too.

Cause: nothing compared the time that was left with what a request needs; whatever became complete on an open connection was served.

Change: what arrives after the idle connections have been closed is passed on only when its own deadline ends it before the cut. The same holds for bodies that would be streamed, from the beginning of the stop. All others get 503 not run, also while their body is still awaited.

Before: the spec "a planned stop cuts no request whose last bytes come late, and serves those before" fails with "unexpected EOF".

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,6 +32,8 @@
 	// connections: its readiness is checked every second, and it gets none after
 	// two responses that it is not ready.
 	deregistrationDelay = 2600 * time.Millisecond
+	// idleCloseDelay is how long idle connections stay open after that.
+	idleCloseDelay = 250 * time.Millisecond
 	// exitReserve is the part of the grace period left for the process to exit, and
 	// answerTime the part before it that is left for responses.
 	exitReserve = 400 * time.Millisecond
@@ -214,7 +216,7 @@
 // the context's error.
 func (g *Gateway) Stop(ctx context.Context) error {
 	schedule := stopSchedule(g.clock.Now(), g.settings.Bounds.StopGrace)
-	g.log.Info("graceful stop started", zap.Time("cut_at", schedule.CutAt))
+	g.log.Info("graceful stop started", zap.Time("late_from", schedule.LateFrom), zap.Time("cut_at", schedule.CutAt))
 	g.ready.stopping.Store(true)
 	g.proxy.BeginStop(schedule)
 	g.relays.Stop()
@@ -249,6 +251,7 @@
 // stopSchedule returns the schedule of a stop that begins now.
 func stopSchedule(now time.Time, grace time.Duration) shutdown.Schedule {
 	return shutdown.Schedule{
-		Began: now, CutAt: now.Add(max(StopTime(grace)-answerTime, grace/2)),
+		Began: now, LateFrom: now.Add(deregistrationDelay + idleCloseDelay),
+		CutAt: now.Add(max(StopTime(grace)-answerTime, grace/2)),
 	}
 }
--- a/gateway/providers.go
+++ b/gateway/providers.go
@@ -257,6 +257,6 @@
 	return proxy.Limits{
 		HeaderBytes: s.Limits.MaxHeaderBytes, HeaderTimeout: s.Limits.HeaderTimeout,
 		Connections: s.Limits.MaxCallerConnections, BufferUnknownLength: true, UploadBufferBytes: s.Limits.UploadBufferBytes,
-		HedgeObjectiveFraction: hedgeShare,
+		HedgeObjectiveFraction: hedgeShare, ShutdownDelay: idleCloseDelay,
 	}
 }
--- a/host/host.go
+++ b/host/host.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/chestnutfield/chestnutfield/connmux"
+	"github.com/chestnutfield/chestnutfield/proxy"
 	"github.com/chestnutfield/chestnutfield/settings"
 	"github.com/chestnutfield/chestnutfield/shutdown"
 	"github.com/chestnutfield/chestnutfield/table"
@@ -117,7 +118,7 @@
 // called once, after Start.
 func (h *Host) Stop(ctx context.Context) error {
 	schedule := h.stopSchedule(ctx)
-	h.log.Info("graceful stop started", zap.Time("cut_at", schedule.CutAt))
+	h.log.Info("graceful stop started", zap.Time("late_from", schedule.LateFrom), zap.Time("cut_at", schedule.CutAt))
 	h.components.status.stopping.Store(true)
 	h.components.callerServer.BeginStop(schedule)
 	h.components.peerServer.BeginStop(schedule)
@@ -145,7 +146,7 @@
 // stopSchedule returns the schedule of a stop that begins now and ends with ctx.
 func (h *Host) stopSchedule(ctx context.Context) shutdown.Schedule {
 	now := h.reconciler.clock.Now()
-	schedule := shutdown.Schedule{Began: now}
+	schedule := shutdown.Schedule{Began: now, LateFrom: now.Add(leaveTimeout + proxy.DefaultLimits().ShutdownDelay)}
 	if end, ok := ctx.Deadline(); ok {
 		left := time.Until(end)
 		schedule.CutAt = now.Add(left - min(closingTime, left/4))
--- a/proxy/stop.go
+++ b/proxy/stop.go
@@ -39,7 +39,7 @@
 // scheduleUntil returns the schedule of a stop that ends with ctx.
 func (s *Server) scheduleUntil(ctx context.Context) shutdown.Schedule {
 	now := s.opts.Clock.Now()
-	schedule := shutdown.Schedule{Began: now}
+	schedule := shutdown.Schedule{Began: now, LateFrom: now.Add(s.limits.ShutdownDelay)}
 	if end, ok := ctx.Deadline(); ok {
 		schedule.CutAt = now.Add(time.Until(end) - answerTime)
 	}
@@ -173,8 +173,11 @@
 // latestDispatch returns until when the request may be passed on. The caller holds the
 // call's mutex.
 func (c *call) latestDispatch(s *shutdown.Schedule) time.Time {
+	if c.stop.receiving {
+		return s.LatestArrival(c.deadline)
+	}
 	return s.LatestDispatch(shutdown.Request{
-		Deadline: c.deadline, Repeatable: c.match.Route.Idempotent,
+		Arrived: c.stop.arrived, Deadline: c.deadline, Repeatable: c.match.Route.Idempotent,
 		Estimate: c.server.durations.Estimate(c.kind()),
 	})
 }
--- a/proxy/stop_schedule_test.go
+++ b/proxy/stop_schedule_test.go
@@ -58,7 +58,7 @@
 func (h *stoppingHarness) beginStop() {
 	now := h.clock.Now()
 	h.server.BeginStop(shutdown.Schedule{
-		Began: now, CutAt: now.Add(5750 * time.Millisecond),
+		Began: now, LateFrom: now.Add(2850 * time.Millisecond), CutAt: now.Add(5750 * time.Millisecond),
 	})
 }
 
@@ -74,6 +74,9 @@
 	Expect(body).To(HavePrefix("stopping"))
 }
 
+// orderInParts is an order in two parts, the second being the end of its body.
+var orderInParts = []string{strings.TrimSuffix(postOrder, "llo"), "llo"}
+
 var _ = Describe("a planned stop", func() {
 	// Guards against requests that wait for a target until the host closes their
 	// connections.
@@ -115,10 +118,56 @@
 		Expect(resp.Close).To(BeTrue())
 	})
 
+	// Guards against a request that is passed on late in a stop and cut while its
+	// target works on it.
+	DescribeTable("refuses a request whose last bytes arrive late",
+		func(method, first, rest string) {
+			up := newUpstream(respondAlways(okResponse))
+			b := newStoppingHarness(up, false)
+			c := b.dial()
+			b.beginStop()
+			b.clock.Advance(2450 * time.Millisecond)
+			c.send(first)
+			Consistently(b.pool.inFlight, "50ms").Should(BeZero())
+			b.clock.Advance(time.Second)
+			if rest != "" {
+				c.send(rest)
+			}
+			expectNotRun(c, method)
+			Expect(up.received()).To(BeEmpty())
+		},
+		Entry("order, in its body", "POST", orderInParts[0], orderInParts[1]),
+		Entry("order whose body doesn't arrive", "POST", orderInParts[0], ""),
+		Entry("order, in its header", "POST", postOrder[:20], postOrder[20:]),
+		Entry("lookup", "GET", getSpec[:20], getSpec[20:]),
+	)
+
+	It("passes on a late request that ends by its deadline", func() {
+		b := newStoppingHarness(newUpstream(respondAlways(okResponse)), false)
+		c := b.dial()
+		b.beginStop()
+		c.send(getSpec[:20])
+		b.clock.Advance(3450 * time.Millisecond)
+		c.send(strings.TrimSuffix(getSpec[20:], "\r\n") + "Chestnut-Deadline-Ms: 2000\r\n\r\n")
+		_, body, err := c.readResponse("GET")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal("done"))
+	})
+
+	It("does not begin to stream the body of a request", func() {
+		up := newUpstream(respondAlways(okResponse))
+		b := newStoppingHarness(up, false)
+		c := b.dial()
+		b.beginStop()
+		c.send("POST /orders/a HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n" + strings.Repeat("x", 100_000))
+		expectNotRun(c, "POST")
+		Expect(up.received()).To(BeEmpty())
+	})
+
 	It("makes a host that handed a request over send it to another one", func() {
 		up := newUpstream(respondAlways(okResponse))
 		stopping, owner := newOwner([]*rawUpstream{up}), newOwner([]*rawUpstream{up})
-		stopping.server.BeginStop(shutdown.Schedule{Began: time.Now(), CutAt: time.Now()})
+		stopping.server.BeginStop(shutdown.Schedule{Began: time.Now(), LateFrom: time.Now(), CutAt: time.Now().Add(time.Second)})
 		b, _ := newReceiver([]netip.AddrPort{stopping.addrPort(), owner.addrPort()})
 		_, body := b.ask(postOrder)
 		Expect(body).To(Equal("done"))
--- a/shutdown/schedule.go
+++ b/shutdown/schedule.go
@@ -23,6 +23,9 @@
 type Schedule struct {
 	// Began is when the stop began.
 	Began time.Time
+	// LateFrom is when the host has stopped accepting connections and has closed the
+	// idle ones. What arrives later was begun before, by a slow caller.
+	LateFrom time.Time
 	// CutAt is when the requests that targets still work on are ended; zero stands for
 	// never.
 	CutAt time.Time
@@ -30,6 +33,9 @@
 
 // Request is what the decision about one request depends on.
 type Request struct {
+	// Arrived is when the request had arrived completely; zero while a part of its
+	// body has not.
+	Arrived time.Time
 	// Deadline is when the request ends in any case.
 	Deadline time.Time
 	// Repeatable is true for an idempotent request.
@@ -38,13 +44,26 @@
 	Estimate Estimate
 }
 
+// LatestArrival returns the time by which a request with that deadline has to have
+// arrived completely in order to be passed on.
+func (s Schedule) LatestArrival(deadline time.Time) time.Time {
+	if s.endsInTime(deadline) {
+		return deadline
+	}
+	return s.LateFrom
+}
+
 // LatestDispatch returns the time until which the request may be passed on to a target.
-// A request that ends by its own deadline before the cut is not limited. Any other
-// request is passed on while its target can be expected to answer before the cut.
+// A request that ends by its own deadline before the cut is not limited. Otherwise a
+// request that arrived late is never passed on, nor is one whose body is still
+// arriving: its target could be at work at the cut however short the work usually is.
 func (s Schedule) LatestDispatch(r Request) time.Time {
 	if s.endsInTime(r.Deadline) {
 		return r.Deadline
 	}
+	if r.Arrived.IsZero() || r.Arrived.After(s.LateFrom) {
+		return s.Began
+	}
 	return s.CutAt.Add(-s.expectedDuration(r))
 }
 
