shutdown: callers of requests that are cut at the end of a stop are told

What callers saw: a closed connection, at the end of a stop, on requests at which a target was still at work. The log named them caller-gone.

Cause: Shutdown cancelled every call as if its caller had left.

Change: at the cut, shortly before the end of the stop, requests without a response end with 502 unknown (reason "interrupted"), or 503 not run when no target received them. Responses that are being forwarded go on.

Before: the spec "a host that stops tells the callers of orders that are still at work that the outcome is unknown" fails, the connection is closed. After: it passes.

--- a/attempt/event.go
+++ b/attempt/event.go
@@ -41,6 +41,9 @@
 	Cancelled
 	// Expired: the deadline passed.
 	Expired
+	// HostStopped: the host has no more time for requests that have no response yet.
+	// One that is being forwarded goes on.
+	HostStopped
 )
 
 // Event is something that happened to the request.
--- a/attempt/machine.go
+++ b/attempt/machine.go
@@ -125,6 +125,8 @@
 		return m.finish(outcome.CallerGone)
 	case Expired:
 		return m.expired()
+	case HostStopped:
+		return m.hostStopped()
 	case HedgeDue:
 		return m.hedge(ev)
 	}
@@ -179,6 +181,18 @@
 	return m.finish(outcome.DeadlinePassed)
 }
 
+// hostStopped ends the request unless its response is being forwarded.
+func (m *Machine) hostStopped() Action {
+	switch {
+	case m.phase == forwarding:
+		return Action{Kind: Wait}
+	case m.mayHaveRun():
+		return m.finish(outcome.Interrupted)
+	default:
+		return m.finish(outcome.Stopping)
+	}
+}
+
 func (m *Machine) stepAttempt(ev Event) Action {
 	st := &m.attempts[ev.Attempt-1]
 	switch {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,9 +35,10 @@
 	// idleCloseDelay is how long idle connections stay open after that.
 	idleCloseDelay = 250 * time.Millisecond
 	// exitReserve is the part of the grace period left for the process to exit, and
-	// answerTime the part before it that is left for responses.
-	exitReserve = 400 * time.Millisecond
-	answerTime  = 100 * time.Millisecond
+	// answerTime the part before it in which the callers of requests that targets still
+	// work on are told that these are cut.
+	exitReserve = 100 * time.Millisecond
+	answerTime  = 150 * time.Millisecond
 )
 
 // Options configures a Gateway besides the settings file. Source, Suspects,
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -81,6 +81,8 @@
 	UnknownKey
 	// QuotaExceeded: the workspace has used up its quota (429).
 	QuotaExceeded
+	// Interrupted: the host stopped while an upstream worked on the request (502).
+	Interrupted
 )
 
 var reasonNames = map[Reason]string{
@@ -91,7 +93,7 @@
 	UpstreamTimeout: "upstream-timeout", BadRequest: "bad-request",
 	TooLarge: "too-large", Stopping: "stopping", NotConfigured: "not-configured", CallerGone: "caller-gone",
 	RateLimited: "rate-limited", Quarantined: "quarantined",
-	UnknownKey: "unknown-key", QuotaExceeded: "quota-exceeded",
+	UnknownKey: "unknown-key", QuotaExceeded: "quota-exceeded", Interrupted: "interrupted",
 }
 
 // String returns the reason as in metric labels and logs, "invalid" for an
--- a/proxy/finish.go
+++ b/proxy/finish.go
@@ -102,6 +102,7 @@
 	outcome.QuotaExceeded:   "quota of the workspace is used up",
 	outcome.NotConfigured:   "another configuration came into force",
 	outcome.Stopping:        "host is stopping and the request would not have ended before",
+	outcome.Interrupted:     "host stopped before the upstream answered",
 }
 
 // replay writes the recorded response of an order that has run, in answer to a
--- a/proxy/localreply.go
+++ b/proxy/localreply.go
@@ -51,6 +51,7 @@
 	outcome.BadRequest:        fasthttp.StatusBadRequest,
 	outcome.TooLarge:          fasthttp.StatusRequestEntityTooLarge,
 	outcome.CallerGone:        fasthttp.StatusBadGateway,
+	outcome.Interrupted:       fasthttp.StatusBadGateway,
 }
 
 // proxyErrors maps reasons to the error types of RFC 9209, section 2.3.
@@ -74,6 +75,7 @@
 	outcome.BadRequest:        "http_request_error",
 	outcome.TooLarge:          "http_request_error",
 	outcome.CallerGone:        "connection_terminated",
+	outcome.Interrupted:       "connection_terminated",
 }
 
 func newLocalReply(reason outcome.Reason, o outcome.Outcome, detail string) *localReply {
--- a/proxy/stop.go
+++ b/proxy/stop.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/chestnutfield/chestnutfield/attempt"
 	"github.com/chestnutfield/chestnutfield/lb"
 	"github.com/chestnutfield/chestnutfield/outcome"
 	"github.com/chestnutfield/chestnutfield/shutdown"
@@ -19,12 +20,16 @@
 
 // BeginStop begins a planned stop. Connections are still accepted until Shutdown, every
 // response carries Connection: close, and requests that the schedule does not allow to
-// be passed on are refused as not run.
+// be passed on are refused as not run. At the schedule's cut, the requests without a
+// response are ended.
 func (s *Server) BeginStop(schedule shutdown.Schedule) {
 	if !s.schedule.CompareAndSwap(nil, &schedule) {
 		return
 	}
 	s.DisableKeepAlives()
+	if !schedule.CutAt.IsZero() {
+		s.opts.Clock.AfterFunc(schedule.CutAt.Sub(s.opts.Clock.Now()), s.cutRequests)
+	}
 	for _, c := range s.watcher.all() {
 		if cl := c.serving.Load(); cl != nil {
 			cl.applySchedule()
@@ -32,6 +37,20 @@
 	}
 }
 
+// cutRequests ends the requests without a response, so that their callers are still told
+// what is known of them.
+func (s *Server) cutRequests() {
+	cut := 0
+	for _, c := range s.watcher.all() {
+		if cl := c.serving.Load(); cl != nil && cl.hostStopped() {
+			cut++
+		}
+	}
+	if cut > 0 {
+		s.opts.Logger.Warn("requests have no response at the end of a planned stop; they end now", zap.Int("requests", cut))
+	}
+}
+
 // answerTime is the time at the end of a planned stop in which the callers of the
 // requests that are cut get their responses.
 const answerTime = 150 * time.Millisecond
@@ -278,3 +297,21 @@
 	p.retryAfter, p.closesConnection = shutdown.RetryAfter(), bodyUnread
 	return p
 }
+
+// hostStopped ends the call unless its response is being forwarded; false when it goes
+// on or had ended.
+func (c *call) hostStopped() bool {
+	c.endWait()
+	c.mu.Lock()
+	received := c.machine != nil
+	c.mu.Unlock()
+	if !received {
+		return true
+	}
+	if act := c.step(attempt.Event{Kind: attempt.HostStopped}); act.Kind != attempt.Finish {
+		return false
+	}
+	c.cancel()
+	c.abandon(0)
+	return true
+}
--- a/proxy/stop_schedule_test.go
+++ b/proxy/stop_schedule_test.go
@@ -164,6 +164,53 @@
 		Expect(up.received()).To(BeEmpty())
 	})
 
+	It("tells the callers of requests that targets still work on, and of those that wait, when they are cut", func() {
+		closed := make(chan struct{}, 2)
+		up := newUpstream(func(u *rawConn) {
+			neverRespond(u)
+			closed <- struct{}{}
+		})
+		b := newStoppingHarness(up, false)
+		order, lookup := b.dial(), b.dial()
+		order.send(postOrder)
+		lookup.send(getSpec)
+		Eventually(up.received, "10s").Should(And(ContainSubstring("hello"), ContainSubstring("GET")))
+		b.beginStop()
+		b.clock.Advance(5750 * time.Millisecond)
+		for method, c := range map[string]*caller{"POST": order, "GET": lookup} {
+			resp, body, err := c.readResponse(method)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.StatusCode).To(Equal(http.StatusBadGateway))
+			Expect(resp.Header.Get("Chestnut-Outcome")).To(Equal("unknown"))
+			Expect(body).To(HavePrefix("interrupted"))
+			Eventually(closed, "10s").Should(Receive())
+		}
+		late := b.dial()
+		late.send(getSpec)
+		expectNotRun(late, "GET")
+	})
+
+	It("lets a response that is being forwarded go on after the cut", func() {
+		release := make(chan struct{})
+		up := newUpstream(func(u *rawConn) {
+			u.request()
+			u.send("HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" + strings.Repeat("x", 500_000))
+			<-release
+			u.send(strings.Repeat("x", 500_000))
+		})
+		b := newStoppingHarness(up, false)
+		c := b.dial()
+		c.send(getSpec)
+		_, err := c.br.Peek(1)
+		Expect(err).NotTo(HaveOccurred())
+		b.beginStop()
+		b.clock.Advance(5750 * time.Millisecond)
+		close(release)
+		_, body, err := c.readResponse("GET")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(HaveLen(1_000_000))
+	})
+
 	It("makes a host that handed a request over send it to another one", func() {
 		up := newUpstream(respondAlways(okResponse))
 		stopping, owner := newOwner([]*rawUpstream{up}), newOwner([]*rawUpstream{up})
