storesync, platform: responses without end from the store and from hosts are cut off

What callers would see: the host runs out of memory, or keeps an old configuration for ever. A store, or what answers in its place, that sends a body without end filled the host's memory (27 GB allocated in a test before the reading ended; a Content-Length of 1 TB ended the process at once).

Cause: no limit on the size, and deadlines that move on while bytes arrive.

Change: the store's client bounds bodies; connections whose deadlines move on bound what they receive for one message.

Before: TestReadingOfAnEndlessResponseOfTheStoreEnds fails for chunks, chunk extensions, a body with a length and one to the end of the connection, TestFetchOfAnEndlessSnapshotEnds does not end. After: both pass.

--- a/internal/transfer/conn.go
+++ b/internal/transfer/conn.go
@@ -5,6 +5,8 @@
 import (
 	"net"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -26,14 +28,27 @@
 
 	readDeadline, writeDeadline time.Time
 	received                    int
+	// maxBytes bounds message, the bytes received since a read deadline was set; 0 sets
+	// no bound.
+	maxBytes, message int64
 }
 
+// ErrTooLong is the error of a read beyond the longest message.
+var ErrTooLong = errors.New("message is longer than the connection accepts")
+
 // NewConn returns c with deadlines that move on. stall is the longest time without
 // progress. progress, if not nil, is called for each MinProgress bytes received.
 func NewConn(c net.Conn, stall time.Duration, progress func()) *Conn {
 	return &Conn{Conn: c, stall: stall, progress: progress}
 }
 
+// WithMaxBytes bounds what is received under one read deadline: bytes without end are
+// progress, so that no deadline would end them. It returns c.
+func (c *Conn) WithMaxBytes(n int64) *Conn {
+	c.maxBytes = n
+	return c
+}
+
 // SetDeadline implements net.Conn.
 func (c *Conn) SetDeadline(t time.Time) error {
 	if err := c.SetReadDeadline(t); err != nil {
@@ -44,7 +59,7 @@
 
 // SetReadDeadline implements net.Conn.
 func (c *Conn) SetReadDeadline(t time.Time) error {
-	c.readDeadline, c.received = t, 0
+	c.readDeadline, c.received, c.message = t, 0, 0
 	return c.Conn.SetReadDeadline(t)
 }
 
@@ -58,6 +73,9 @@
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.received += n
+	if c.message += int64(n); c.maxBytes > 0 && c.message > c.maxBytes {
+		return n, errors.Wrapf(ErrTooLong, "%d bytes", c.maxBytes)
+	}
 	if err != nil || c.received < MinProgress {
 		return n, err
 	}
--- a/storesync/snapshot.go
+++ b/storesync/snapshot.go
@@ -38,7 +38,9 @@
 	// protect the memory of the receiver: 10,000 entries with the longest texts take some
 	// 2300 bytes each, and tables, compressed in both, 1 MB with 20,000 routes.
 	maxSnapshotBytes = 32 << 20
-	maxContentBytes  = 64 << 20
+	// maxFramingBytes is what the header, chunk sizes and trailers of a response may add.
+	maxFramingBytes = 4 << 20
+	maxContentBytes = 64 << 20
 	// largeSnapshotBytes is the size from which snapshots are served maxLargeSnapshots at
 	// a time: the first are sooner done than if all share the link, and serve others.
 	largeSnapshotBytes = 64 << 10
--- a/storesync/snapshot_fetch.go
+++ b/storesync/snapshot_fetch.go
@@ -126,7 +126,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return transfer.NewConn(c, snapshotStall, nil), nil
+			return transfer.NewConn(c, snapshotStall, nil).WithMaxBytes(maxSnapshotBytes + maxFramingBytes), nil
 		},
 		MaxResponseBodySize:       maxSnapshotBytes,
 		MaxIdemponentCallAttempts: 1,
--- a/storesync/snapshot_server.go
+++ b/storesync/snapshot_server.go
@@ -42,6 +42,7 @@
 	large := make(chan struct{}, maxLargeSnapshots)
 	return &fasthttp.Server{
 		NoDefaultServerHeader: true, NoDefaultDate: true, Logger: logging.Discard{},
+		GetOnly: true, MaxRequestBodySize: 1,
 		ReadTimeout: snapshotTimeout, WriteTimeout: 2 * snapshotTimeout, Concurrency: maxConcurrentSnapshots,
 		Handler: func(ctx *fasthttp.RequestCtx) {
 			if string(ctx.Path()) != snapshotPath {
