cloud: responses without end from the table service and the object store are cut off

Cause: the clients bounded the time of a call, not the size of its response; 4.3 GB were allocated within the 2 s of one call.

Before: TestReadingOfAnEndlessResponseEnds fails (4.3 GB for a row and for the text of an error). After: it passes, 16 MiB bound a response.

--- a/cloud/framing.go
+++ b/cloud/framing.go
@@ -18,9 +18,16 @@
 
 type framedClient struct{ HTTPClient }
 
+// maxResponseBytes bounds a response, to protect the memory of the host: a page of rows
+// has 1 MB, an object at most 4 MB.
+const maxResponseBytes = 16 << 20
+
 // Do implements HTTPClient.
 func (c framedClient) Do(r *http.Request) (*http.Response, error) {
 	response, err := c.HTTPClient.Do(r)
+	if err == nil {
+		response.Body = http.MaxBytesReader(nil, response.Body, maxResponseBytes)
+	}
 	if err != nil || isFramed(response) || response.StatusCode >= http.StatusMultipleChoices {
 		return response, err
 	}
