cmd: a repeated SIGTERM does not cut a planned stop short

Cause: a second SIGTERM or SIGINT cancelled the context of the stop, in both programs.

Change: only a second SIGINT does, a Ctrl-C at a terminal. Both programs use internal/stopsignal.

Before: with the former rule, TestOnlyASecondInterruptEndsAStop fails for a repeated SIGTERM and for mixed signals.

--- a/cmd/chestnut-gateway/main.go
+++ b/cmd/chestnut-gateway/main.go
@@ -2,7 +2,6 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"os"
 	"os/signal"
@@ -16,6 +15,7 @@
 
 	"github.com/chestnutfield/chestnutfield/gateway"
 	"github.com/chestnutfield/chestnutfield/internal/logging"
+	"github.com/chestnutfield/chestnutfield/internal/stopsignal"
 	"github.com/chestnutfield/chestnutfield/platform"
 	"github.com/chestnutfield/chestnutfield/settings"
 )
@@ -81,11 +81,11 @@
 }
 
 // serve runs the gateway until SIGTERM or SIGINT and then stops it gracefully. A
-// second such signal aborts the requests that are still in flight.
+// second SIGINT aborts the requests that are still in flight.
 func serve(path string, s *settings.Settings, log *logging.Logger) error {
 	debug.SetGCPercent(gcPercent)
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	signals := stopsignal.Channel()
+	signal.Notify(signals, stopsignal.Signals...)
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
 	store := platform.NewStore(s.Store.Address)
@@ -97,13 +97,9 @@
 		return err
 	}
 	g.Start()
-	reloadUntilStopped(path, g, log, reloads, signals)
-	ctx, cancel := context.WithTimeout(context.Background(), gateway.StopTime(s.Bounds.StopGrace))
+	first := reloadUntilStopped(path, g, log, reloads, signals)
+	ctx, cancel := stopsignal.Context(first, signals, gateway.StopTime(s.Bounds.StopGrace))
 	defer cancel()
-	go func() {
-		<-signals
-		cancel()
-	}()
 	return g.Stop(ctx)
 }
 
@@ -112,15 +108,15 @@
 const settingsCheckInterval = 5 * time.Second
 
 // reloadUntilStopped reloads the settings on a signal on reloads and when their
-// file has changed, until a signal on stop.
-func reloadUntilStopped(path string, g *gateway.Gateway, log *logging.Logger, reloads, stop <-chan os.Signal) {
+// file has changed, until a signal on stop, which it returns.
+func reloadUntilStopped(path string, g *gateway.Gateway, log *logging.Logger, reloads, stop <-chan os.Signal) os.Signal {
 	ticker := time.NewTicker(settingsCheckInterval)
 	defer ticker.Stop()
 	loaded := modTime(path)
 	for {
 		select {
-		case <-stop:
-			return
+		case s := <-stop:
+			return s
 		case <-reloads:
 			loaded = modTime(path)
 			reload(path, g, log)
--- a/cmd/chestnutd/main.go
+++ b/cmd/chestnutd/main.go
@@ -2,17 +2,16 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"os"
 	"os/signal"
-	"syscall"
 
 	"github.com/alecthomas/kong"
 	"go.uber.org/zap"
 
 	"github.com/chestnutfield/chestnutfield/host"
 	"github.com/chestnutfield/chestnutfield/internal/logging"
+	"github.com/chestnutfield/chestnutfield/internal/stopsignal"
 	"github.com/chestnutfield/chestnutfield/settings"
 )
 
@@ -62,21 +61,16 @@
 }
 
 // serve runs the host until SIGTERM or SIGINT and then stops it gracefully. A
-// second such signal aborts the requests that are still in flight.
+// second SIGINT aborts the requests that are still in flight.
 func serve(s *settings.Settings, log *zap.Logger) error {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	signals := stopsignal.Channel()
+	signal.Notify(signals, stopsignal.Signals...)
 	h, err := host.New(s, host.Options{Logger: log})
 	if err != nil {
 		return err
 	}
 	h.Start()
-	<-signals
-	ctx, cancel := context.WithTimeout(context.Background(), s.Limits.DrainTimeout)
+	ctx, cancel := stopsignal.Context(<-signals, signals, s.Limits.DrainTimeout)
 	defer cancel()
-	go func() {
-		<-signals
-		cancel()
-	}()
 	return h.Stop(ctx)
 }
