proxy: an order that may have run is never answered with 408

Cause: the reply for the failed body replaced the target's answer, or the 504, whatever the target had done.

Change: an accepted answer of the target is passed on although the body is not complete; without one, a body that stalls after the dispatch ends with 504 unknown.

--- a/proxy/finish.go
+++ b/proxy/finish.go
@@ -74,8 +74,7 @@
 // finish answers a call that the state machine ended.
 func (c *call) finish(end attempt.End) {
 	if c.overrideReply != nil {
-		c.overrideReply.outcome = end.Outcome
-		c.refuse(c.overrideReply)
+		c.refuse(c.overrideReply.afterDispatch(end.Outcome))
 		return
 	}
 	if end.Reason == outcome.Stopping {
--- a/proxy/localreply.go
+++ b/proxy/localreply.go
@@ -82,6 +82,17 @@
 	return &localReply{status: reasonStatus[reason], reason: reason, outcome: o, detail: detail}
 }
 
+// afterDispatch returns the reply for a request that was passed on to a target. Callers
+// take a 408 for the promise that the request has not run.
+func (p *localReply) afterDispatch(o outcome.Outcome) *localReply {
+	sent := *p
+	sent.outcome = o
+	if o != outcome.NotRun && p.status == fasthttp.StatusRequestTimeout {
+		sent.status, sent.reason = fasthttp.StatusGatewayTimeout, outcome.UpstreamTimeout
+	}
+	return &sent
+}
+
 func malformed(detail string) *localReply {
 	p := newLocalReply(outcome.BadRequest, outcome.NotRun, detail)
 	p.closesConnection = true
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -22,14 +23,16 @@
 // same time: an upstream may refuse before the body is complete.
 func (c *call) sendStreamed(t *upstreamAttempt, x *upstream.Exchange) error {
 	sent := make(chan error, 1)
+	var answered atomic.Bool
 	go func() {
 		err := c.streamBody(t, x)
-		if errors.Is(err, errCallerBody) {
+		if errors.Is(err, errCallerBody) && !answered.Load() {
 			x.Cancel()
 		}
 		sent <- err
 	}()
 	headerErr := c.readMatchingHeader(x)
+	answered.Store(headerErr == nil)
 	// A failure of the caller's body is stored before it cancels the
 	// exchange.
 	bodyFailed := c.bodyFailed.Load()
@@ -40,12 +43,9 @@
 			c.stopReading()
 		}
 	}
+	// Without the rest of the body, the target's answer stands: the request has run.
 	sendErr := <-sent
 	t.requestSent = sendErr == nil
-	if accepted && errors.Is(sendErr, errCallerBody) {
-		c.overrideReply = c.bodyFailed.Load()
-		return sendErr
-	}
 	if headerErr != nil {
 		c.overrideReply = bodyFailed
 	}
