keepaccept: servers outlive errors of accept

Cause: HTTP servers take most errors of accept for permanent and end.

Change: the listeners of both programs repeat a failed accept until they are closed.

Before: the spec "a server goes on taking connections after a shortage of file descriptors" fails (no answer within 20 s).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/chestnutfield/chestnutfield/detour"
 	"github.com/chestnutfield/chestnutfield/dialect"
 	"github.com/chestnutfield/chestnutfield/hostmsg"
+	"github.com/chestnutfield/chestnutfield/internal/keepaccept"
 	"github.com/chestnutfield/chestnutfield/placement"
 	"github.com/chestnutfield/chestnutfield/proxy"
 	"github.com/chestnutfield/chestnutfield/quarantine"
@@ -172,8 +173,8 @@
 	g.loops.Go(func() { g.monitor.Run(ctx) })
 	g.loops.Go(func() { g.quota.Run(ctx) })
 	g.serve("mesh", g.node.Run)
-	g.serve("news", func() error { return g.follower.Serve(g.peersLn) })
-	g.serve("ready", func() error { return g.ready.serve(g.readyLn) })
+	g.serve("news", func() error { return g.follower.Serve(keepaccept.Wrap(g.peersLn, "news", g.log)) })
+	g.serve("ready", func() error { return g.ready.serve(keepaccept.Wrap(g.readyLn, "ready", g.log)) })
 	g.serve("callers", func() error { return g.proxy.Serve(g.callersLn) })
 	if g.relayLn != nil {
 		g.serve("relay", func() error { return g.relayServer.Serve(g.relayLn) })
--- a/host/run.go
+++ b/host/run.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/chestnutfield/chestnutfield/connmux"
+	"github.com/chestnutfield/chestnutfield/internal/keepaccept"
 )
 
 const (
@@ -75,7 +76,7 @@
 	h.serve("peers address", h.mux.Serve)
 	h.serve("exchange", func() error { return h.components.node.Serve(h.mux.Matched()) })
 	h.serve("owner", func() error { return h.components.peerServer.Serve(h.mux.Others()) })
-	h.serve("admin", func() error { return h.components.admin.Serve(h.listeners.admin) })
+	h.serve("admin", func() error { return h.components.admin.Serve(keepaccept.Wrap(h.listeners.admin, "admin", h.log)) })
 	h.serve("callers", func() error { return h.components.callerServer.Serve(h.listeners.callers) })
 }
 
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/time/rate"
 
+	"github.com/chestnutfield/chestnutfield/internal/keepaccept"
 	"github.com/chestnutfield/chestnutfield/internal/logging"
 	"github.com/chestnutfield/chestnutfield/internal/token"
 	"github.com/chestnutfield/chestnutfield/outcome"
@@ -159,7 +160,7 @@
 	done := make(chan struct{})
 	defer close(done)
 	go s.closeIdle(done)
-	err := s.http.Serve(&callerListener{Listener: ln, server: s})
+	err := s.http.Serve(&callerListener{Listener: keepaccept.Wrap(ln, "callers", s.opts.Logger), server: s})
 	if s.stopping.Load() {
 		return nil
 	}
