--- a/proxy/stop.go
+++ b/proxy/stop.go
@@ -270,7 +270,9 @@
 
 // waitEnded reports whether the host's stop, not the end of the call, has ended the wait
 // for a target.
-func (c *call) waitEnded() bool { return c.stop.waiting.Err() != nil && c.ctx.Err() == nil }
+func (c *call) waitEnded() bool {
+	return c.server.schedule.Load() != nil && c.stop.waiting.Err() != nil && c.ctx.Err() == nil
+}
 
 // stopRefusalOr returns the refusal of a request that the host's stop has kept from
 // waiting longer, otherwise r.
