--- a/attempt/machine_test.go
+++ b/attempt/machine_test.go
@@ -98,11 +98,27 @@
 		Entry("expired in the queue", nil, Expired, End{outcome.NotRun, outcome.DeadlinePassed}),
 		Entry("expired while connecting", []EventKind{Admitted, Picked}, Expired, End{outcome.NotRun, outcome.DeadlinePassed}),
 		Entry("expired after sending", []EventKind{Admitted, Picked, Sending}, Expired, End{outcome.Unknown, outcome.UpstreamTimeout}),
+		Entry("host stopped while in the queue", nil, HostStopped, End{outcome.NotRun, outcome.Stopping}),
+		Entry("host stopped while connecting", []EventKind{Admitted, Picked}, HostStopped, End{outcome.NotRun, outcome.Stopping}),
+		Entry("host stopped after sending", []EventKind{Admitted, Picked, Sending}, HostStopped, End{outcome.Unknown, outcome.Interrupted}),
 		Entry("cancelled in the queue", nil, Cancelled, End{outcome.NotRun, outcome.CallerGone}),
 		Entry("cancelled after sending", []EventKind{Admitted, Picked, Sending}, Cancelled, End{outcome.Unknown, outcome.CallerGone}),
 	)
 })
 
+// Guards against a response that is broken off at the end of a planned stop although
+// there is time to forward the rest.
+var _ = It("a response that is being forwarded goes on when its host stops", func() {
+	now := time.Unix(1_700_000_000, 0)
+	m := New(Config{Deadline: now.Add(time.Minute)})
+	for _, ev := range []Event{{Kind: Admitted}, {Kind: Picked, Attempt: 1}, {Kind: Sending, Attempt: 1}, {Kind: HeaderReceived, Attempt: 1, Status: 200}} {
+		ev.At = now
+		m.Step(ev)
+	}
+	Expect(m.Step(Event{Kind: HostStopped, At: now}).Kind).To(Equal(Wait))
+	Expect(m.Step(Event{Kind: ResponseComplete, Attempt: 1, At: now}).End).To(Equal(End{Outcome: outcome.Ran}))
+})
+
 var _ = Describe("A hedge", func() {
 	It("counts as one of the retries that the route allows", func() {
 		now := time.Unix(1_700_000_000, 0)
--- a/attempt/property_test.go
+++ b/attempt/property_test.go
@@ -78,7 +78,7 @@
 }
 
 var eventKinds = rapid.SampledFrom([]EventKind{Admitted, Refused, Picked, NoTarget, Sending, ConnectFailed, ConnectionLost,
-	HeaderReceived, ResponseComplete, ResponseTruncated, HedgeDue, Cancelled, Expired})
+	HeaderReceived, ResponseComplete, ResponseTruncated, HedgeDue, Cancelled, Expired, HostStopped})
 
 // TestInvariantsHoldForAnyEventOrder reports events in random order, including
 // orders that no driver produces.
