storesync: a target that names an earlier start is believed when it leaves

Cause: entries are ordered by the start that they name; one that names an earlier start was ignored for as long as the target lived.

Change: whether a target leaves follows the last reading. That it leaves is believed at once, that it stays when the same process has written again; a late write of a former process is corrected by the next heartbeat of the living one.

Before: TestTargetWhoseClockWasSetBackLeaves, TestLateWriteOfAFormerProcessIsCorrected and TestTargetThatStartedAgainComesBack fail.

--- a/storesync/registry.go
+++ b/storesync/registry.go
@@ -171,7 +171,7 @@
 	f.noteEra(began, r.Version)
 	outdated, entries := lo.FilterReject(r.Entries, func(e registry.Entry, _ int) bool { return f.tracker.Outdated(e) })
 	f.registry.replace(r.Version, began, entries, lo.Map(outdated, func(e registry.Entry, _ int) string { return e.ID })...)
-	f.applyChanges(f.tracker.ApplyListing(began, entries))
+	f.applyChanges(f.tracker.ApplyListing(began, f.registry.list()))
 }
 
 // noteEra prepares for data of a version whose era this host has not seen yet:
--- a/storesync/registry_state.go
+++ b/storesync/registry_state.go
@@ -36,6 +36,9 @@
 	// contradicted holds the entries of the last reading that this host knows
 	// better.
 	contradicted map[string]struct{}
+	// earlierStarts holds the last entries that name an earlier start of their target
+	// than the known ones.
+	earlierStarts map[string]registry.Entry
 	// gaps are the versions between the last reading of an era and the first one of
 	// the next: what another host read there is unknown here.
 	gaps []versionGap
@@ -58,7 +61,7 @@
 const maxGaps = 16
 
 func newRegistryState() *registryState {
-	return &registryState{entries: map[string]registry.Entry{}, changed: map[string]uint64{}, warmupEnds: map[string]time.Time{}}
+	return &registryState{entries: map[string]registry.Entry{}, changed: map[string]uint64{}, warmupEnds: map[string]time.Time{}, earlierStarts: map[string]registry.Entry{}}
 }
 
 // replace sets the state to a complete reading. Readings and entries older than
@@ -93,8 +96,10 @@
 	before, known := s.entries[e.ID]
 	if known && e.Older(before) {
 		contradicted[e.ID] = struct{}{}
+		s.followState(version, before, e)
 		return
 	}
+	delete(s.earlierStarts, e.ID)
 	s.entries[e.ID] = e
 	warmupEnd := at.Add(e.WarmupLeft)
 	moved := before.Sequence != e.Sequence && registry.WarmupMoved(at, s.warmupEnds[e.ID], warmupEnd)
@@ -104,9 +109,30 @@
 	}
 }
 
+// followState applies to a known entry whether its target leaves, as a later reading
+// says that names an earlier start. It is either a late write of the process before, or
+// the target has started again and its clock was set back. A target that says that it
+// leaves is believed at once: if the write was late, the next one of the living process
+// corrects that. That it stays is believed when the same process has written again.
+func (s *registryState) followState(version uint64, known, e registry.Entry) {
+	if e.StartedMillis == known.StartedMillis {
+		return
+	}
+	last, seen := s.earlierStarts[e.ID]
+	s.earlierStarts[e.ID] = e
+	writesOn := seen && last.Instance == e.Instance && last.Sequence < e.Sequence
+	if e.Leaving == known.Leaving || !e.Leaving && !writesOn {
+		return
+	}
+	known.Leaving = e.Leaving
+	s.entries[e.ID] = known
+	s.markChanged(version, e.ID)
+}
+
 func (s *registryState) remove(version uint64, id string) {
 	delete(s.entries, id)
 	delete(s.warmupEnds, id)
+	delete(s.earlierStarts, id)
 	s.markChanged(version, id)
 }
 
