--- a/lab/soak/caller.go
+++ b/lab/soak/caller.go
@@ -57,8 +57,30 @@
 	// orderShare is the share of requests that are orders.
 	orderShare     = 0.4
 	orderBodyBytes = 2_000
+	// slowOrderShare is the share of orders whose body is sent in two parts, with a
+	// pause of up to maxBodyPause between them.
+	slowOrderShare = 0.05
+	maxBodyPause   = 1200 * time.Millisecond
 )
 
+// pausingReader pauses once, after half of a body.
+type pausingReader struct {
+	*strings.Reader
+	pause time.Duration
+}
+
+// Read implements io.Reader.
+func (r *pausingReader) Read(p []byte) (int, error) {
+	half := int(r.Size() / 2)
+	switch read := int(r.Size()) - r.Len(); {
+	case read < half:
+		return r.Reader.Read(p[:min(len(p), half-read)])
+	case read == half:
+		time.Sleep(r.pause)
+	}
+	return r.Reader.Read(p)
+}
+
 // rotation tracks by readiness checks which hosts receive new connections, as the
 // balancer in front of the hosts does.
 type rotation struct {
@@ -170,12 +192,18 @@
 	method, id, body string
 	// key is the caller's key, "" for none.
 	key string
+	// pause is the pause in the middle of the body.
+	pause time.Duration
 }
 
 // send sends one lookup or order and returns its result.
 func send(client *http.Client, h *host, order bool, id, key string) RequestResult {
 	if order {
-		return sendTo(client, h, orderPrefix, request{method: http.MethodPost, id: id, body: strings.Repeat("x", orderBodyBytes), key: key})
+		r := request{method: http.MethodPost, id: id, body: strings.Repeat("x", orderBodyBytes), key: key}
+		if rand.Float64() < slowOrderShare {
+			r.pause = rand.N(maxBodyPause)
+		}
+		return sendTo(client, h, orderPrefix, r)
 	}
 	return sendTo(client, h, lookupPrefix, request{method: http.MethodGet, id: id, key: key})
 }
@@ -193,11 +221,12 @@
 		RequestID: r.id, Order: r.method == http.MethodPost, Key: r.key, Host: h.name, Incarnation: h.incarnation(), Sent: time.Now(),
 	}
 	headers := platform.Dialect()
-	req, err := http.NewRequest(r.method, "http://"+h.callersAddr+path, strings.NewReader(r.body))
+	req, err := http.NewRequest(r.method, "http://"+h.callersAddr+path, &pausingReader{strings.NewReader(r.body), r.pause})
 	if err != nil {
 		s.Err = err
 		return s
 	}
+	req.ContentLength = int64(len(r.body))
 	// Without GetBody the transport cannot resend the request by itself.
 	req.GetBody = nil
 	if r.body == "" {
