proxy: a request may be passed on until, not at, the time of the decision

With a clock that stands still, the spec "does not begin to stream the body of a request" passed a request on in 5 of some 50 runs under the race detector beside load.

--- a/proxy/stop.go
+++ b/proxy/stop.go
@@ -262,7 +262,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if latest := c.latestDispatch(s); c.waitEnded() || latest.Before(c.deadline) && c.now().After(latest) {
+	if latest := c.latestDispatch(s); c.waitEnded() || latest.Before(c.deadline) && !c.now().Before(latest) {
 		return outcome.Stopping
 	}
 	return 0
