--- a/proxy/callstop.go
+++ b/proxy/callstop.go
@@ -196,7 +196,8 @@
 }
 
 // hostStopped ends the call unless its response is being forwarded; false when it goes
-// on or had ended.
+// on or had ended. A request that is still being received ends when its body can't be read
+// any further.
 func (c *call) hostStopped() bool {
 	c.endWait()
 	c.mu.Lock()
