--- a/review/scenarios/leftupload.go
+++ b/review/scenarios/leftupload.go
@@ -8,15 +8,24 @@
 	"time"
 )
 
+// The load of the case: a few clients send long requests one after another, others short
+// ones to the same service. Clients leave during two spells, within the dose of give_up.
 const (
-	leftBody   = 200_000
-	leftSent   = 120_000
-	leftRounds = 150
+	longClients   = 7
+	leavingOfLong = 4
+	shortClients  = 7
+	longBody      = 200_000
+	sentAtLeave   = 120_000
+	leaveAfter    = 60 * time.Millisecond
+	spell         = 5 * time.Second
+	calm          = 3 * time.Second
+	spells        = 3
+	longDeadline  = 2 * time.Second
 )
 
 // leftUpload: clients leave in the middle of a long body that its target has answered
-// early. The target keeps the connection and reads on; it counts other bytes that it
-// gets where the rest of the body is due.
+// early. The target keeps the connection and reads on; the case counts the requests in
+// whose bodies the target gets other bytes than their client's.
 func leftUpload(d *deployment, trouble bool) (int, error) {
 	var foreign, early atomic.Int64
 	stop := make(chan struct{})
@@ -38,13 +47,12 @@
 		n, err := io.ReadFull(c.br, rest)
 		if i := bytes.IndexFunc(rest[:n], func(r rune) bool { return r != 'b' }); i >= 0 {
 			foreign.Add(1)
-			end := min(i+160, n)
-			d.record.add("target %s connection %d: request %s: byte %d of the body is not the client's: %q", c.target.id, c.number, q.id(), len(first)+i, rest[i:end])
+			d.record.add("target %s connection %d: request %s: from byte %d of %d on, the body is not its client's: %q", c.target.id, c.number, q.id(), len(first)+i, q.length, rest[i:min(i+160, n)])
 		}
 		return err == nil
 	}
 	for _, id := range []string{"i-one", "i-two"} {
-		t, err := newTarget(id, "intake", 4, d.record, serve)
+		t, err := newTarget(id, "intake", 6, d.record, serve)
 		if err != nil {
 			return 0, err
 		}
@@ -62,15 +70,22 @@
 		return 0, err
 	}
 	var clients sync.WaitGroup
+	var leaving atomic.Bool
 	end := make(chan struct{})
-	for range 4 {
+	for range shortClients {
 		clients.Go(func() { viewUntil(d, d.hosts[0], end) })
 	}
-	for range leftRounds {
-		if err := postAndLeave(d, d.hosts[0], trouble); err != nil {
-			d.record.add("client: %v", err)
-		}
-		time.Sleep(20 * time.Millisecond)
+	for i := range longClients {
+		clients.Go(func() { postUntil(d, d.hosts[0], i < leavingOfLong, &leaving, end) })
+	}
+	time.Sleep(calm)
+	for range spells {
+		leaving.Store(trouble)
+		d.record.add("spell in which clients leave begins: %v", trouble)
+		time.Sleep(spell)
+		leaving.Store(false)
+		d.record.add("spell ends")
+		time.Sleep(calm)
 	}
 	close(end)
 	clients.Wait()
@@ -85,7 +100,7 @@
 		select {
 		case <-end:
 			return
-		case <-time.After(5 * time.Millisecond):
+		case <-time.After(30 * time.Millisecond):
 		}
 		if c == nil {
 			var err error
@@ -96,39 +111,53 @@
 		id := newID()
 		_, _ = io.WriteString(c, head("GET", "desk.example", "/view/1", id, 2*time.Second, -1))
 		a := c.read("GET", time.Now().Add(2500*time.Millisecond))
+		d.record.add("client: GET %s: %v", id, a)
 		if a.err != nil || a.status != 200 {
-			d.record.add("client: GET %s: %v", id, a)
 			_ = c.Close()
 			c = nil
 		}
 	}
 }
 
-// postAndLeave sends a long request; with trouble, the client leaves before it has sent
-// all of it.
-func postAndLeave(d *deployment, h *host, trouble bool) error {
+// postUntil sends long requests, each on a new connection, until end is closed. A client
+// that leaves does so while leaving is set.
+func postUntil(d *deployment, h *host, leaves bool, leaving *atomic.Bool, end <-chan struct{}) {
+	body := bytes.Repeat([]byte("b"), longBody)
+	for {
+		select {
+		case <-end:
+			return
+		case <-time.After(30 * time.Millisecond):
+		}
+		post(d, h, body, leaves && leaving.Load())
+	}
+}
+
+// post sends one long request. A client that leaves closes its connection before it has
+// sent all of the body.
+func post(d *deployment, h *host, body []byte, leave bool) {
 	c, err := dialClient(h.callers)
 	if err != nil {
-		return err
+		return
 	}
 	defer c.Close()
 	id := newID()
-	if _, err := io.WriteString(c, head("POST", "desk.example", "/post/1", id, 2*time.Second, leftBody)); err != nil {
-		return err
+	_ = c.SetWriteDeadline(time.Now().Add(longDeadline))
+	if _, err := io.WriteString(c, head("POST", "desk.example", "/post/1", id, longDeadline, len(body))); err != nil {
+		return
 	}
-	body := bytes.Repeat([]byte("b"), leftBody)
-	if _, err := c.Write(body[:leftSent]); err != nil {
-		return err
+	if _, err := c.Write(body[:sentAtLeave]); err != nil {
+		d.record.add("client: POST %s: %v", id, err)
+		return
 	}
-	time.Sleep(60 * time.Millisecond)
-	if trouble {
-		d.record.add("client: POST %s: leaves after %d of %d bytes", id, leftSent, leftBody)
-		return nil
+	time.Sleep(leaveAfter)
+	if leave {
+		d.record.add("client: POST %s: leaves after %d of %d bytes", id, sentAtLeave, len(body))
+		return
 	}
-	if _, err := c.Write(body[leftSent:]); err != nil {
-		return err
+	if _, err := c.Write(body[sentAtLeave:]); err != nil {
+		d.record.add("client: POST %s: %v", id, err)
+		return
 	}
-	a := c.read("POST", time.Now().Add(2*time.Second))
-	d.record.add("client: POST %s: %v", id, a)
-	return nil
+	d.record.add("client: POST %s: %v", id, c.read("POST", time.Now().Add(longDeadline)))
 }
