--- a/review/scenarios/main.go
+++ b/review/scenarios/main.go
@@ -17,8 +17,9 @@
 
 // scenarios are the cases by name. A case returns how often its rule was broken.
 var scenarios = map[string]func(d *deployment, trouble bool) (int, error){
-	"left-upload":  leftUpload,
-	"grey-refusal": greyRefusal,
+	"left-upload":    leftUpload,
+	"grey-refusal":   greyRefusal,
+	"spoiled-header": spoiledHeader,
 }
 
 func main() {
