--- a/review/scenarios/client.go
+++ b/review/scenarios/client.go
@@ -65,6 +65,9 @@
 	if err != nil {
 		return answer{err: err}
 	}
+	if resp.Close {
+		resp.Header.Set("Connection", "close")
+	}
 	body, err := io.ReadAll(resp.Body)
 	a = answer{status: resp.StatusCode, signature: resp.Header.Get("Response-Signature"), id: resp.Header.Get("Request-Id"), body: string(body), header: resp.Header, err: err}
 	return a
