--- a/review/scenarios/main.go
+++ b/review/scenarios/main.go
@@ -20,6 +20,7 @@
 	"left-upload":    leftUpload,
 	"grey-refusal":   greyRefusal,
 	"spoiled-header": spoiledHeader,
+	"crowded-host":   crowdedHost,
 }
 
 func main() {
