--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 plays the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/chestnut-gateway ] && [ -x target/review-2/scenarios ] || exit 2
-exec target/review-2/scenarios crowded-host review/9
+exec target/review-2/scenarios grey-refusal review/9
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-go build -o target/review-2/ ./review/scenarios
+go build -tags review -o target/review-2/ ./review/scenarios
--- a/review/scenarios/deployment.go
+++ b/review/scenarios/deployment.go
@@ -1,9 +1,10 @@
+//go:build review
+
 package main
 
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -81,21 +82,48 @@
 
 // configure writes a configuration as the operator does.
 func (d *deployment) configure(version int, routes []route, services ...string) {
+	d.configureTenants(version, routes, nil, services...)
+}
+
+// configureTenants writes a configuration with tenants; nil writes one without.
+func (d *deployment) configureTenants(version int, routes []route, tenants []tenantEntry, services ...string) {
 	list := []service{}
 	for _, s := range services {
 		list = append(list, service{Name: s, HealthPath: healthPath, MaxConns: 240, Protocol: "h1"})
 	}
-	d.store.Put("op", "config", map[string]any{
+	c := map[string]any{
 		"version": version, "routes": routes, "services": list,
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutS": 3, "idleTimeoutS": 15},
-	})
+	}
+	if tenants != nil {
+		c["tenants"] = tenants
+	}
+	d.store.Put("op", "config", c)
 	d.record.add("operator writes configuration %d", version)
 }
 
-// register writes a target's entry now and with each heartbeat until stop is closed.
-func (d *deployment) register(t *target, stop <-chan struct{}) {
+// tenantEntry is a tenant of the operator's configuration.
+type tenantEntry struct {
+	Name     string   `json:"name"`
+	APIKeys  []string `json:"apiKeys"`
+	RatePerS float64  `json:"ratePerS"`
+	Burst    float64  `json:"burst"`
+}
+
+// The faults of the store.
+const (
+	healthy  = fakestore.None
+	refusing = fakestore.Refusing
+)
+
+// register writes a target's entry now and with each heartbeat until stop is closed. It
+// returns a function that writes it at once.
+func (d *deployment) register(t *target, stop <-chan struct{}) (write func()) {
+	var mu sync.Mutex
 	born, seq := time.Now().UnixMilli(), 0
-	write := func() {
+	write = func() {
+		mu.Lock()
+		defer mu.Unlock()
 		seq++
 		d.store.Put("servers", t.id, map[string]any{
 			"service": t.service, "address": t.addr(), "zone": failureDomain, "version": "v1", "slots": t.slots,
@@ -115,13 +143,14 @@
 			}
 		}
 	}()
+	return write
 }
 
 // host is one entry host.
 type host struct {
-	name, callers, ready, settings, log string
-	first                               bool
-	template                            func(first bool) string
+	name, callers, ready, peers, settings, log string
+	first                                      bool
+	template                                   func(first bool) string
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
@@ -159,7 +188,7 @@
 	}
 	for i := range n {
 		a := addrs[4*i:]
-		h := &host{name: fmt.Sprintf("edge-%s-%d", failureDomain, i+1), callers: a[0], ready: a[1], first: true}
+		h := &host{name: fmt.Sprintf("edge-%s-%d", failureDomain, i+1), callers: a[0], ready: a[1], peers: a[2], first: true}
 		h.settings, h.log = filepath.Join(d.dir, h.name+".ini"), filepath.Join(d.dir, h.name+".log")
 		storeAddr := d.store.Addr().String()
 		h.template = func(first bool) string {
@@ -273,5 +302,3 @@
 	}
 	return out
 }
-
-var _ = json.Marshal
--- a/review/scenarios/main.go
+++ b/review/scenarios/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command scenarios plays the cases of an independent review: entry hosts as processes,
 // with stand-ins of the store, targets and clients on loopback addresses.
 package main
@@ -21,6 +23,7 @@
 	"grey-refusal":   greyRefusal,
 	"spoiled-header": spoiledHeader,
 	"crowded-host":   crowdedHost,
+	"restored-store": restoredStore,
 }
 
 func main() {
--- a/review/scenarios/target.go
+++ b/review/scenarios/target.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -21,8 +23,6 @@
 	ln          net.Listener
 	// serve answers a request; false closes the connection.
 	serve func(c *targetConn, q *request) bool
-	// admit, if set, tells which connections are accepted; others are reset.
-	admit func(c net.Conn) bool
 
 	mu      sync.Mutex
 	running int
@@ -66,11 +66,6 @@
 		if err != nil {
 			return
 		}
-		if t.admit != nil && !t.admit(nc) {
-			_ = nc.(*net.TCPConn).SetLinger(0)
-			_ = nc.Close()
-			continue
-		}
 		t.mu.Lock()
 		t.nextID++
 		c := &targetConn{Conn: nc, br: bufio.NewReaderSize(nc, 64<<10), target: t, number: t.nextID}
