--- a/review/scenarios/deployment.go
+++ b/review/scenarios/deployment.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -12,7 +11,6 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -266,16 +264,6 @@
 	return fmt.Errorf("host %s is not ready after %v", h.name, limit)
 }
 
-// ended reports whether the current process has ended.
-func (h *host) ended() bool {
-	select {
-	case <-h.done:
-		return true
-	default:
-		return false
-	}
-}
-
 func (h *host) signal(s syscall.Signal) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -291,14 +279,3 @@
 		<-h.done
 	}
 }
-
-// logLines returns the log lines of a host that contain a text.
-func (h *host) logLines(text string) (out []string) {
-	data, _ := os.ReadFile(h.log)
-	for line := range bytes.Lines(data) {
-		if strings.Contains(string(line), text) {
-			out = append(out, strings.TrimSpace(string(line)))
-		}
-	}
-	return out
-}
--- a/review/scenarios/restoredstore.go
+++ b/review/scenarios/restoredstore.go
@@ -38,7 +38,6 @@
 func restoredStore(d *deployment, trouble bool) (int, error) {
 	var mu sync.Mutex
 	var runs []time.Time
-	sentAt := map[string]time.Time{}
 	stop := make(chan struct{})
 	defer close(stop)
 	serve := func(c *targetConn, q *request) bool {
@@ -90,9 +89,6 @@
 				case <-time.After(100 * time.Millisecond):
 				}
 				id := newID()
-				mu.Lock()
-				sentAt[id] = time.Now()
-				mu.Unlock()
 				h := d.hosts[i%len(d.hosts)]
 				d.record.add("client: GET %s at %s: %s", id, h.name, tenantRequest(h, id))
 			}
@@ -139,8 +135,8 @@
 	return max(most-allowed, 0), nil
 }
 
-// quotaRoles returns the host that reads the store for all, and the name of a tenant whose
-// quota host is another for each host that knows only itself and the reader.
+// quotaRoles returns the host that reads the store for all, and the name of a tenant for
+// whose quota most hosts rank before that one.
 func quotaRoles(d *deployment) (reader *host, tenant string, err error) {
 	var all []roster.Host
 	for _, h := range d.hosts {
