http1: one decision on what is an HTTP/1.1 response

Requests take their rules for names and values from it now; their behaviour is unchanged. No response is read through it yet.

Ruled out: checking what a parser returns. fasthttp gives a status of 000 as 200, cuts spaces before a colon and skips lines without a name; net/http accepts 000.

--- a/proxy/headerlines.go
+++ b/proxy/headerlines.go
@@ -100,34 +100,6 @@
 	return false
 }
 
-var tokenBytes = func() (t [256]bool) {
-	for c := range t {
-		b := byte(c)
-		letter := 'a' <= b|0x20 && b|0x20 <= 'z'
-		t[c] = letter || '0' <= b && b <= '9' || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
-	}
-	return t
-}()
-
-func isToken(name []byte) bool {
-	for _, c := range name {
-		if !tokenBytes[c] {
-			return false
-		}
-	}
-	return len(name) > 0
-}
-
-// isFieldValue allows visible characters, spaces, tabs and bytes above ASCII.
-func isFieldValue(value []byte) bool {
-	for _, c := range value {
-		if c < ' ' && c != '\t' || c == 0x7f {
-			return false
-		}
-	}
-	return true
-}
-
 // isTarget allows a target in origin form, or the "*" of OPTIONS.
 func isTarget(target string) bool {
 	if target == "*" {
@@ -158,13 +130,3 @@
 }
 
 func isHex(c byte) bool { return '0' <= c && c <= '9' || 'a' <= c|0x20 && c|0x20 <= 'f' }
-
-func trimSpace(b []byte) []byte {
-	for len(b) > 0 && (b[0] == ' ' || b[0] == '\t') {
-		b = b[1:]
-	}
-	for len(b) > 0 && (b[len(b)-1] == ' ' || b[len(b)-1] == '\t') {
-		b = b[:len(b)-1]
-	}
-	return b
-}
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
+	"github.com/chestnutfield/chestnutfield/http1"
 	"github.com/chestnutfield/chestnutfield/router"
 )
 
@@ -163,11 +164,11 @@
 	if colon < 1 {
 		return malformed("header line has no name")
 	}
-	l := headerLine{name: content[:colon], value: trimSpace(content[colon+1:]), whole: line}
-	if !isToken(l.name) {
+	l := headerLine{name: content[:colon], value: http1.TrimSpace(content[colon+1:]), whole: line}
+	if !http1.IsToken(l.name) {
 		return malformed("header name has a forbidden byte")
 	}
-	if !isFieldValue(l.value) {
+	if !http1.IsFieldValue(l.value) {
 		return malformed("header value has a forbidden byte")
 	}
 	l.kind = s.names.kindOf(l.name)
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chestnutfield/chestnutfield/attempt"
+	"github.com/chestnutfield/chestnutfield/http1"
 	"github.com/chestnutfield/chestnutfield/lb"
 	"github.com/chestnutfield/chestnutfield/outcome"
 )
@@ -129,7 +130,7 @@
 		raw = rest
 		name, value, ok := splitHeaderLine(line)
 		if ok && kindOf(name) == lineConnection {
-			scan.addConnectionOptions(trimSpace(bytes.TrimSuffix(value, []byte("\r"))))
+			scan.addConnectionOptions(http1.TrimSpace(bytes.TrimSuffix(value, []byte("\r"))))
 		}
 	}
 	return scan.connectionOptions
