upstream: responses of targets and hosts that are not HTTP/1.1 reach no caller

Cause: what is a response was left to fasthttp's parser, which repairs. StatusCode() gives the number 0 as 200, names are cut at the space before the colon, reasons are not checked, trailer lines with other names are left out. The checks before it looked at line ends and the version alone.

Now every connection to a target or another host is read through http1.Reader. A rejected response ends the attempt like a lost connection: another target for a lookup, 502 with the outcome unknown for an order, a cut for one that is being streamed. Its connection is closed; a log line names the sender and the reason, chestnut_malformed_responses_total counts it. The checks of line ends and Transfer-Encoding in upstream go, http1 has them.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/chestnutfield/chestnutfield/detour"
 	"github.com/chestnutfield/chestnutfield/dialect"
 	"github.com/chestnutfield/chestnutfield/hostmsg"
+	"github.com/chestnutfield/chestnutfield/http1"
 	"github.com/chestnutfield/chestnutfield/internal/keepaccept"
 	"github.com/chestnutfield/chestnutfield/placement"
 	"github.com/chestnutfield/chestnutfield/proxy"
@@ -57,6 +58,9 @@
 	Logger *zap.Logger
 	// Registry receives the metrics; nil selects a new one.
 	Registry *prometheus.Registry
+	// Responses counts and logs the responses that are not HTTP/1.1; nil selects a new
+	// one with Logger and Registry.
+	Responses *http1.Monitor
 	// Clock is the time source; nil selects the real clock.
 	Clock clockwork.Clock
 }
@@ -102,6 +106,12 @@
 	if o.Clock == nil {
 		o.Clock = clockwork.NewRealClock()
 	}
+	if o.Responses == nil {
+		var err error
+		if o.Responses, err = http1.NewMonitor(o.Logger, o.Registry); err != nil {
+			return nil, err
+		}
+	}
 	i := do.New()
 	do.ProvideValue(i, s)
 	do.ProvideValue(i, o)
--- a/gateway/providers.go
+++ b/gateway/providers.go
@@ -62,6 +62,7 @@
 		// A new connection also for each order that is handed over: a peer that stops
 		// may close an idle connection just as an order is being written to it.
 		NonIdempotentPeerMaxIdle: -1,
+		Responses:                o.Responses,
 	}), nil
 }
 
--- a/host/forwarding.go
+++ b/host/forwarding.go
@@ -11,6 +11,7 @@
 	"github.com/chestnutfield/chestnutfield/config"
 	"github.com/chestnutfield/chestnutfield/handoff"
 	"github.com/chestnutfield/chestnutfield/hedge"
+	"github.com/chestnutfield/chestnutfield/http1"
 	"github.com/chestnutfield/chestnutfield/lb"
 	"github.com/chestnutfield/chestnutfield/ledger"
 	"github.com/chestnutfield/chestnutfield/limit"
@@ -220,6 +221,7 @@
 		Limits:        callerServerLimits(s),
 		Upstream:      upstream.Options{Dial: do.MustInvoke[Options](i).Dial, PeerTLS: clientTLS(peersTLS), QuietReuses: upstream.DefaultQuietReuses},
 		PeerToken:     s.Peers.Token,
+		Responses:     do.MustInvoke[*http1.Monitor](i),
 	})
 	return callerServer{server}, err
 }
@@ -242,6 +244,7 @@
 		Logger:     do.MustInvoke[*zap.Logger](i).Named("peers"),
 		Limits:     peerServerLimits(s),
 		Upstream:   upstream.Options{Dial: do.MustInvoke[Options](i).Dial, QuietReuses: upstream.DefaultQuietReuses},
+		Responses:  do.MustInvoke[*http1.Monitor](i),
 		PeerServer: &proxy.PeerServerOptions{Token: s.Peers.Token, Load: meter.GroupLoadHeader},
 	})
 	return peerServer{server}, err
--- a/host/providers.go
+++ b/host/providers.go
@@ -2,13 +2,16 @@
 
 import (
 	"github.com/cespare/xxhash/v2"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/do/v2"
+	"go.uber.org/zap"
 
 	"github.com/chestnutfield/chestnutfield/admin"
 	"github.com/chestnutfield/chestnutfield/balance"
 	"github.com/chestnutfield/chestnutfield/config"
 	"github.com/chestnutfield/chestnutfield/discovery"
 	"github.com/chestnutfield/chestnutfield/handoff"
+	"github.com/chestnutfield/chestnutfield/http1"
 	"github.com/chestnutfield/chestnutfield/ledger"
 	"github.com/chestnutfield/chestnutfield/membership"
 	"github.com/chestnutfield/chestnutfield/peer"
@@ -29,6 +32,9 @@
 
 // provide registers the providers of all components.
 func provide(i do.Injector) {
+	do.Provide(i, func(i do.Injector) (*http1.Monitor, error) {
+		return http1.NewMonitor(do.MustInvoke[*zap.Logger](i), do.MustInvoke[*prometheus.Registry](i))
+	})
 	provideCloud(i)
 	provideMembers(i)
 	provideConfig(i)
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -10,6 +10,7 @@
 
 	"github.com/chestnutfield/chestnutfield/dialect"
 	"github.com/chestnutfield/chestnutfield/hedge"
+	"github.com/chestnutfield/chestnutfield/http1"
 	"github.com/chestnutfield/chestnutfield/lb"
 	"github.com/chestnutfield/chestnutfield/patience"
 	"github.com/chestnutfield/chestnutfield/upstream"
@@ -50,6 +51,9 @@
 	PeerServer *PeerServerOptions
 	// PeerToken is sent with requests that are handed over to peers.
 	PeerToken string
+	// Responses counts and logs the responses that are not HTTP/1.1; nil does
+	// neither. A Client has its own.
+	Responses *http1.Monitor
 	Upstream  upstream.Options
 	// Client holds the connections to targets; nil creates one from Upstream.
 	Client *upstream.Client
@@ -210,6 +214,7 @@
 		o.Upstream.Clock = o.Clock
 	}
 	if o.Client == nil {
+		o.Upstream.Responses = o.Responses
 		o.Client = upstream.New(o.Upstream)
 	}
 	if o.RoutesConfirmed == nil {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -11,6 +11,8 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
+
+	"github.com/chestnutfield/chestnutfield/http1"
 )
 
 // Errors of Client.Open. Nothing was sent in either case.
@@ -49,6 +51,9 @@
 	// than that; 0 reuses them at once. Needed where responses don't name their
 	// request.
 	QuietReuses int
+	// Responses counts and logs the responses that are not HTTP/1.1; nil does
+	// neither.
+	Responses *http1.Monitor
 	// PeerTLS is the TLS configuration of connections to peers; nil selects
 	// plain TCP. Peers must not send session tickets: a connection that
 	// receives any record while idle is not reused.
@@ -187,7 +192,11 @@
 		c.observeFailedDial(ctx, o, err)
 		return nil, errors.Wrap(ErrConnect, err.Error())
 	}
-	cn := newConn(nc, t, c.opts.HeaderBytes)
+	source := http1.Target
+	if o.Peer {
+		source = http1.Host
+	}
+	cn := newConn(nc, t, c.opts.HeaderBytes, c.opts.Responses.Observer(source, t.addr.String()))
 	cn.peer = o.Peer
 	if o.Peer && c.opts.PeerTLS != nil {
 		if err := cn.startTLS(ctx, c.opts.PeerTLS, c.opts.ConnectTimeout); err != nil {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/chestnutfield/chestnutfield/http1"
 )
 
 const writeBufferBytes = 4 << 10
@@ -17,8 +19,10 @@
 // conn is one connection to a target. It belongs to one exchange at a time or
 // is idle in its target's pool.
 type conn struct {
-	nc        net.Conn
-	sys       syscall.RawConn
+	nc  net.Conn
+	sys syscall.RawConn
+	// responses reads the responses, br buffers what it passed on.
+	responses *http1.Reader
 	br        *bufio.Reader
 	bw        *bufio.Writer
 	target    *target
@@ -44,12 +48,9 @@
 	peekFn  func(fd uintptr)
 }
 
-func newConn(nc net.Conn, t *target, headerBytes int) *conn {
-	cn := &conn{
-		nc:     nc,
-		br:     bufio.NewReaderSize(nc, headerBytes),
-		target: t,
-	}
+func newConn(nc net.Conn, t *target, headerBytes int, observe func(*http1.Error)) *conn {
+	cn := &conn{nc: nc, responses: http1.NewReader(nc, observe), target: t}
+	cn.br = bufio.NewReaderSize(cn.responses, headerBytes)
 	cn.bw = bufio.NewWriterSize(cn, writeBufferBytes)
 	if sc, ok := nc.(syscall.Conn); ok {
 		if sys, err := sc.SyscallConn(); err == nil {
@@ -84,7 +85,7 @@
 		return errors.Wrap(err, "TLS handshake with peer")
 	}
 	cn.nc = tlsConn
-	cn.br.Reset(tlsConn)
+	cn.responses.SetSource(tlsConn)
 	return nil
 }
 
@@ -109,7 +110,7 @@
 		return false
 	}
 	_, err := cn.br.Peek(1)
-	return err == nil
+	return err == nil || cn.responses.Err() != nil
 }
 
 // unreadWait bounds the reading of a byte that has already arrived.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -16,7 +16,7 @@
 
 // Errors of an exchange after its connection was opened.
 var (
-	// ErrProtocol: the response is not a final HTTP/1.x response.
+	// ErrProtocol: the response is not an HTTP/1.1 response, or no final one.
 	ErrProtocol = errors.New("upstream response is malformed")
 	// ErrTruncated: the body of the response ended before its announced end.
 	ErrTruncated = errors.New("upstream response is truncated")
@@ -106,6 +106,7 @@
 // head is true for a HEAD request, whose response has no body.
 func (x *Exchange) ReadHeader(head bool) error {
 	h := &x.resp.Header
+	x.conn.responses.ExpectHEAD(head)
 	for range maxInterimResponses {
 		if err := x.readRawHeader(); err != nil {
 			return wrapError(ErrProtocol, err)
@@ -113,24 +114,14 @@
 		if err := h.Read(x.conn.br); err != nil {
 			return wrapError(ErrProtocol, err)
 		}
-		status := h.StatusCode()
-		if status == fasthttp.StatusSwitchingProtocols || status < 100 || status > 599 {
-			return errors.Wrapf(ErrProtocol, "status %d, expected a final status from 200 to 599", status)
-		}
-		if status >= 200 {
+		if status := h.StatusCode(); status >= fasthttp.StatusOK {
 			return x.startBody(head, status)
 		}
 	}
 	return errors.Wrap(ErrProtocol, "16 interim (1xx) responses and no final one")
 }
 
-var (
-	headerEnd    = []byte("\r\n\r\n")
-	versionStart = []byte("HTTP/1.")
-	// versionChunked begins a response that may have a Transfer-Encoding.
-	versionChunked   = []byte("HTTP/1.1 ")
-	transferEncoding = []byte(fasthttp.HeaderTransferEncoding)
-)
+var headerEnd = []byte("\r\n\r\n")
 
 // readRawHeader waits for a complete header and copies its bytes.
 func (x *Exchange) readRawHeader() error {
@@ -143,51 +134,13 @@
 		if err != nil {
 			return err
 		}
-		known := min(len(block), len(versionStart))
-		if !bytes.Equal(block[:known], versionStart[:known]) {
-			return errors.New("status line does not begin with HTTP/1.")
-		}
 		if end := bytes.Index(block, headerEnd); end >= 0 {
 			x.conn.rawHeader = append(x.conn.rawHeader[:0], block[:end+len(headerEnd)]...)
-			return checkRawHeader(x.conn.rawHeader)
+			return nil
 		}
 	}
 }
 
-func checkRawHeader(block []byte) error {
-	if err := checkLineEnds(block); err != nil {
-		return err
-	}
-	return checkVersion(block)
-}
-
-// checkVersion rejects a Transfer-Encoding in a response of another version than
-// HTTP/1.1: the parser ignores it and takes the body to end with the connection.
-func checkVersion(block []byte) error {
-	if bytes.HasPrefix(block, versionChunked) {
-		return nil
-	}
-	for line := range bytes.Lines(block) {
-		name, _, ok := bytes.Cut(line, []byte(":"))
-		if ok && bytes.EqualFold(bytes.TrimRight(name, " \t"), transferEncoding) {
-			return errors.New("response has a Transfer-Encoding but is not HTTP/1.1")
-		}
-	}
-	return nil
-}
-
-// checkLineEnds rejects folded lines and bare line feeds: code that filters a
-// header line by line must not leave part of one.
-func checkLineEnds(block []byte) error {
-	if bytes.Count(block, []byte("\n")) != bytes.Count(block, []byte("\r\n")) {
-		return errors.New("header line does not end in CRLF")
-	}
-	if bytes.Contains(block, []byte("\n ")) || bytes.Contains(block, []byte("\n\t")) {
-		return errors.New("header line is folded, which is not accepted")
-	}
-	return nil
-}
-
 // RawHeader returns the header of the response as it arrived, including the
 // status line and the blank line. It is valid until Close.
 func (x *Exchange) RawHeader() []byte { return x.conn.rawHeader }
@@ -200,7 +153,7 @@
 		return nil
 	}
 	if err := x.resp.ReadBody(x.conn.br, 0); err != nil {
-		return wrapError(ErrTruncated, err)
+		return x.bodyError(err)
 	}
 	x.body = x.resp.BodyStream()
 	return nil
@@ -282,11 +235,19 @@
 		return n, io.EOF
 	}
 	if err != nil {
-		err = wrapError(ErrTruncated, err)
+		err = x.bodyError(err)
 	}
 	return n, err
 }
 
+// bodyError wraps an error of the body: it is malformed or truncated.
+func (x *Exchange) bodyError(err error) error {
+	if malformed := x.conn.responses.Err(); malformed != nil {
+		return wrapError(ErrProtocol, malformed)
+	}
+	return wrapError(ErrTruncated, err)
+}
+
 // Cancel closes the connection of an exchange that has not ended. It is safe
 // for concurrent use.
 func (x *Exchange) Cancel() {
@@ -300,8 +261,9 @@
 func (x *Exchange) Close() {
 	cancelled := !x.state.CompareAndSwap(exchangeOpen, exchangeEnded)
 	cn := x.conn
-	keep := !cancelled && !x.notReusable && x.requestSent && x.bodyDone && !x.resp.Header.ConnectionClose() && cn.br.Buffered() == 0
-	if cn.br.Buffered() > 0 && x.bodyDone {
+	unsolicited := cn.br.Buffered() > 0 || cn.responses.Err() != nil
+	keep := !cancelled && !x.notReusable && x.requestSent && x.bodyDone && !x.resp.Header.ConnectionClose() && !unsolicited
+	if unsolicited && x.bodyDone {
 		cn.target.recordUnsolicited(x.client.opts.Clock.Now())
 	}
 	_ = x.resp.CloseBodyStream()
