probe, quarantine: health checks read HTTP/1.1 responses only

chestnutd's probes took a load report or a sign of health from bytes that are no response: 16 of 21 spoiled responses, among them a status of 000 as 200. And both programs took a target that lives, but answers a check with such bytes, for one that had ended: the request that it had failed then counts as one that ends targets, and further requests with its content are refused.

Cause: the same as for responses to requests, a parser that repairs; and that a check that fails for whatever reason was taken for no response.

Probes and the checks of quarantine read through http1.Conn. upstream.ErrMalformed tells a malformed response from a connection that ended; a target that sends one lives.

Evidence: TestMalformedResponseToAProbeFails fails on the code before for 16 of 21 responses; TestTargetWithAMalformedResponseLives fails before in placement and, without the check of the error, in host.

--- a/host/forwarding.go
+++ b/host/forwarding.go
@@ -85,6 +85,7 @@
 		Membership: do.MustInvoke[lb.Membership](i),
 		Lease:      do.MustInvoke[*membership.Service](i),
 		Owns:       do.MustInvoke[*warmupRoles](i).reads,
+		Responses:  do.MustInvoke[*http1.Monitor](i),
 		Source:     do.MustInvoke[*balance.Balancer](i),
 		Clock:      do.MustInvoke[clockwork.Clock](i),
 		Registerer: do.MustInvoke[*prometheus.Registry](i),
--- a/host/quarantine.go
+++ b/host/quarantine.go
@@ -18,6 +18,7 @@
 	"github.com/chestnutfield/chestnutfield/cloud"
 	"github.com/chestnutfield/chestnutfield/config"
 	"github.com/chestnutfield/chestnutfield/discovery"
+	"github.com/chestnutfield/chestnutfield/http1"
 	"github.com/chestnutfield/chestnutfield/lb"
 	"github.com/chestnutfield/chestnutfield/membership"
 	"github.com/chestnutfield/chestnutfield/quarantine"
@@ -58,6 +59,7 @@
 		Store: suspectRows{table: do.MustInvoke[cloud.Table](i), clock: clock},
 		Checker: newTargetChecker(
 			do.MustInvoke[*config.Syncer](i).Current, do.MustInvoke[*discovery.Resolver](i).Targets, do.MustInvoke[Options](i).Dial,
+			do.MustInvoke[*http1.Monitor](i),
 		),
 		Reach: noReach{}, Clock: clock, Logger: log, Registerer: metrics,
 	})
@@ -123,21 +125,21 @@
 	client  *http.Client
 }
 
-func newTargetChecker(tables func() *table.Tables, targets resolveFunc, dial DialFunc) *targetChecker {
+func newTargetChecker(tables func() *table.Tables, targets resolveFunc, dial DialFunc, responses *http1.Monitor) *targetChecker {
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
 	return &targetChecker{tables: tables, targets: targets, client: &http.Client{
-		Transport:     &http.Transport{DialContext: dial, DisableKeepAlives: true},
+		Transport:     http1.Guard(&http.Transport{DialContext: dial, DisableKeepAlives: true}, http1.HealthCheck, responses),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
 
 // Responds implements quarantine.TargetChecker. The pool is that of the tables or, at
 // the owner of a group of targets, the group. A target lives if it responds with any
-// status on the health or load path of its pool or, where the pool has neither, takes
-// a connection. A target that the tables don't name counts as responding, and so does
-// an evacuated one, which is not asked.
+// status on the health or load path of its pool, or with bytes that are no HTTP response,
+// or, where the pool has neither path, takes a connection. A target that the tables don't
+// name counts as responding, and so does an evacuated one, which is not asked.
 func (c *targetChecker) Responds(ctx context.Context, pool string, _ registry.Instance, addr netip.AddrPort) bool {
 	t := c.tables()
 	p, found := t.Pools[poolOf(pool)]
@@ -176,6 +178,9 @@
 		return true
 	}
 	resp, err := c.client.Do(req)
+	if malformed := (*http1.Error)(nil); errors.As(err, &malformed) {
+		return true
+	}
 	if err != nil {
 		return false
 	}
--- a/http1/conn.go
+++ b/http1/conn.go
@@ -121,8 +121,9 @@
 const defaultHandshakeTimeout = 10 * time.Second
 
 // Guard makes all connections of a transport a Conn, below HTTP and above TLS, and
-// returns it. The transport must not have been used. It speaks HTTP/1.1 only.
-func Guard(t *http.Transport, observe func(*Error)) *http.Transport {
+// returns it. The transport must not have been used. It speaks HTTP/1.1 only. m, which
+// may be nil, records the rejected responses.
+func Guard(t *http.Transport, source Source, m *Monitor) *http.Transport {
 	dial := t.DialContext
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
@@ -132,7 +133,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return NewConn(c, observe), nil
+		return NewConn(c, m.Observer(source, addr)), nil
 	}
 	t.DialTLSContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := dial(ctx, network, addr)
@@ -144,7 +145,7 @@
 			_ = c.Close()
 			return nil, err
 		}
-		return NewConn(secured, observe), nil
+		return NewConn(secured, m.Observer(source, addr)), nil
 	}
 	return t
 }
--- a/placement/liveness.go
+++ b/placement/liveness.go
@@ -9,6 +9,7 @@
 	"github.com/samber/lo"
 
 	"github.com/chestnutfield/chestnutfield/registry"
+	"github.com/chestnutfield/chestnutfield/upstream"
 )
 
 const (
@@ -20,9 +21,9 @@
 )
 
 // Responds reports whether the process of a pool's target responds to this host: to a
-// load query or, where a query would count as a request or wait like one, to a new
-// connection. A target of an unknown pool counts as responding, and so does an
-// evacuated one, which is not asked.
+// load query, be it with bytes that are no HTTP response, or, where a query would count
+// as a request or wait like one, to a new connection. A target of an unknown pool counts
+// as responding, and so does an evacuated one, which is not asked.
 func (b *Balancer) Responds(ctx context.Context, pool string, instance registry.Instance, addr netip.AddrPort) bool {
 	p := (*b.pools.Load())[pool].ofTarget(instance.ID)
 	if p == nil || p.isEvacuated(instance) {
@@ -42,7 +43,7 @@
 		return prober.Probe(ctx, t, "") == nil
 	}
 	_, err := b.opts.LoadQuerier.QueryLoad(ctx, t, path)
-	return err == nil || errors.Is(err, ErrNoLoadReport)
+	return err == nil || errors.Is(err, ErrNoLoadReport) || errors.Is(err, upstream.ErrMalformed)
 }
 
 // takesNoQueries reports whether a target names a rate limit, for which a query
--- a/probe/cut_internal_test.go
+++ b/probe/cut_internal_test.go
@@ -13,7 +13,7 @@
 func TestCutResponseToAProbeFails(t *testing.T) {
 	s := cuttest.Start(t)
 	s.Strict, s.Framings = true, []cuttest.Framing{cuttest.Length, cuttest.Chunked}
-	transport := newHTTPTransport(defaultTimeout)
+	transport := newHTTPTransport(defaultTimeout, nil)
 	s.Check(t, `{"named_metrics":{"in_flight":12}}`, func() (any, error) {
 		r := transport.Probe(context.Background(), s.Addr, "/load")
 		if r.Failed {
--- a/probe/http.go
+++ b/probe/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -12,6 +13,7 @@
 
 	"github.com/chestnutfield/chestnutfield/backpressure"
 	"github.com/chestnutfield/chestnutfield/dialect"
+	"github.com/chestnutfield/chestnutfield/http1"
 	"github.com/chestnutfield/chestnutfield/load"
 )
 
@@ -33,8 +35,15 @@
 	client *fasthttp.Client
 }
 
-func newHTTPTransport(timeout time.Duration) *httpTransport {
+func newHTTPTransport(timeout time.Duration, responses *http1.Monitor) *httpTransport {
 	return &httpTransport{client: &fasthttp.Client{
+		Dial: func(addr string) (net.Conn, error) {
+			c, err := fasthttp.DialTimeout(addr, timeout)
+			if err != nil {
+				return nil, err
+			}
+			return http1.NewConn(c, responses.Observer(http1.HealthCheck, addr)), nil
+		},
 		Name:                "chestnutfield-probe",
 		MaxConnsPerHost:     maxConnsPerTarget,
 		ReadTimeout:         timeout,
--- a/probe/prober.go
+++ b/probe/prober.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/lo"
 
+	"github.com/chestnutfield/chestnutfield/http1"
 	"github.com/chestnutfield/chestnutfield/internal/metric"
 	"github.com/chestnutfield/chestnutfield/lb"
 )
@@ -100,6 +101,8 @@
 	Source Source
 	// Transport sends the probes; nil selects HTTP on separate connections.
 	Transport Transport
+	// Responses counts and logs the responses that are not HTTP/1.1; nil does neither.
+	Responses *http1.Monitor
 	// Timeout is the timeout of one probe; 0 selects 500 ms.
 	Timeout time.Duration
 	// Clock gives the time; nil selects the real clock.
@@ -140,7 +143,7 @@
 		o.Timeout = defaultTimeout
 	}
 	if o.Transport == nil {
-		o.Transport = newHTTPTransport(o.Timeout)
+		o.Transport = newHTTPTransport(o.Timeout, o.Responses)
 	}
 	if o.Clock == nil {
 		o.Clock = clockwork.NewRealClock()
--- a/probe/repeated_response_test.go
+++ b/probe/repeated_response_test.go
@@ -42,7 +42,7 @@
 			_ = c.Close()
 		}
 	}()
-	transport := newHTTPTransport(defaultTimeout)
+	transport := newHTTPTransport(defaultTimeout, nil)
 	var reports []string
 	for range 5 {
 		r := transport.Probe(context.Background(), netip.MustParseAddrPort(ln.Addr().String()), "/load")
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -16,8 +16,10 @@
 
 // Errors of an exchange after its connection was opened.
 var (
-	// ErrProtocol: the response is not an HTTP/1.1 response, or no final one.
-	ErrProtocol = errors.New("upstream response is malformed")
+	// ErrMalformed: the upstream sent bytes that are not an HTTP/1.1 response.
+	ErrMalformed = errors.New("upstream response is malformed")
+	// ErrProtocol: the header of a final response did not arrive.
+	ErrProtocol = errors.New("upstream sent no complete header of a final response")
 	// ErrTruncated: the body of the response ended before its announced end.
 	ErrTruncated = errors.New("upstream response is truncated")
 	// ErrTimeout: the deadline passed.
@@ -109,10 +111,10 @@
 	x.conn.responses.ExpectHEAD(head)
 	for range maxInterimResponses {
 		if err := x.readRawHeader(); err != nil {
-			return wrapError(ErrProtocol, err)
+			return x.readError(ErrProtocol, err)
 		}
 		if err := h.Read(x.conn.br); err != nil {
-			return wrapError(ErrProtocol, err)
+			return x.readError(ErrProtocol, err)
 		}
 		if status := h.StatusCode(); status >= fasthttp.StatusOK {
 			return x.startBody(head, status)
@@ -153,7 +155,7 @@
 		return nil
 	}
 	if err := x.resp.ReadBody(x.conn.br, 0); err != nil {
-		return x.bodyError(err)
+		return x.readError(ErrTruncated, err)
 	}
 	x.body = x.resp.BodyStream()
 	return nil
@@ -235,17 +237,18 @@
 		return n, io.EOF
 	}
 	if err != nil {
-		err = x.bodyError(err)
+		err = x.readError(ErrTruncated, err)
 	}
 	return n, err
 }
 
-// bodyError wraps an error of the body: it is malformed or truncated.
-func (x *Exchange) bodyError(err error) error {
+// readError wraps an error of reading the response in kind, or in ErrMalformed when the
+// response was rejected.
+func (x *Exchange) readError(kind, cause error) error {
 	if malformed := x.conn.responses.Err(); malformed != nil {
-		return wrapError(ErrProtocol, malformed)
+		return wrapError(ErrMalformed, malformed)
 	}
-	return wrapError(ErrTruncated, err)
+	return wrapError(kind, cause)
 }
 
 // Cancel closes the connection of an exchange that has not ended. It is safe
