platform: responses of the store that are not HTTP/1.1 are errors

Cause: fasthttp's client repairs what it reads, as it did for responses of targets.

The connections to the store are read through http1.Conn. A rejected response is a failed call, which is logged with its reason and counted; its connection fails from then on, also when more bytes come than the call asked for.

--- a/cmd/chestnut-gateway/main.go
+++ b/cmd/chestnut-gateway/main.go
@@ -11,9 +11,11 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"github.com/chestnutfield/chestnutfield/gateway"
+	"github.com/chestnutfield/chestnutfield/http1"
 	"github.com/chestnutfield/chestnutfield/internal/logging"
 	"github.com/chestnutfield/chestnutfield/internal/stopsignal"
 	"github.com/chestnutfield/chestnutfield/platform"
@@ -88,10 +90,15 @@
 	signal.Notify(signals, stopsignal.Signals...)
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
-	store := platform.NewStore(s.Store.Address)
+	logger, registry := log.With(zap.String("host", s.Host.Name)), prometheus.NewRegistry()
+	responses, err := http1.NewMonitor(logger, registry)
+	if err != nil {
+		return err
+	}
+	store := platform.NewStore(s.Store.Address).WithMonitor(responses)
 	g, err := gateway.New(s, gateway.Options{
 		Source: store, Suspects: store, Dialect: platform.Dialect(), ReadyPath: platform.ReadyPath,
-		Logger: log.With(zap.String("host", s.Host.Name)),
+		Logger: logger, Registry: registry, Responses: responses,
 	})
 	if err != nil {
 		return err
