--- a/gateway/providers.go
+++ b/gateway/providers.go
@@ -135,8 +135,8 @@
 		OnChange: func(targets map[string][]registry.Target, all ...*table.Tables) {
 			placer.Update(poolSpecs(targets, all))
 		},
-		FirstStart: s.Host.FirstStart,
-		Clock:      o.Clock, Logger: o.Logger, Registerer: o.Registry,
+		FirstStart: s.Host.FirstStart, Responses: o.Responses,
+		Clock: o.Clock, Logger: o.Logger, Registerer: o.Registry,
 	})
 }
 
--- a/storesync/cut_internal_test.go
+++ b/storesync/cut_internal_test.go
@@ -11,7 +11,7 @@
 
 // Guards against a snapshot that is applied in part because the response broke off.
 func TestCutSnapshotIsNoSnapshot(t *testing.T) {
-	f := &Follower{Options: Options{Clock: clockwork.NewFakeClock()}, registry: newRegistryState(), client: newSnapshotClient()}
+	f := &Follower{Options: Options{Clock: clockwork.NewFakeClock()}, registry: newRegistryState(), client: newSnapshotClient(nil)}
 	f.tables.Store(table.Empty())
 	body, err := f.snapshot(peerVersions{})
 	if err != nil {
@@ -28,3 +28,15 @@
 		return c, err
 	})
 }
+
+// Guards against a snapshot that is read from bytes that are no HTTP/1.1 response.
+func TestMalformedResponseIsNoSnapshot(t *testing.T) {
+	f := &Follower{Options: Options{Clock: clockwork.NewFakeClock()}, registry: newRegistryState(), client: newSnapshotClient(nil)}
+	f.tables.Store(table.Empty())
+	body, err := f.snapshot(peerVersions{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := cuttest.Start(t)
+	s.CheckMalformed(t, string(body), func() (any, error) { return f.requestSnapshot(s.Addr, peerVersions{}) })
+}
--- a/storesync/endless_snapshot_internal_test.go
+++ b/storesync/endless_snapshot_internal_test.go
@@ -32,7 +32,7 @@
 	go func() {
 		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 		req.SetRequestURI("http://" + ln.Addr().String() + snapshotPath)
-		ended <- newSnapshotClient().DoTimeout(req, resp, snapshotTimeout)
+		ended <- newSnapshotClient(nil).DoTimeout(req, resp, snapshotTimeout)
 	}()
 	g.Eventually(ended, "10s").Should(Receive(HaveOccurred()))
 }
--- a/storesync/follower.go
+++ b/storesync/follower.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/chestnutfield/chestnutfield/hostmsg"
+	"github.com/chestnutfield/chestnutfield/http1"
 	"github.com/chestnutfield/chestnutfield/internal/metric"
 	"github.com/chestnutfield/chestnutfield/registry"
 	"github.com/chestnutfield/chestnutfield/roster"
@@ -68,7 +69,7 @@
 // readerTask is the task of reading the store for all hosts.
 var readerTask = roster.Task{Kind: readerKind}
 
-// Options configure a Follower. All but Registerer are required.
+// Options configure a Follower. All but Responses and Registerer are required.
 type Options struct {
 	Source Source
 	Node   *hostmsg.Node
@@ -81,6 +82,9 @@
 	// FirstStart means that the whole deployment starts for the first time.
 	// Hosts then wait for the reader, since there are no callers yet.
 	FirstStart bool
+	// Responses records the responses of other hosts that are not HTTP/1.1; it may be
+	// nil.
+	Responses  *http1.Monitor
 	Clock      clockwork.Clock
 	Logger     *zap.Logger
 	Registerer prometheus.Registerer
@@ -179,7 +183,7 @@
 func New(o Options) (*Follower, error) {
 	f := &Follower{
 		Options: o, tablesWake: make(chan struct{}, 1), hostsWake: make(chan struct{}, 1), registryWake: make(chan struct{}, 1), dataAgeDelay: rand.N(maxDataAgeSpread), hostsKnown: make(chan struct{}), started: o.Clock.Now(),
-		hostsListed: make(chan struct{}), bootstrapped: make(chan struct{}), client: newSnapshotClient(),
+		hostsListed: make(chan struct{}), bootstrapped: make(chan struct{}), client: newSnapshotClient(o.Responses),
 		firstAnnouncement: announceDelay(0, rand.Float64()),
 		registry:          newRegistryState(), tracker: registry.NewTargetTracker(), evacuationMetrics: newEvacuationMetrics(), tablesMetrics: newTablesMetrics(), transferMetrics: newTransferMetrics(),
 		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
--- a/storesync/snapshot_fetch.go
+++ b/storesync/snapshot_fetch.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/chestnutfield/chestnutfield/hostmsg"
+	"github.com/chestnutfield/chestnutfield/http1"
 	"github.com/chestnutfield/chestnutfield/internal/transfer"
 	"github.com/chestnutfield/chestnutfield/roster"
 	"github.com/chestnutfield/chestnutfield/table"
@@ -119,14 +120,17 @@
 	return bytes.Clone(resp.Body()), nil
 }
 
-func newSnapshotClient() *fasthttp.Client {
+// newSnapshotClient returns a client for snapshots. responses, which may be nil, records
+// the responses that are not HTTP/1.1.
+func newSnapshotClient(responses *http1.Monitor) *fasthttp.Client {
 	return &fasthttp.Client{
 		Dial: func(addr string) (net.Conn, error) {
 			c, err := fasthttp.DialTimeout(addr, snapshotDialTimeout)
 			if err != nil {
 				return nil, err
 			}
-			return transfer.NewConn(c, snapshotStall, nil).WithMaxBytes(maxSnapshotBytes + maxFramingBytes), nil
+			bounded := transfer.NewConn(c, snapshotStall, nil).WithMaxBytes(maxSnapshotBytes + maxFramingBytes)
+			return http1.NewConn(bounded, responses.Observer(http1.Snapshot, addr)), nil
 		},
 		MaxResponseBodySize:       maxSnapshotBytes,
 		MaxIdemponentCallAttempts: 1,
