peer: messages of other hosts are read from HTTP/1.1 responses only

Cause: net/http repairs less than fasthttp, but takes a line feed alone for a line end, any reason phrase, names with blanks and folded lines, and the first of two equal lengths.

The transport to peers is guarded by package http1, above TLS. A rejected response is a failed exchange.

Evidence: TestMalformedResponsesOfPeersAreErrors fails on the code before and holds now; the specs of TLS between peers pass.

--- a/host/members.go
+++ b/host/members.go
@@ -13,6 +13,7 @@
 	"github.com/chestnutfield/chestnutfield/balance"
 	"github.com/chestnutfield/chestnutfield/cloud"
 	"github.com/chestnutfield/chestnutfield/config"
+	"github.com/chestnutfield/chestnutfield/http1"
 	"github.com/chestnutfield/chestnutfield/lb"
 	"github.com/chestnutfield/chestnutfield/membership"
 	"github.com/chestnutfield/chestnutfield/peer"
@@ -60,6 +61,7 @@
 		Dial:       do.MustInvoke[Options](i).Dial,
 		Token:      s.Peers.Token,
 		ClientTLS:  clientTLS(peersTLS),
+		Responses:  do.MustInvoke[*http1.Monitor](i),
 		Clock:      do.MustInvoke[clockwork.Clock](i),
 		Logger:     do.MustInvoke[*zap.Logger](i),
 		Registerer: do.MustInvoke[*prometheus.Registry](i),
--- a/peer/client.go
+++ b/peer/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/chestnutfield/chestnutfield/http1"
 	"github.com/chestnutfield/chestnutfield/internal/token"
 	"github.com/chestnutfield/chestnutfield/peer/peerpb"
 )
@@ -44,7 +45,7 @@
 	}
 	return &clients{
 		node: n, byAddr: map[netip.AddrPort]peerpb.Peer{},
-		transport: &http.Transport{
+		transport: http1.Guard(&http.Transport{
 			DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 				conn, err := dial(ctx, network, addr)
 				if err != nil {
@@ -56,7 +57,7 @@
 			MaxIdleConns: idleConns, MaxIdleConnsPerHost: idlePerPeer, IdleConnTimeout: idleTimeout,
 			DisableCompression: true, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes,
 			MaxResponseHeaderBytes: headerBytes,
-		},
+		}, http1.Host, n.opt.Responses),
 	}
 }
 
--- a/peer/cut_internal_test.go
+++ b/peer/cut_internal_test.go
@@ -27,3 +27,20 @@
 		return r.String(), err
 	})
 }
+
+// Guards against tables of a peer that are read from bytes that are no HTTP/1.1 response.
+func TestMalformedResponsesOfPeersAreErrors(t *testing.T) {
+	s := cuttest.Start(t)
+	s.HeaderLine = "Content-Type: application/protobuf"
+	body, err := proto.Marshal(&peerpb.FetchTablesResponse{Version: 7, Tables: []byte("tables")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := NewNode(Options{Members: &fakeMembers{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.CheckMalformed(t, string(body), func() (any, error) {
+		return n.clients.get(s.Addr).FetchTables(context.Background(), &peerpb.FetchTablesRequest{AtLeast: 1})
+	})
+}
--- a/peer/options.go
+++ b/peer/options.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/chestnutfield/chestnutfield/http1"
 	"github.com/chestnutfield/chestnutfield/lb"
 	"github.com/chestnutfield/chestnutfield/membership"
 )
@@ -77,6 +78,8 @@
 	// Clock defaults to the system clock.
 	Clock  clockwork.Clock
 	Logger *zap.Logger
+	// Responses records the responses of peers that are not HTTP/1.1; it may be nil.
+	Responses *http1.Monitor
 	// Registerer registers the metrics; with nil they are not exported.
 	Registerer prometheus.Registerer
 }
