cloud: answers of the platform's services are read from HTTP/1.1 responses only

Cause: as between hosts, net/http repairs some of what it reads.

The transports of the three clients are guarded by package http1. A write whose acknowledgement is rejected counts as uncertain, a read as failed.

Evidence: TestMalformedResponsesOfThePlatformAreErrors fails on the code before and holds now.

--- a/cloud/cut_test.go
+++ b/cloud/cut_test.go
@@ -50,3 +50,25 @@
 		return hosts.List(context.Background(), "a")
 	})
 }
+
+// Guards against rows, objects and hosts that are read from bytes that are no HTTP/1.1
+// response, and against writes that such bytes acknowledge.
+func TestMalformedResponsesOfThePlatformAreErrors(t *testing.T) {
+	s := cuttest.Start(t)
+	url := "http://" + s.Addr.String()
+	table, objects, hosts := dynamo.New(dynamo.Options{Endpoint: url}), s3.New(s3.Options{Endpoint: url}), hostlist.New(hostlist.Options{BaseURL: url})
+	s.CheckMalformed(t, `{"Item":`+storedRow+`}`, func() (any, error) {
+		row, found, err := table.Get(context.Background(), cloud.Key{Partition: "p", Sort: "a"})
+		return getResult{row, found}, err
+	})
+	s.CheckMalformed(t, `{}`, func() (any, error) {
+		return nil, table.Write(context.Background(), cloud.Write{Row: cloud.Row{Key: cloud.Key{Partition: "p", Sort: "a"}}})
+	})
+	s.CheckMalformed(t, "1234", func() (any, error) {
+		body, found, err := objects.Get(context.Background(), "config/latest")
+		return getResult{string(body), found}, err
+	})
+	s.CheckMalformed(t, `[{"service":"a","addr":"127.0.0.1:1"}]`, func() (any, error) {
+		return hosts.List(context.Background(), "a")
+	})
+}
--- a/cloud/dynamo/client.go
+++ b/cloud/dynamo/client.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chestnutfield/chestnutfield/cloud"
+	"github.com/chestnutfield/chestnutfield/http1"
 )
 
 const (
@@ -38,6 +39,8 @@
 	// Timeout limits the duration of one request to the service; 0 means
 	// DefaultTimeout.
 	Timeout time.Duration
+	// Responses counts and logs the responses that are not HTTP/1.1; nil does neither.
+	Responses *http1.Monitor
 }
 
 // Client implements cloud.Table. It is safe for concurrent use.
@@ -57,6 +60,7 @@
 		t.MaxIdleConns, t.MaxIdleConnsPerHost = maxIdleConns, maxIdleConns
 		t.IdleConnTimeout = idleConnTimeout
 		t.Proxy = nil
+		http1.Guard(t, http1.TableService, o.Responses)
 	})
 	return &Client{
 		api: dynamodb.New(dynamodb.Options{
--- a/cloud/hostlist/hostlist.go
+++ b/cloud/hostlist/hostlist.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"github.com/chestnutfield/chestnutfield/cloud"
+	"github.com/chestnutfield/chestnutfield/http1"
 )
 
 const (
@@ -35,6 +36,8 @@
 	Timeout time.Duration
 	// Logger receives a line when the number of odd entries changes; nil logs nothing.
 	Logger *zap.Logger
+	// Responses counts and logs the responses that are not HTTP/1.1; nil does neither.
+	Responses *http1.Monitor
 }
 
 // Client implements cloud.HostList. It is safe for concurrent use.
@@ -59,7 +62,7 @@
 	return &Client{
 		log: o.Logger, odd: map[string]int{},
 		listURL: strings.TrimSuffix(o.BaseURL, "/") + "/hostlist",
-		http:    &http.Client{Timeout: o.Timeout, Transport: &http.Transport{}},
+		http:    &http.Client{Timeout: o.Timeout, Transport: http1.Guard(&http.Transport{}, http1.HostList, o.Responses)},
 	}
 }
 
--- a/cloud/s3/client.go
+++ b/cloud/s3/client.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chestnutfield/chestnutfield/cloud"
+	"github.com/chestnutfield/chestnutfield/http1"
 )
 
 const (
@@ -37,6 +38,8 @@
 	Bucket string
 	// Timeout limits the duration of one call; 0 means DefaultTimeout.
 	Timeout time.Duration
+	// Responses counts and logs the responses that are not HTTP/1.1; nil does neither.
+	Responses *http1.Monitor
 }
 
 // Client implements cloud.ObjectStore. It is safe for concurrent use.
@@ -61,6 +64,7 @@
 			UsePathStyle: true,
 			HTTPClient: cloud.RequireFraming(awshttp.NewBuildableClient().WithTransportOptions(func(t *http.Transport) {
 				t.Proxy = nil
+				http1.Guard(t, http1.ObjectStore, o.Responses)
 			})),
 		}),
 		bucket:  aws.String(o.Bucket),
