admin/client: chestnutctl reads HTTP/1.1 responses only

Its transport is guarded by package http1; a change whose answer is rejected has an unknown result, as one without an answer.

Evidence: TestMalformedResponsesOfTheAdminAPIAreErrors fails on the code before and holds now.

--- a/admin/client/client.go
+++ b/admin/client/client.go
@@ -19,6 +19,7 @@
 	"github.com/chestnutfield/chestnutfield/cloud"
 	"github.com/chestnutfield/chestnutfield/config/command"
 	"github.com/chestnutfield/chestnutfield/config/schema"
+	"github.com/chestnutfield/chestnutfield/http1"
 	"github.com/chestnutfield/chestnutfield/internal/token"
 )
 
@@ -48,7 +49,7 @@
 // New returns a Client. It makes no network calls.
 func New(o Options) *Client {
 	o.Address = strings.TrimSuffix(o.Address, "/")
-	transport := &http.Transport{TLSClientConfig: o.TLS, DisableKeepAlives: true}
+	transport := http1.Guard(&http.Transport{TLSClientConfig: o.TLS, DisableKeepAlives: true}, http1.Host, nil)
 	return &Client{opts: o, http: &http.Client{Transport: transport, Timeout: callTimeout}}
 }
 
