proxy: a recorded response that is none is not replayed

The caller of a repeated order got what the ledger held as a response, whatever it was: a status of 0 as 200, 100 and 700 as they are, header lines with a NUL, a line end or a blank in the name, a Content-Length that the body hasn't.

Cause: records are written by hosts of other versions, which recorded what fasthttp had made of a spoiled response, and were trusted.

http1.CheckRecorded decides before a replay. A rejected record is answered like one without a response: 409, ran. It is logged and counted with the source recorded.

--- a/proxy/finish.go
+++ b/proxy/finish.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/chestnutfield/chestnutfield/attempt"
+	"github.com/chestnutfield/chestnutfield/http1"
 	"github.com/chestnutfield/chestnutfield/lb"
 	"github.com/chestnutfield/chestnutfield/outcome"
 	"github.com/chestnutfield/chestnutfield/shutdown"
@@ -107,7 +109,7 @@
 // replay writes the recorded response of an order that has run, in answer to a
 // repeated request.
 func (c *call) replay(claim lb.Claim) *localReply {
-	if claim.Response == nil {
+	if claim.Response == nil || !c.mayReplay(claim.Response) {
 		return newLocalReply(outcome.KeyInFlight, outcome.Ran, "the order ran and its answer was not kept")
 	}
 	resp := &c.rc.Response
@@ -119,6 +121,17 @@
 	return &localReply{outcome: outcome.Ran, alreadyWritten: true}
 }
 
+// mayReplay reports whether a recorded response is one: hosts of other versions have
+// recorded it.
+func (c *call) mayReplay(r *lb.RecordedResponse) bool {
+	var malformed *http1.Error
+	if err := http1.CheckRecorded(r.Status, r.Header); errors.As(err, &malformed) {
+		c.server.opts.Responses.Record(http1.Recorded, "order of caller "+c.ledgerCaller(), malformed)
+		return false
+	}
+	return true
+}
+
 // recordResponse returns the buffered response to record with the order, or
 // nil when there is no claim or the response is too large.
 func (c *call) recordResponse(t *upstreamAttempt) *lb.RecordedResponse {
