attempt, proxy: an order that may have run is not answered with a promise

Cause: the machine knew that the attempt may have run and reported the outcome unknown, but which status is forwarded was not its decision: the status of any response was passed on. The one place that knew of such promises dealt with the host's own 408.

Now attempt.Machine decides: where callers take a status for the promise (dialect.StatusPromises), it is forwarded to a request that must not be repeated only if no attempt may have run. Otherwise the host answers 502, unknown, reason upstream-failed, without anything of the target's response. outcome.Status does the same for the host's own replies, and records kept for repeats with such a status are not replayed. Relays and owners run the same machine. chestnutd's callers go by Chestnut-Outcome; what they get is unchanged.

--- a/attempt/doc.go
+++ b/attempt/doc.go
@@ -8,11 +8,13 @@
 // socket or goroutine; its driver (package proxy) reports each event to
 // Machine.Step and carries out the action that Step returns.
 //
-// Two rules make the reported outcome reliable:
+// Three rules make the reported outcome reliable:
 //
 //   - An attempt may have run from the event Sending, which the driver reports
 //     before it writes the first byte, until its response says that it was not
 //     run.
 //   - A request that is not idempotent gets no further attempt while any of
 //     its attempts may have run.
+//   - Where callers take a status for the promise that a request has not run, it is
+//     forwarded to a request that is not idempotent only if no attempt may have run.
 package attempt
--- a/attempt/machine.go
+++ b/attempt/machine.go
@@ -23,6 +23,9 @@
 	RefusedHedgeIsFree bool
 	// HedgeWhilePicking allows a hedge while the first attempt waits for a target.
 	HedgeWhilePicking bool
+	// StatusPromises is true when callers take some statuses for the promise that the
+	// request has not run and never will (outcome.PromisesNotRun).
+	StatusPromises bool
 	// NoRetries forbids every retry and hedge.
 	NoRetries bool
 	// BodyNotReplayable is true when the body is streamed and can be sent only
@@ -228,9 +231,18 @@
 	if m.cfg.Idempotent && retryable(ev.Status) {
 		return m.keepResponse(ev, false)
 	}
+	if m.promisesFalsely(ev.Status) {
+		return m.finish(outcome.UpstreamFailed)
+	}
 	return m.forward(ev.Attempt)
 }
 
+// promisesFalsely reports whether a response to an attempt that may have run would keep
+// its caller from knowing that. An idempotent request is repeated whatever the status.
+func (m *Machine) promisesFalsely(status int) bool {
+	return m.cfg.StatusPromises && !m.cfg.Idempotent && outcome.PromisesNotRun(status)
+}
+
 // retryable reports whether another target may answer with a better status.
 func retryable(status int) bool {
 	return status >= http.StatusInternalServerError &&
--- a/attempt/machine_test.go
+++ b/attempt/machine_test.go
@@ -52,6 +52,19 @@
 		Expect(m.Step(Event{Kind: HeaderReceived, Attempt: 1, Status: 503, At: start}).Kind).To(Equal(Forward))
 	})
 
+	// Guards against an order that ran and whose caller takes the status for not run.
+	It("replaces a response that would promise not-run to a non-idempotent request that may have run", func() {
+		for status, act := range map[int]Action{
+			503: {Kind: Finish, End: End{Outcome: outcome.Unknown, Reason: outcome.UpstreamFailed}},
+			408: {Kind: Finish, End: End{Outcome: outcome.Unknown, Reason: outcome.UpstreamFailed}},
+			500: {Kind: Forward, Attempt: 1},
+		} {
+			m := New(Config{Deadline: end, StatusPromises: true})
+			feed(m, Admitted, Picked, Sending)
+			Expect(m.Step(Event{Kind: HeaderReceived, Attempt: 1, Status: status, At: start})).To(Equal(act))
+		}
+	})
+
 	It("retries an idempotent request after a 5xx response, up to its retry limit", func() {
 		m := New(Config{Idempotent: true, Retries: 1, Deadline: end})
 		feed(m, Admitted, Picked, Sending)
--- a/attempt/property_test.go
+++ b/attempt/property_test.go
@@ -18,6 +18,11 @@
 	wrote    map[int]bool
 	notRun   map[int]bool
 	answered map[int]bool
+	status   map[int]int
+}
+
+func newGroundTruth(cfg Config) *groundTruth {
+	return &groundTruth{cfg: cfg, wrote: map[int]bool{}, notRun: map[int]bool{}, answered: map[int]bool{}, status: map[int]int{}}
 }
 
 // mayHaveRun reports whether any attempt other than except may have run.
@@ -60,6 +65,9 @@
 		if g.notRun[act.Attempt] && g.mayHaveRun(0) {
 			t.Fatal("forwards a response that says not-run although another attempt may have run")
 		}
+		if status := g.status[act.Attempt]; g.cfg.StatusPromises && !g.cfg.Idempotent && outcome.PromisesNotRun(status) && g.mayHaveRun(0) {
+			t.Fatalf("forwards status %d, a promise, although an attempt may have run", status)
+		}
 	case Finish:
 		g.checkEnd(t, act.End)
 	}
@@ -72,6 +80,9 @@
 	if end.Outcome == outcome.Ran && len(g.wrote) == 0 {
 		t.Fatal("reported ran, but nothing was written")
 	}
+	if end.Reason == outcome.UpstreamFailed && (!g.cfg.StatusPromises || g.cfg.Idempotent || !g.mayHaveRun(0)) {
+		t.Fatal("replaced a response that promises nothing, or keeps its promise")
+	}
 	if end.Outcome == outcome.Unknown && !g.mayHaveRun(0) {
 		t.Fatal("reported unknown, but no attempt can have run")
 	}
@@ -80,6 +91,8 @@
 var eventKinds = rapid.SampledFrom([]EventKind{Admitted, Refused, Picked, NoTarget, Sending, ConnectFailed, ConnectionLost,
 	HeaderReceived, ResponseComplete, ResponseTruncated, HedgeDue, Cancelled, Expired, HostStopped})
 
+var statuses = rapid.SampledFrom([]int{200, 400, 404, 408, 421, 429, 500, 503})
+
 // TestInvariantsHoldForAnyEventOrder reports events in random order, including
 // orders that no driver produces.
 func TestInvariantsHoldForAnyEventOrder(t *testing.T) {
@@ -89,13 +102,14 @@
 			Idempotent:        rapid.Bool().Draw(t, "idempotent"),
 			Retries:           rapid.IntRange(0, 3).Draw(t, "retries"),
 			NoRetries:         rapid.IntRange(0, 4).Draw(t, "withdrawn") == 0,
+			StatusPromises:    rapid.Bool().Draw(t, "statusPromises"),
 			BodyNotReplayable: rapid.IntRange(0, 3).Draw(t, "oneShot") == 0,
 
 			RefusedHedgeIsFree: rapid.Bool().Draw(t, "refusedHedgeIsFree"),
 			HedgeWhilePicking:  rapid.Bool().Draw(t, "hedgeWhilePicking"),
 			Deadline:           start.Add(time.Second),
 		}
-		g := &groundTruth{cfg: cfg, wrote: map[int]bool{}, notRun: map[int]bool{}, answered: map[int]bool{}}
+		g := newGroundTruth(cfg)
 		m := New(cfg)
 		ends := 0
 		for i := range rapid.IntRange(1, 40).Draw(t, "steps") {
@@ -103,7 +117,7 @@
 				Kind:    eventKinds.Draw(t, "kind"),
 				At:      start.Add(time.Duration(i*rapid.IntRange(0, 40).Draw(t, "ms")) * time.Millisecond),
 				Attempt: rapid.IntRange(0, 5).Draw(t, "attempt"),
-				Status:  rapid.SampledFrom([]int{200, 404, 429, 500, 503}).Draw(t, "status"),
+				Status:  statuses.Draw(t, "status"),
 				NotRun:  rapid.Bool().Draw(t, "notRun"),
 				Reason:  outcome.NoTarget,
 			}
@@ -112,7 +126,7 @@
 			}
 			if ev.Kind == HeaderReceived && g.wrote[ev.Attempt] && !g.answered[ev.Attempt] {
 				g.answered[ev.Attempt] = true
-				g.notRun[ev.Attempt] = ev.NotRun
+				g.notRun[ev.Attempt], g.status[ev.Attempt] = ev.NotRun, ev.Status
 			}
 			act := m.Step(ev)
 			g.check(t, ev, act)
@@ -141,13 +155,14 @@
 		cfg := Config{
 			Idempotent:        rapid.Bool().Draw(t, "idempotent"),
 			Retries:           rapid.IntRange(0, 3).Draw(t, "retries"),
+			StatusPromises:    rapid.Bool().Draw(t, "statusPromises"),
 			BodyNotReplayable: rapid.IntRange(0, 3).Draw(t, "oneShot") == 0,
 
 			RefusedHedgeIsFree: rapid.Bool().Draw(t, "refusedHedgeIsFree"),
 			HedgeWhilePicking:  rapid.Bool().Draw(t, "hedgeWhilePicking"),
 			Deadline:           start.Add(time.Hour),
 		}
-		g := &groundTruth{cfg: cfg, wrote: map[int]bool{}, notRun: map[int]bool{}, answered: map[int]bool{}}
+		g := newGroundTruth(cfg)
 		m := New(cfg)
 		pending := map[int]ActionKind{}
 		ev := Event{Kind: Admitted, At: start}
@@ -181,12 +196,12 @@
 	n := rapid.SampledFrom(slices.Sorted(maps.Keys(pending))).Draw(t, "attempt")
 	ev := Event{
 		Kind: rapid.SampledFrom(nextEvents[pending[n]]).Draw(t, "kind"), Attempt: n, At: at,
-		Status: rapid.SampledFrom([]int{200, 500, 503}).Draw(t, "status"),
+		Status: statuses.Draw(t, "status"),
 		NotRun: rapid.Bool().Draw(t, "notRun"), Reason: outcome.NoTarget,
 	}
 	delete(pending, n)
 	if ev.Kind == HeaderReceived {
-		g.answered[n], g.notRun[n] = true, ev.NotRun
+		g.answered[n], g.notRun[n], g.status[n] = true, ev.NotRun, ev.Status
 	}
 	return ev
 }
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -66,6 +66,10 @@
 	// Outcome is the header that tells a caller whether a request that got no
 	// response from an upstream ran (package outcome).
 	Outcome string
+	// StatusPromises is true when callers take the status of a response alone for the
+	// promise that the request has not run (outcome.PromisesNotRun). Where it is false,
+	// they take that from Outcome.
+	StatusPromises bool
 	// PlainBodies is true when upstreams never set Content-Encoding, so that an
 	// encoded response body is invalid.
 	PlainBodies bool
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -83,6 +83,9 @@
 	QuotaExceeded
 	// Interrupted: the host stopped while an upstream worked on the request (502).
 	Interrupted
+	// UpstreamFailed: an upstream may have run the request and failed it with a status
+	// that callers take for the promise that it has not run (502).
+	UpstreamFailed
 )
 
 var reasonNames = map[Reason]string{
@@ -93,7 +96,7 @@
 	UpstreamTimeout: "upstream-timeout", BadRequest: "bad-request",
 	TooLarge: "too-large", Stopping: "stopping", NotConfigured: "not-configured", CallerGone: "caller-gone",
 	RateLimited: "rate-limited", Quarantined: "quarantined",
-	UnknownKey: "unknown-key", QuotaExceeded: "quota-exceeded", Interrupted: "interrupted",
+	UnknownKey: "unknown-key", QuotaExceeded: "quota-exceeded", Interrupted: "interrupted", UpstreamFailed: "upstream-failed",
 }
 
 // String returns the reason as in metric labels and logs, "invalid" for an
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -192,6 +192,7 @@
 		RefusedHedgeIsFree: c.server.opts.ExtraAttempts != nil,
 		HedgeWhilePicking:  c.hedgesWhilePicking(),
 		NoRetries:          c.in.noRetries,
+		StatusPromises:     c.server.names.StatusPromises,
 		BodyNotReplayable:  !c.body.replayable(),
 		Deadline:           c.deadline,
 	})
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -356,6 +356,9 @@
 	c.mu.Lock()
 	act := c.machine.Step(ev)
 	t.responseReady = act.Kind != attempt.Abandon
+	if act.Kind == attempt.Finish && act.End.Reason == outcome.UpstreamFailed {
+		t.err = errors.Errorf("target answered %d, which callers take for not run, without saying that it has not run; response discarded", t.status)
+	}
 	c.mu.Unlock()
 	if !t.responseReady {
 		t.x.Close()
@@ -369,7 +372,7 @@
 	switch {
 	case t.notRun:
 		return lb.Shed
-	case t.status >= fasthttp.StatusInternalServerError:
+	case t.err != nil || t.status >= fasthttp.StatusInternalServerError:
 		return lb.Failed
 	default:
 		return lb.Succeeded
--- a/proxy/finish.go
+++ b/proxy/finish.go
@@ -104,6 +104,7 @@
 	outcome.NotConfigured:   "another configuration came into force",
 	outcome.Stopping:        "host is stopping and the request would not have ended before",
 	outcome.Interrupted:     "host stopped before the upstream answered",
+	outcome.UpstreamFailed:  "upstream failed a request that it may have run",
 }
 
 // replay writes the recorded response of an order that has run, in answer to a
@@ -121,9 +122,12 @@
 	return &localReply{outcome: outcome.Ran, alreadyWritten: true}
 }
 
-// mayReplay reports whether a recorded response is one: hosts of other versions have
-// recorded it.
+// mayReplay reports whether a recorded response is one, and does not promise that its
+// order has not run: hosts of other versions have recorded it.
 func (c *call) mayReplay(r *lb.RecordedResponse) bool {
+	if c.server.names.StatusPromises && outcome.PromisesNotRun(r.Status) {
+		return false
+	}
 	var malformed *http1.Error
 	if err := http1.CheckRecorded(r.Status, r.Header); errors.As(err, &malformed) {
 		c.server.opts.Responses.Record(http1.Recorded, "order of caller "+c.ledgerCaller(), malformed)
--- a/proxy/localreply.go
+++ b/proxy/localreply.go
@@ -52,6 +52,7 @@
 	outcome.TooLarge:          fasthttp.StatusRequestEntityTooLarge,
 	outcome.CallerGone:        fasthttp.StatusBadGateway,
 	outcome.Interrupted:       fasthttp.StatusBadGateway,
+	outcome.UpstreamFailed:    fasthttp.StatusBadGateway,
 }
 
 // proxyErrors maps reasons to the error types of RFC 9209, section 2.3.
@@ -76,19 +77,19 @@
 	outcome.TooLarge:          "http_request_error",
 	outcome.CallerGone:        "connection_terminated",
 	outcome.Interrupted:       "connection_terminated",
+	outcome.UpstreamFailed:    "http_protocol_error",
 }
 
 func newLocalReply(reason outcome.Reason, o outcome.Outcome, detail string) *localReply {
-	return &localReply{status: reasonStatus[reason], reason: reason, outcome: o, detail: detail}
+	return &localReply{status: o.Status(reasonStatus[reason]), reason: reason, outcome: o, detail: detail}
 }
 
-// afterDispatch returns the reply for a request that was passed on to a target. Callers
-// take a 408 for the promise that the request has not run.
+// afterDispatch returns the reply for a request that was passed on to a target.
 func (p *localReply) afterDispatch(o outcome.Outcome) *localReply {
 	sent := *p
-	sent.outcome = o
-	if o != outcome.NotRun && p.status == fasthttp.StatusRequestTimeout {
-		sent.status, sent.reason = fasthttp.StatusGatewayTimeout, outcome.UpstreamTimeout
+	sent.outcome, sent.status = o, o.Status(p.status)
+	if sent.status != p.status && sent.status == fasthttp.StatusGatewayTimeout {
+		sent.reason = outcome.UpstreamTimeout
 	}
 	return &sent
 }
--- a/proxy/requestlog.go
+++ b/proxy/requestlog.go
@@ -104,7 +104,7 @@
 // status returns the status code that the caller receives.
 func (c *call) status(end attempt.End) int {
 	if end.Reason != 0 {
-		return reasonStatus[end.Reason]
+		return end.Outcome.Status(reasonStatus[end.Reason])
 	}
 	return c.rc.Response.StatusCode()
 }
