proxy: 421 says that an order has not run only with the header that says so

Callers saw: an order that its target ran and failed with 421 was sent to a second target, and to a third, and at last answered with the 421, a promise that it has not run.

Cause: 421 alone counted as the statement of a target that is not the one named in the request.

421 counts as not run, and as the answer of another target, together with the header only. A lookup with a bare 421 is repeated at another target, as after 500; before, the target was ejected at all hosts as another one.

The spec "a response from the wrong target means that the request was not run there" had a bare 421; its target now sends the header, and a new spec holds what a bare one means.

Evidence: TestFailedOrderIsNotPromisedNotToHaveRun/421 and the same by a relay, 23 cases, fail on the code before and hold now.

--- a/attempt/machine.go
+++ b/attempt/machine.go
@@ -245,8 +245,13 @@
 
 // retryable reports whether another target may answer with a better status.
 func retryable(status int) bool {
-	return status >= http.StatusInternalServerError &&
-		status != http.StatusNotImplemented && status != http.StatusHTTPVersionNotSupported
+	switch status {
+	case http.StatusMisdirectedRequest:
+		return true
+	case http.StatusNotImplemented, http.StatusHTTPVersionNotSupported:
+		return false
+	}
+	return status >= http.StatusInternalServerError
 }
 
 // keepResponse keeps a response that is worth a retry, to forward it if the
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -31,7 +31,8 @@
 	// Target is the header that names the only upstream that may run the request.
 	Target string
 	// WrongTarget is the status with which an upstream answers a request that it
-	// did not run because Target names another; 0 when there is none.
+	// did not run because Target names another; 0 when there is none. It says that only
+	// together with NotRun.
 	WrongTarget int
 	// NotRun is the header of an upstream's response that says that the upstream
 	// did not run the request. It counts only with a status in NotRunStatuses.
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -270,7 +270,7 @@
 	n := c.server.names
 	t.status = x.Header().StatusCode()
 	t.notRun = n.notRun(x.Header())
-	t.feedback.WrongTarget = n.WrongTarget != 0 && t.status == n.WrongTarget
+	t.feedback.WrongTarget = t.notRun && n.WrongTarget != 0 && t.status == n.WrongTarget
 	for name, value := range x.Header().All() {
 		switch {
 		case equalName(name, n.Load):
--- a/proxy/headernames.go
+++ b/proxy/headernames.go
@@ -46,11 +46,7 @@
 // notRun reports whether an upstream's response says that it did not run the
 // request.
 func (n *headerNames) notRun(h *fasthttp.ResponseHeader) bool {
-	status := h.StatusCode()
-	if n.WrongTarget != 0 && status == n.WrongTarget {
-		return true
-	}
-	if n.NotRun == "" || !slices.Contains(n.NotRunStatuses, status) {
+	if n.NotRun == "" || !slices.Contains(n.NotRunStatuses, h.StatusCode()) {
 		return false
 	}
 	value, ok := headerValue(h, n.NotRun)
--- a/proxy/promise_test.go
+++ b/proxy/promise_test.go
@@ -23,7 +23,7 @@
 }
 
 // promisedStatuses are the statuses that promise that a request has not run.
-var promisedStatuses = []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+var promisedStatuses = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
 
 // framings are the ways to delimit a body of five bytes.
 var framings = map[string]string{
@@ -118,7 +118,7 @@
 // Guards against a true statement that an order has not run that is no longer believed:
 // it goes to another target, and with none the refusal is passed on.
 func TestOrderThatATargetDidNotRunGoesToAnotherOrIsRefused(t *testing.T) {
-	for _, status := range []int{http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+	for _, status := range []int{http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
 		RegisterTestingT(t)
 		var refusals, runs atomic.Int32
 		refusal := failedWith("length", status, "Chestnut-Not-Run: 1\r\nRetry-After: 7\r\n")
--- a/proxy/verify_test.go
+++ b/proxy/verify_test.go
@@ -21,6 +21,7 @@
 	d := dialect.Default()
 	d.RequestID, d.Signature, d.PlainBodies = "Bend-Id", "Bend-Seal", true
 	d.Target, d.WrongTarget, d.FractionalRetryAfter = "Bend-Target", http.StatusMisdirectedRequest, true
+	d.NotRunStatuses = append(d.NotRunStatuses, d.WrongTarget)
 	return &d
 }
 
@@ -83,7 +84,7 @@
 	)
 
 	It("a response from the wrong target means that the request was not run there", func() {
-		wrong := newUpstream(respondAlways("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"))
+		wrong := newUpstream(respondAlways("HTTP/1.1 421 Misdirected Request\r\nChestnut-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"))
 		right := newUpstream(func(u *rawConn) {
 			if req, _, ok := u.request(); ok {
 				u.send(signedResponse(idOf(req), "own"))
@@ -95,6 +96,25 @@
 		Expect(body).To(Equal("own"))
 		Expect(b.balancer.feedback()).To(ContainElement(HaveField("WrongTarget", true)))
 	})
+
+	// Guards against an order that ran and is sent to a second target, and against a target
+	// that is ejected as another one.
+	It("the status of a wrong target alone says neither that the request was not run nor who answered", func() {
+		failing := newUpstream(respondAlways("HTTP/1.1 421 Misdirected Request\r\nBend-Id: r1\r\nContent-Length: 0\r\n\r\n"))
+		right := newUpstream(func(u *rawConn) {
+			if req, _, ok := u.request(); ok {
+				u.send(signedResponse(idOf(req), "own"))
+			}
+		})
+		b := newHarness([]*rawUpstream{failing, right}, withSignedDialect)
+		resp, _ := b.ask("POST /orders/a HTTP/1.1\r\nHost: h\r\nBend-Id: r1\r\nContent-Length: 5\r\n\r\nhello")
+		Expect(resp.StatusCode).To(Equal(http.StatusMisdirectedRequest))
+		Expect(right.received()).To(BeEmpty())
+		Expect(b.balancer.feedback()).NotTo(ContainElement(HaveField("WrongTarget", true)))
+		resp, body := b.ask(get("r1"))
+		Expect(resp.StatusCode).To(Equal(http.StatusOK))
+		Expect(body).To(Equal("own"))
+	})
 })
 
 // recordedRequests stores the records of the request log.
