proxy: a response with more than one request ID belongs to no request

A caller got a response that named its request and another one, or its own twice: the first line decided. Requests with two IDs are rejected; a response with two was not.

Such a response is discarded like one without an ID: another target for a lookup, 502 for an order.

--- a/proxy/verify.go
+++ b/proxy/verify.go
@@ -18,6 +18,8 @@
 	// errNoRequestID: a response without a request ID that does not say that
 	// the request was not run.
 	errNoRequestID = errors.New("response has no request ID and does not say that the request was not run; response discarded")
+	// errSeveralRequestIDs: more than one request ID, as in a request that is rejected.
+	errSeveralRequestIDs = errors.New("response has more than one request ID; response discarded")
 	// errUnsigned: a 2xx response without the signature that the upstream's
 	// program adds.
 	errUnsigned = errors.New("2xx response has no signature; response discarded")
@@ -56,11 +58,20 @@
 	if n.RequestID == "" || c.in.requestID == "" {
 		return false, nil
 	}
-	id, ok := headerValue(h, n.RequestID)
-	if !ok && !n.notRun(h) {
+	id, count := "", 0
+	for name, value := range h.All() {
+		if equalName(name, n.RequestID) {
+			id = string(value)
+			count++
+		}
+	}
+	switch {
+	case count > 1:
+		return false, errSeveralRequestIDs
+	case count == 0 && !n.notRun(h):
 		return false, errNoRequestID
 	}
-	return ok && id != c.in.requestID, nil
+	return count == 1 && id != c.in.requestID, nil
 }
 
 // namesRequest reports whether a response carries the ID of its request.
