--- a/proxy/verify_test.go
+++ b/proxy/verify_test.go
@@ -82,7 +82,7 @@
 		Entry("no id", "HTTP/1.1 200 OK\r\nBend-Seal: s\r\nContent-Length: 6\r\n\r\nspoilt"),
 		Entry("no HTTP", "spoilt\r\n\r\n"),
 		Entry("another id beside its own", "HTTP/1.1 200 OK\r\nBend-Id: ID\r\nBend-Id: other\r\nBend-Seal: s\r\nContent-Length: 6\r\n\r\nspoilt"),
-		Entry("its own id twice", "HTTP/1.1 200 OK\r\nBend-Id: ID\r\nBEND-ID: ID\r\nBend-Seal: s\r\nContent-Length: 6\r\n\r\nspoilt"),
+		Entry("its own id twice", "HTTP/1.1 200 OK\r\nBend-Id: ID\r\nbend-id: ID\r\nBend-Seal: s\r\nContent-Length: 6\r\n\r\nspoilt"),
 	)
 
 	It("a response from the wrong target means that the request was not run there", func() {
