proxy: Chestnut-Outcome of a further host does not speak for other attempts

Callers of chestnutd saw a 503 with Chestnut-Outcome: not-run for a lookup of which another attempt may have run: the first target lost it, the second was a further host that refused it and said so of its own attempts.

Cause: the header passed unchanged, as any of a target's. Only responses with Chestnut-Not-Run were held back beside an attempt that may have run.

Such a header becomes unknown when another attempt may have run, which attempt.Machine says.

Evidence: TestOutcomeOfAFurtherHostIsNotThatOfAllAttempts fails on the code before for a target that loses the request and holds now, as it did for one that takes no connection.

--- a/attempt/machine.go
+++ b/attempt/machine.go
@@ -103,6 +103,16 @@
 	return outcome.NotRun
 }
 
+// OthersMayHaveRun reports whether an attempt other than the given one may have run.
+func (m *Machine) OthersMayHaveRun(attempt int) bool {
+	for i, st := range m.attempts {
+		if i+1 != attempt && st.mayHaveRun() {
+			return true
+		}
+	}
+	return false
+}
+
 // InFlight reports whether a dispatched attempt may still receive a response.
 func (m *Machine) InFlight() bool {
 	for _, st := range m.attempts {
--- a/proxy/fuzz_test.go
+++ b/proxy/fuzz_test.go
@@ -178,7 +178,7 @@
 		if end < 0 || !bytes.HasPrefix(raw, []byte("HTTP/1.")) || h.Read(bufio.NewReaderSize(bytes.NewReader(raw), 16<<10)) != nil {
 			return
 		}
-		filtered := filterResponseHeader(nil, raw[:end+4])
+		filtered := filterResponseHeader(nil, raw[:end+4], "")
 		if err := kept.Read(bufio.NewReaderSize(bytes.NewReader(filtered), 16<<10)); err != nil {
 			t.Fatalf("%q became %q: %v", raw, filtered, err)
 		}
--- a/proxy/promise_test.go
+++ b/proxy/promise_test.go
@@ -182,6 +182,30 @@
 	}
 }
 
+// Guards against a response of a further host behind this one that says that it did not
+// run the request, passed on although an attempt at another target may have run.
+func TestOutcomeOfAFurtherHostIsNotThatOfAllAttempts(t *testing.T) {
+	refusal := "HTTP/1.1 503 Busy\r\nOUTCOME: not-run\r\nContent-Length: 0\r\n\r\n"
+	for _, name := range []string{"Chestnut-Outcome", "chestnut-outcome"} {
+		for first, want := range map[string]string{"loses": "unknown", "down": "not-run"} {
+			t.Run(name+"/"+first, func(t *testing.T) {
+				RegisterTestingT(t)
+				loser := startUpstream(closeWithoutResponse)
+				further := startUpstream(respondAlways(strings.Replace(refusal, "OUTCOME", name, 1)))
+				b := startHarness([]*rawUpstream{loser, further})
+				t.Cleanup(func() { b.abort(); loser.ln.Close(); further.ln.Close() })
+				if first == "down" {
+					b.balancer.targets[0] = unusedAddr(0)
+				}
+				resp, _, err := b.tryAsk(getSpec)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+				Expect(resp.Header.Values("Chestnut-Outcome")).To(Equal([]string{want}))
+			})
+		}
+	}
+}
+
 // Guards against a reply of a host that promises more than is known of the request.
 func TestRepliesPromiseWhatIsKnown(t *testing.T) {
 	RegisterTestingT(t)
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -79,7 +79,8 @@
 func (c *call) copyResponseHeader(t *upstreamAttempt) error {
 	cp := headerCopiers.Get().(*headerCopier)
 	defer headerCopiers.Put(cp)
-	cp.lines = filterResponseHeader(cp.lines[:0], t.x.RawHeader())
+	falseOutcome := c.falseOutcome(t)
+	cp.lines = filterResponseHeader(cp.lines[:0], t.x.RawHeader(), falseOutcome)
 	cp.src.Reset(cp.lines)
 	cp.br.Reset(&cp.src)
 	h := &c.rc.Response.Header
@@ -89,6 +90,9 @@
 		return err
 	}
 	h.ResetConnectionClose()
+	if falseOutcome != "" {
+		h.Set(falseOutcome, outcome.Unknown.String())
+	}
 	c.setPeerHeaders(handoverAnswered)
 	if !c.body.replayable() && !t.requestSent {
 		c.conn.lingerOnClose.Store(true)
@@ -97,11 +101,27 @@
 	return nil
 }
 
+// falseOutcome returns the name of the header with which a response says that the request
+// was not run, when an attempt at another target may have run; otherwise "". A further host
+// behind this one knows of its own attempts only.
+func (c *call) falseOutcome(t *upstreamAttempt) string {
+	name := c.server.names.Outcome
+	if value, _ := headerValue(t.x.Header(), name); value != outcome.NotRun.String() {
+		return ""
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.machine.OthersMayHaveRun(t.number) {
+		return ""
+	}
+	return name
+}
+
 const httpVersion = "HTTP/1.1"
 
 // filterResponseHeader appends the end-to-end lines of a raw response header
-// to dst.
-func filterResponseHeader(dst, raw []byte) []byte {
+// to dst, without those of the name omit.
+func filterResponseHeader(dst, raw []byte, omit string) []byte {
 	connectionOptions := responseConnectionOptions(raw)
 	dst = append(dst, httpVersion...)
 	raw = raw[len(httpVersion):]
@@ -113,7 +133,7 @@
 		line := raw[:end]
 		raw = raw[end:]
 		name, _, ok := splitHeaderLine(line)
-		if !first && ok && (strippedFromResponse(name) || isConnectionOption(connectionOptions, name)) {
+		if !first && ok && (strippedFromResponse(name) || equalName(name, omit) || isConnectionOption(connectionOptions, name)) {
 			continue
 		}
 		dst = append(dst, line...)
