lab/soak: malformed responses and runs that fail with the status of a promise

Upstreams of the soak send responses that are not HTTP/1.1 in seven ways, and fail orders and lookups that ran with 503, 429, 421 or 408, signed and without Not-Executed. Callers read responses by package http1, so that a host that passes malformed ones on is a violation.

--- a/lab/soak/caller.go
+++ b/lab/soak/caller.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/chestnutfield/chestnutfield/http1"
 	"github.com/chestnutfield/chestnutfield/platform"
 	"github.com/chestnutfield/chestnutfield/platform/fakeupstream"
 )
@@ -158,7 +159,7 @@
 
 func newCaller(name string, hosts *rotation, chooseKey func() string, onResult func(RequestResult)) *caller {
 	return &caller{name: name, hosts: hosts, chooseKey: chooseKey, onResult: onResult, client: &http.Client{
-		Timeout: callerTimeout, Transport: &http.Transport{MaxConnsPerHost: 1, DisableCompression: true},
+		Timeout: callerTimeout, Transport: http1.Guard(&http.Transport{MaxConnsPerHost: 1, DisableCompression: true}, http1.Host, nil),
 	}}
 }
 
--- a/lab/soak/events.go
+++ b/lab/soak/events.go
@@ -129,6 +129,10 @@
 		setBehavior(func(b *fakeupstream.Behavior) { b.ExtraResponses = faultShare })
 	case ResponsesCutShort:
 		setBehavior(func(b *fakeupstream.Behavior) { b.TruncateResponses = faultShare })
+	case ResponsesMalformed:
+		setBehavior(func(b *fakeupstream.Behavior) { b.MalformResponses = faultShare })
+	case UpstreamFailsRuns:
+		setBehavior(func(b *fakeupstream.Behavior) { b.FailRun = faultShare })
 	case UpstreamRefuses:
 		setBehavior(func(b *fakeupstream.Behavior) { b.Refuse = faultShare })
 	case UpstreamSlow:
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -51,6 +51,8 @@
 	ResponsesLost        Kind = "answers-lost"
 	ResponsesExtra       Kind = "answers-extra"
 	ResponsesCutShort    Kind = "answers-cut-short"
+	ResponsesMalformed   Kind = "answers-malformed"
+	UpstreamFailsRuns    Kind = "upstream-fails-runs"
 	UpstreamRefuses      Kind = "upstream-refuses"
 	UpstreamSlow         Kind = "upstream-slow"
 	HealthLies           Kind = "health-lies"
@@ -111,10 +113,17 @@
 	})
 )
 
+// From malformedSince on, one odd seed in four draws from malformedKinds, and the other
+// odd ones but those with crashing requests from them beside all others.
+var malformedKinds = []Kind{
+	ResponsesMalformed, ResponsesMalformed, UpstreamFailsRuns, UpstreamFailsRuns, ResponsesLost, UpstreamRefuses, HostStop, HostCut, LinkReset,
+}
+
 // addedSince is the first seed that draws from the added kinds, cutAndCrashSince the
 // first that draws from cutAndCrashKinds, newPartsSince the first that draws from
-// partKinds.
+// partKinds, malformedSince the first that draws from malformedKinds.
 const (
+	malformedSince   = 1_000_000
 	addedSince       = 1000
 	cutAndCrashSince = 2000
 	newPartsSince    = 3000
@@ -129,6 +138,18 @@
 // kindsForSeed returns the kinds that a seed draws from. Even seeds have planned
 // operations only, since few bounds can be checked while faults are active.
 func kindsForSeed(seed uint64) []Kind {
+	switch {
+	case seed < malformedSince || seed%2 == 0 || seed%8 == 5:
+	case seed%8 == 7:
+		return malformedKinds
+	default:
+		return slices.Concat(kindsOfParts(seed), malformedKinds)
+	}
+	return kindsOfParts(seed)
+}
+
+// kindsOfParts returns the kinds that a seed draws from besides malformedKinds.
+func kindsOfParts(seed uint64) []Kind {
 	kinds, added := allKinds, addedKinds
 	if seed%2 == 0 {
 		kinds, added = plannedKinds, addedPlannedKinds
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -24,6 +24,7 @@
 	{2005, 5, "none: requests that end upstreams, while hosts are killed and stopped"},
 	{3099, 4, "none: cold upstreams, evacuations and a withdrawn key, while the store or its connections fail"},
 	{3100, 4, "none: the same with planned operations only"},
+	{1000015, 4, "orders that ran and failed with 503, 429, 421 or 408 were answered with that status; malformed responses were passed on"},
 }
 
 // buildGateway builds the gateway program and returns its path.
--- a/lab/soak/verify.go
+++ b/lab/soak/verify.go
@@ -7,8 +7,10 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/samber/lo"
 
+	"github.com/chestnutfield/chestnutfield/http1"
 	"github.com/chestnutfield/chestnutfield/platform/fakeupstream"
 )
 
@@ -92,7 +94,10 @@
 	for _, s := range v.results {
 		v.sent[s.Order]++
 		took := s.Ended.Sub(s.Sent)
+		var malformed *http1.Error
 		switch {
+		case errors.As(s.Err, &malformed):
+			v.addViolation("malformed", "%s got bytes from %s at %s that are no response: %s", s.RequestID, s.Host, v.secondsSinceStart(s.Ended), malformed.Detail)
 		case s.Status >= 200 && s.Status < 300 && !s.Correct:
 			v.addViolation("own answer", "%s got a success that is not its own whole answer from %s at %s", s.RequestID, s.Host, v.secondsSinceStart(s.Ended))
 		case s.Status >= 200 && s.Status < 300:
