lab/soak: a lookup's 429 that its upstream signed is not the host's refusal

The upstream's own 429 was passed on, as PROTOCOL.md asks ("The target's status, body and Response-Signature are returned unchanged"); the checks took every 429 for one of the host's quota. They leave out lookups with the signature of an upstream now; orders are checked as before.

--- a/lab/soak/caller.go
+++ b/lab/soak/caller.go
@@ -197,6 +197,10 @@
 	pause time.Duration
 }
 
+// failedByUpstream reports whether the response to a lookup is that of an upstream, whose
+// status is passed on whatever it is. An order must not get one that promises not-run.
+func (s RequestResult) failedByUpstream() bool { return s.Signed && !s.Order }
+
 // send sends one lookup or order and returns its result.
 func send(client *http.Client, h *host, order bool, id, key string) RequestResult {
 	if order {
