--- a/http1/conn_test.go
+++ b/http1/conn_test.go
@@ -154,3 +154,21 @@
 	Expect(reports).To(Equal(1))
 	Expect(r.Err()).To(HaveOccurred())
 }
+
+// Guards against a log that one sender of malformed responses fills.
+func TestMonitorBoundsItsLog(t *testing.T) {
+	RegisterTestingT(t)
+	core, logs := observer.New(zap.WarnLevel)
+	registry := prometheus.NewRegistry()
+	m, err := NewMonitor(zap.New(core), registry)
+	Expect(err).NotTo(HaveOccurred())
+	const rejections = 1000
+	for range rejections {
+		m.Record(Target, "127.0.0.1:1", malformed(Status, "status 000"))
+	}
+	Expect(logs.Len()).To(BeNumerically("<", rejections/2))
+	Expect(testutil.ToFloat64(m.malformed.WithLabelValues("target", "status"))).To(BeEquivalentTo(rejections))
+	var none *Monitor
+	none.Record(Target, "127.0.0.1:1", malformed(Status, "status 000"))
+	Expect(none.Observer(Target, "127.0.0.1:1")).To(BeNil())
+}
