--- a/proxy/promise_test.go
+++ b/proxy/promise_test.go
@@ -66,7 +66,7 @@
 					other := startUpstream(respondOnce(&others, soundResponse))
 					b := startHarness([]*rawUpstream{grey, other}, withStatusPromises)
 					t.Cleanup(func() { b.abort(); grey.ln.Close(); other.ln.Close() })
-					expectFailedOrder(b)
+					expectFailed(b, spoiledOrder)
 					Expect(runs.Load()).To(BeEquivalentTo(1))
 					Expect(others.Load()).To(BeZero(), "the order was sent again")
 				})
@@ -75,10 +75,10 @@
 	}
 }
 
-// expectFailedOrder sends an order and expects 502, with an unknown outcome and nothing
-// of the target's response.
-func expectFailedOrder(b *harness) {
-	resp, body, err := b.tryAsk(spoiledOrder)
+// expectFailed sends a request and expects 502, with an unknown outcome and nothing of
+// the target's response.
+func expectFailed(b *harness, request string) {
+	resp, body, err := b.tryAsk(request)
 	Expect(err).NotTo(HaveOccurred())
 	Expect(resp.StatusCode).To(Equal(http.StatusBadGateway))
 	Expect(resp.Header.Get("Chestnut-Outcome")).To(Equal("unknown"))
@@ -108,7 +108,7 @@
 				}
 				b := startHarness(nil, withStatusPromises, handingOver(&peerBalancer{orderedBalancer{targets: []netip.AddrPort{next}}}))
 				t.Cleanup(func() { b.abort(); grey.ln.Close() })
-				expectFailedOrder(b)
+				expectFailed(b, spoiledOrder)
 				Expect(runs.Load()).To(BeEquivalentTo(1))
 			})
 		}
@@ -142,6 +142,29 @@
 	}
 }
 
+// Guards against the same promise for a body that is streamed, whether the target answers
+// before or after it has all of it.
+func TestFailedUploadIsNotPromisedNotToHaveRun(t *testing.T) {
+	const bodyBytes = 200_000
+	upload := fmt.Sprintf("POST /orders/a HTTP/1.1\r\nHost: h\r\nBend-Id: r\r\nContent-Length: %d\r\n\r\n", bodyBytes) + strings.Repeat("u", bodyBytes)
+	for _, status := range promisedStatuses {
+		for _, early := range []bool{false, true} {
+			t.Run(fmt.Sprint(status, "/", early), func(t *testing.T) {
+				b := startCutTest(t, func(u *rawConn) {
+					if early {
+						_, _ = u.br.Peek(bodyBytes / 100)
+					} else if _, _, ok := u.request(); !ok {
+						return
+					}
+					u.send(failedWith("length", status, "Bend-Seal: s\r\n"))
+					u.waitClosed()
+				}, withStatusPromises)
+				expectFailed(b, upload)
+			})
+		}
+	}
+}
+
 // Guards against a lookup whose target's status changes: its caller repeats it whatever
 // the status, and Retry-After is of use.
 func TestFailedLookupKeepsTheStatusOfItsTarget(t *testing.T) {
