lab/soak: entry hosts end with the process that started them; two findings traced

Ending chestnutlab left its hosts behind.

Hosts are started with a signal that the kernel sends them when their parent ends (Linux).

--- a/lab/soak/host.go
+++ b/lab/soak/host.go
@@ -158,6 +158,7 @@
 	defer out.Close()
 	cmd := exec.Command(h.binaryPath, "--settings", h.settingsPath)
 	cmd.Stdout, cmd.Stderr = out, out
+	cmd.SysProcAttr = endedWithParent()
 	if err := cmd.Start(); err != nil {
 		return errors.Wrap(err, "start entry host")
 	}
