--- a/host/warmup_test.go
+++ b/host/warmup_test.go
@@ -26,6 +26,14 @@
 	arrivals  []time.Time
 }
 
+const (
+	// coldServerWork is how long a request takes, sendersPerHost the number of requests
+	// that a host gets at the same time. Together they keep both targets of a pool busy:
+	// of two that are idle, the one that was a little faster may get all requests.
+	coldServerWork = 20 * time.Millisecond
+	sendersPerHost = 3
+)
+
 func newColdServer() *coldServer {
 	s := &coldServer{}
 	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -34,8 +42,9 @@
 		}
 		if r.URL.Path != "/load" {
 			s.mu.Lock()
-			defer s.mu.Unlock()
 			s.arrivals = append(s.arrivals, time.Now())
+			s.mu.Unlock()
+			time.Sleep(coldServerWork)
 		}
 	}))
 	DeferCleanup(s.Close)
@@ -67,15 +76,25 @@
 		var senders sync.WaitGroup
 		var failed atomic.Int64
 		DeferCleanup(func() { stop(); senders.Wait() })
+		DeferCleanup(func() {
+			if CurrentSpecReport().Failed() {
+				for _, h := range d.hosts {
+					GinkgoWriter.Printf("targets of w: %+v\n", poolStatus(h, "w").Targets)
+				}
+				GinkgoWriter.Println("failed requests:", failed.Load())
+			}
+		})
 		for _, h := range d.hosts {
 			Eventually(func() int { r, _ := send(h, http.MethodGet, "/w/x", ""); return r.status }, waitTimeout).Should(Equal(http.StatusOK))
-			senders.Go(func() {
-				for ; ctx.Err() == nil; time.Sleep(10 * time.Millisecond) {
-					if r, _ := send(h, http.MethodGet, "/w/x", ""); r.status != http.StatusOK {
-						failed.Add(1)
+			for range sendersPerHost {
+				senders.Go(func() {
+					for ; ctx.Err() == nil; time.Sleep(10 * time.Millisecond) {
+						if r, _ := send(h, http.MethodGet, "/w/x", ""); r.status != http.StatusOK {
+							failed.Add(1)
+						}
 					}
-				}
-			})
+				})
+			}
 		}
 		Eventually(cold.lastSecond, waitTimeout).Should(BeNumerically(">", bound))
 
