--- a/storesync/cut_internal_test.go
+++ b/storesync/cut_internal_test.go
@@ -9,14 +9,20 @@
 	"github.com/chestnutfield/chestnutfield/table"
 )
 
-// Guards against a snapshot that is applied in part because the response broke off.
-func TestCutSnapshotIsNoSnapshot(t *testing.T) {
+// emptyFollower returns a follower that knows nothing, and its snapshot.
+func emptyFollower(t *testing.T) (*Follower, []byte) {
 	f := &Follower{Options: Options{Clock: clockwork.NewFakeClock()}, registry: newRegistryState(), client: newSnapshotClient(nil)}
 	f.tables.Store(table.Empty())
 	body, err := f.snapshot(peerVersions{})
 	if err != nil {
 		t.Fatal(err)
 	}
+	return f, body
+}
+
+// Guards against a snapshot that is applied in part because the response broke off.
+func TestCutSnapshotIsNoSnapshot(t *testing.T) {
+	f, body := emptyFollower(t)
 	s := cuttest.Start(t)
 	s.Strict = true
 	s.Check(t, string(body), func() (any, error) {
@@ -31,12 +37,7 @@
 
 // Guards against a snapshot that is read from bytes that are no HTTP/1.1 response.
 func TestMalformedResponseIsNoSnapshot(t *testing.T) {
-	f := &Follower{Options: Options{Clock: clockwork.NewFakeClock()}, registry: newRegistryState(), client: newSnapshotClient(nil)}
-	f.tables.Store(table.Empty())
-	body, err := f.snapshot(peerVersions{})
-	if err != nil {
-		t.Fatal(err)
-	}
+	f, body := emptyFollower(t)
 	s := cuttest.Start(t)
 	s.CheckMalformed(t, string(body), func() (any, error) { return f.requestSnapshot(s.Addr, peerVersions{}) })
 }
