--- a/http1/conn.go
+++ b/http1/conn.go
@@ -105,7 +105,7 @@
 // take returns how many of the bytes belong to the response that is expected.
 func (c *Conn) take(p []byte) int {
 	if !c.awaiting.Load() {
-		c.err = malformed(Unsolicited, "bytes "+shownBytes+" without a request", p)
+		c.err = malformed(Unsolicited, "bytes "+quotedStart+" without a request", p)
 		return 0
 	}
 	c.responses.ExpectHEAD(c.toHEAD.Load())
--- a/http1/framing.go
+++ b/http1/framing.go
@@ -34,7 +34,7 @@
 		return h.addLength(value)
 	case isName(name, "transfer-encoding"):
 		if h.codings++; !bytes.EqualFold(value, []byte("chunked")) {
-			return malformed(Framing, "Transfer-Encoding is "+shownBytes+"; only chunked is accepted", value)
+			return malformed(Framing, "Transfer-Encoding is "+quotedStart+"; only chunked is accepted", value)
 		}
 	}
 	return nil
@@ -43,7 +43,7 @@
 func (h *head) addLength(value []byte) *Error {
 	length, err := strconv.ParseUint(string(value), 10, maxLengthBits)
 	if err != nil {
-		return malformed(Framing, "Content-Length "+shownBytes+" is not a number of bytes", value)
+		return malformed(Framing, "Content-Length "+quotedStart+" is not a number of bytes", value)
 	}
 	h.lengths++
 	h.length = length
@@ -99,14 +99,14 @@
 // section 7.1).
 func parseChunkSize(line []byte) (uint64, *Error) {
 	digits := 0
-	for digits < len(line) && isHex(line[digits]) {
+	for digits < len(line) && IsHex(line[digits]) {
 		digits++
 	}
 	if digits == 0 || digits > maxChunkDigits {
-		return 0, malformed(Chunk, "chunk size line "+shownBytes+" does not begin with 1 to 15 hexadecimal digits", line)
+		return 0, malformed(Chunk, "chunk size line "+quotedStart+" does not begin with 1 to 15 hexadecimal digits", line)
 	}
 	if !isChunkExtension(line[digits:]) {
-		return 0, malformed(Chunk, "chunk size line "+shownBytes+" has an invalid extension", line)
+		return 0, malformed(Chunk, "chunk size line "+quotedStart+" has an invalid extension", line)
 	}
 	size, err := strconv.ParseUint(string(line[:digits]), 16, maxLengthBits)
 	if err != nil {
@@ -166,4 +166,5 @@
 	return b[:n], b[n:]
 }
 
-func isHex(c byte) bool { return '0' <= c && c <= '9' || 'a' <= c|0x20 && c|0x20 <= 'f' }
+// IsHex reports whether c is a hexadecimal digit.
+func IsHex(c byte) bool { return '0' <= c && c <= '9' || 'a' <= c|0x20 && c|0x20 <= 'f' }
--- a/http1/line.go
+++ b/http1/line.go
@@ -5,8 +5,8 @@
 	"strings"
 )
 
-// shownBytes quotes the first 60 bytes of what was found.
-const shownBytes = "%.60q"
+// quotedStart is the format that quotes the first 60 bytes of what was found.
+const quotedStart = "%.60q"
 
 var crlf = []byte("\r\n")
 
@@ -63,7 +63,7 @@
 // parseStatusLine parses a status line without its CRLF.
 func parseStatusLine(line []byte) (status int, http11 bool, err *Error) {
 	if len(line) < len(version11) || !beginsStatusLine(line) {
-		return 0, false, malformed(Version, "status line "+shownBytes+" does not begin with HTTP/1.1 or HTTP/1.0", line)
+		return 0, false, malformed(Version, "status line "+quotedStart+" does not begin with HTTP/1.1 or HTTP/1.0", line)
 	}
 	code := line[len(version11):min(phraseAt-1, len(line))]
 	for _, c := range code {
@@ -76,10 +76,10 @@
 		return 0, false, malformed(Status, "status %q is not from 100 to 599", code)
 	}
 	if len(line) < phraseAt || line[phraseAt-1] != ' ' {
-		return 0, false, malformed(ReasonPhrase, "status line "+shownBytes+" has no space after the status", line)
+		return 0, false, malformed(ReasonPhrase, "status line "+quotedStart+" has no space after the status", line)
 	}
 	if !IsFieldValue(line[phraseAt:]) {
-		return 0, false, malformed(ReasonPhrase, "reason phrase "+shownBytes+" has a control byte", line[phraseAt:])
+		return 0, false, malformed(ReasonPhrase, "reason phrase "+quotedStart+" has a control byte", line[phraseAt:])
 	}
 	return status, string(line[:len(version11)]) == version11, nil
 }
@@ -88,7 +88,7 @@
 func parseFieldLine(line []byte) (name, value []byte, err *Error) {
 	name, value, found := bytes.Cut(line, []byte(":"))
 	if !found {
-		return nil, nil, malformed(FieldName, "header line "+shownBytes+" has no colon", line)
+		return nil, nil, malformed(FieldName, "header line "+quotedStart+" has no colon", line)
 	}
 	value = TrimSpace(value)
 	return name, value, checkField(name, value)
@@ -97,7 +97,7 @@
 // checkField checks the name and the value of a header line.
 func checkField(name, value []byte) *Error {
 	if !IsToken(name) {
-		return malformed(FieldName, "header name "+shownBytes+" is not a token", name)
+		return malformed(FieldName, "header name "+quotedStart+" is not a token", name)
 	}
 	if !IsFieldValue(value) {
 		return malformed(FieldValue, "value of header %.60s has a control byte", name)
@@ -109,7 +109,7 @@
 func cutLineEnd(line []byte) ([]byte, *Error) {
 	content, found := bytes.CutSuffix(line, crlf)
 	if !found {
-		return nil, malformed(LineEnd, "line "+shownBytes+" does not end in CRLF", line)
+		return nil, malformed(LineEnd, "line "+quotedStart+" does not end in CRLF", line)
 	}
 	return content, nil
 }
--- a/http1/validator.go
+++ b/http1/validator.go
@@ -116,7 +116,7 @@
 // does not begin a status line, since there may be no end.
 func (v *Validator) checkPartialLine() *Error {
 	if v.phase == inStatusLine && !beginsStatusLine(v.line) {
-		return malformed(Version, "status line "+shownBytes+" does not begin with HTTP/1.1 or HTTP/1.0", v.line)
+		return malformed(Version, "status line "+quotedStart+" does not begin with HTTP/1.1 or HTTP/1.0", v.line)
 	}
 	return v.checkSize(len(v.line))
 }
@@ -153,7 +153,7 @@
 		v.chunkSize(content)
 	case inChunkEnd:
 		if len(content) > 0 {
-			v.err = malformed(Chunk, "chunk is followed by "+shownBytes+" in place of CRLF", content)
+			v.err = malformed(Chunk, "chunk is followed by "+quotedStart+" in place of CRLF", content)
 		}
 		v.phase = inChunkSize
 	case inTrailer:
--- a/proxy/headerlines.go
+++ b/proxy/headerlines.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 
+	"github.com/chestnutfield/chestnutfield/http1"
 	"github.com/chestnutfield/chestnutfield/lb"
 )
 
@@ -121,12 +122,10 @@
 // hexadecimal digits (RFC 3986, section 2.1). Upstreams disagree on what others mean.
 func hasValidEscapes(path string) bool {
 	for i := strings.IndexByte(path, '%'); i >= 0; i = strings.IndexByte(path, '%') {
-		if len(path) < i+3 || !isHex(path[i+1]) || !isHex(path[i+2]) {
+		if len(path) < i+3 || !http1.IsHex(path[i+1]) || !http1.IsHex(path[i+2]) {
 			return false
 		}
 		path = path[i+3:]
 	}
 	return true
 }
-
-func isHex(c byte) bool { return '0' <= c && c <= '9' || 'a' <= c|0x20 && c|0x20 <= 'f' }
