--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -28,6 +28,7 @@
 // cases are the cases by name. Each returns what breaks the rule, "" if it held.
 var cases = map[string]func(p *play) (broken string, err error){
 	"quota-added-host": quotaAddedHost,
+	"caller-header":    callerHeader,
 }
 
 // maxLength bounds a run.
