--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command harness3 plays the cases of the third review: it starts entry hosts as
 // separate processes on loopback addresses, with stand-ins of the platform's store, of
 // the back ends and of the callers, brings a disruption about and checks one rule.
--- a/review/harness3/raw.go
+++ b/review/harness3/raw.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
